Dispatch: the upstreams' protocol is a value

Cause: header names and the sign of a refusal were masticmount's own, so no other protocol could be spoken without a second client. Change: Protocol names the request header and tells refusals; Begin returns an answer whose body is read by the caller; a request target can go out byte for byte; a connection remembers the idle time that its upstream states; a refusal keeps its connection.

--- a/pkg/dispatch/call.go
+++ b/pkg/dispatch/call.go
@@ -33,17 +33,27 @@
 	ContentType string
 	Body        []byte
 	// Headers are set on the request besides the ones above.
-	Headers  map[string]string
+	Headers map[string]string
+	// Target and Host, when set, go into the request line and the Host header as
+	// they are, in place of Path and Query.
+	Target, Host string
+	// Lines are headers that may come more than once, in their order.
+	Lines    []HeaderLine
 	Deadline time.Time
 	// FreshConnection keeps the call off connections that were used before. A
 	// call that may not be repeated needs one: an upstream that closes an idle
 	// connection would leave its outcome unknown.
 	FreshConnection bool
+	// FreshWithin, above 0, keeps the call off connections that were idle for longer.
+	FreshWithin time.Duration
 	// StallTimeout bounds the silence of a stream after its first token; 0 means
 	// that only the deadline does.
 	StallTimeout time.Duration
 }
 
+// HeaderLine is one line of a request's or an answer's header.
+type HeaderLine struct{ Name, Value string }
+
 // Answer is an upstream's whole answer.
 type Answer struct {
 	Status      int
--- a/pkg/dispatch/client.go
+++ b/pkg/dispatch/client.go
@@ -21,6 +21,8 @@
 	Dial DialFunc
 	// TLS secures the connections; nil means plain text.
 	TLS *tls.Config
+	// Protocol is what upstreams speak; the zero value means masticmount's own.
+	Protocol Protocol
 	// variant selects a broken variant for the tests that must catch it.
 	variant variant
 }
@@ -61,6 +63,7 @@
 			return dialer.DialContext(ctx, "tcp", address)
 		}
 	}
+	opts.Protocol.complete()
 	return &Client{opts: opts, pool: newPool()}
 }
 
--- a/pkg/dispatch/conn.go
+++ b/pkg/dispatch/conn.go
@@ -56,6 +56,9 @@
 	writer  *bufio.Writer
 	// idleSince is when the connection was given back to the pool.
 	idleSince time.Time
+	// keepAlive is the idle time after which the upstream closes the connection, as
+	// it last said; 0 when it did not.
+	keepAlive time.Duration
 }
 
 func newConn(address string, raw *countingConn, secured net.Conn) *conn {
--- a/pkg/dispatch/errors.go
+++ b/pkg/dispatch/errors.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"syscall"
 	"time"
 )
 
@@ -30,6 +31,8 @@
 	Malformed Reason = "malformed"
 	// TooLarge means that the answer was larger than the client takes.
 	TooLarge Reason = "too-large"
+	// Failed means that the upstream answered with an error of its own.
+	Failed Reason = "failed"
 	// Canceled means that the call's context ended.
 	Canceled Reason = "canceled"
 )
@@ -42,7 +45,9 @@
 	Sent bool
 	// RetryAfter is what a refusing upstream asked for.
 	RetryAfter time.Duration
-	cause      error
+	// AtFault names the upstream that a refusing one blames; empty when none.
+	AtFault string
+	cause   error
 }
 
 // Error implements error.
@@ -83,3 +88,6 @@
 	var timeout interface{ Timeout() bool }
 	return errors.As(err, &timeout) && timeout.Timeout()
 }
+
+// IsConnectionRefused reports whether nothing listened at the upstream's address.
+func IsConnectionRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
--- a/pkg/dispatch/exchange.go
+++ b/pkg/dispatch/exchange.go
@@ -1,17 +1,17 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
-
-	"github.com/masticmount/masticmount/pkg/fault"
 )
 
 // errNoLength is the cause of a failure when the end of an answer cannot be
@@ -66,7 +66,7 @@
 	before := x.conn.raw.written.Load()
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	fill(req, x.call)
+	fill(req, x.call, x.client.opts.Protocol.RequestID)
 	err := req.Write(x.conn.writer)
 	if err == nil {
 		err = x.conn.writer.Flush()
@@ -84,7 +84,7 @@
 // check refuses answers to other requests and explicit refusals.
 func (x *exchange) check() error {
 	header := &x.resp.Header
-	echo := header.Peek(HeaderRequestID)
+	echo := header.Peek(x.client.opts.Protocol.RequestID)
 	x.echoed = string(echo) == x.call.RequestID
 	if len(echo) > 0 && !x.echoed && x.client.opts.variant != trustAnyAnswer {
 		return x.abort(Crossed, fmt.Errorf("the answer names request %q", echo))
@@ -94,23 +94,37 @@
 	}
 	seconds, _ := strconv.Atoi(string(header.Peek(fasthttp.HeaderRetryAfter)))
 	status := header.StatusCode()
-	err := x.abort(Refused, fmt.Errorf("status %d", status))
+	err := x.fail(Refused, fmt.Errorf("status %d", status))
 	err.RetryAfter = time.Duration(max(seconds, 0)) * time.Second
+	err.AtFault = x.client.opts.Protocol.atFault(header.Peek)
+	x.discard()
 	return err
 }
 
+// discard reads the rest of a refusal, so that its connection serves the next
+// call, or closes the connection.
+func (x *exchange) discard() {
+	_ = x.conn.SetReadDeadline(time.Now().Add(lastChunkTimeout))
+	if x.bounded() {
+		if stream := x.resp.BodyStream(); stream != nil {
+			if _, err := io.CopyN(io.Discard, stream, maxRefusalBytes); !errors.Is(err, io.EOF) {
+				x.echoed = false
+			}
+		}
+	} else {
+		x.echoed = false
+	}
+	x.finish()
+}
+
 // refused reports whether the upstream said that the request did not run. A
 // plain error status is an answer: the request may have run before it.
 func (x *exchange) refused() bool {
-	switch x.resp.StatusCode() {
-	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusConflict:
-	default:
-		return false
-	}
+	status := x.resp.StatusCode()
 	if x.client.opts.variant == plainErrorIsRefusal {
-		return true
+		return refusalStatus(status)
 	}
-	return string(x.resp.Header.Peek(fault.OutcomeHeader)) == string(fault.NotRun)
+	return x.client.opts.Protocol.Refused(status, x.resp.Header.Peek)
 }
 
 // bounded reports whether the end of the body can be told from a cut.
@@ -156,6 +170,7 @@
 // late or doubled answer cannot be taken for another request's.
 func (x *exchange) finish() {
 	reusable := x.unhook() && x.echoed && !x.resp.ConnectionClose()
+	x.conn.keepAlive = keepAliveOf(x.resp.Header.Peek("Keep-Alive"))
 	x.release()
 	if !reusable {
 		_ = x.conn.Close()
@@ -164,6 +179,20 @@
 	x.client.pool.put(x.conn, time.Now())
 }
 
+// keepAliveOf returns the idle time in a Keep-Alive header; 0 when it states none.
+func keepAliveOf(value []byte) time.Duration {
+	_, after, ok := strings.Cut(string(value), "timeout=")
+	if !ok {
+		return 0
+	}
+	digits, _, _ := strings.Cut(after, ",")
+	seconds, err := strconv.Atoi(strings.TrimSpace(digits))
+	if err != nil {
+		return 0
+	}
+	return time.Duration(seconds) * time.Second
+}
+
 // abort closes the connection, which cancels the work on an engine, and returns
 // the failure.
 func (x *exchange) abort(reason Reason, cause error) *CallError {
@@ -192,19 +221,32 @@
 
 // fill writes the call into a request. The library encodes the path and drops
 // line breaks from header values.
-func fill(req *fasthttp.Request, call Call) {
-	uri := req.URI()
-	uri.SetScheme("http")
-	uri.SetHost(call.Address)
-	uri.SetPath(call.Path)
-	uri.SetQueryString(call.Query)
+func fill(req *fasthttp.Request, call Call, requestID string) {
+	req.Header.SetNoDefaultContentType(true)
+	if call.Target == "" {
+		uri := req.URI()
+		uri.SetScheme("http")
+		uri.SetHost(call.Address)
+		uri.SetPath(call.Path)
+		uri.SetQueryString(call.Query)
+	}
 	req.Header.SetMethod(call.Method)
 	for k, v := range call.Headers {
 		req.Header.Set(k, v)
 	}
-	req.Header.Set(HeaderRequestID, call.RequestID)
+	if call.Target != "" {
+		// The library leaves the target alone as long as nobody asks for its parts.
+		req.Header.SetRequestURI(call.Target)
+		req.Header.SetHost(cmp.Or(call.Host, call.Address))
+	}
+	for _, h := range call.Lines {
+		req.Header.Add(h.Name, h.Value)
+	}
+	req.Header.Set(requestID, call.RequestID)
 	if len(call.Body) > 0 {
-		req.Header.SetContentType(call.ContentType)
+		if call.ContentType != "" {
+			req.Header.SetContentType(call.ContentType)
+		}
 		req.SetBodyRaw(call.Body)
 	}
 }
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -24,19 +24,35 @@
 func newPool() *pool { return &pool{idle: map[string][]*conn{}} }
 
 // take returns an idle connection that is still quiet, or nil.
-func (p *pool) take(address string, now time.Time) *conn {
+func (p *pool) take(address string, now time.Time, within time.Duration) *conn {
 	for {
 		c := p.pop(address)
 		if c == nil {
 			return nil
 		}
-		if now.Sub(c.idleSince) < maxIdleAge && c.quiet() {
+		if now.Sub(c.idleSince) < c.usable(within) && c.quiet() {
 			return c
 		}
 		_ = c.Close()
 	}
 }
 
+// usable returns how long the connection may have been idle for a call.
+func (c *conn) usable(within time.Duration) time.Duration {
+	age := maxIdleAge
+	if c.keepAlive > 0 {
+		age = min(age, time.Duration(keepAliveShare*float64(c.keepAlive)))
+	}
+	if within > 0 {
+		age = min(age, within)
+	}
+	return age
+}
+
+// keepAliveShare of the idle time that an upstream states is relied on: its clock
+// started earlier, and it counts in whole seconds.
+const keepAliveShare = 0.6
+
 func (p *pool) pop(address string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -111,7 +127,7 @@
 // connect takes an idle connection or opens one.
 func (c *Client) connect(ctx context.Context, call Call) (*conn, error) {
 	if !call.FreshConnection {
-		if idle := c.pool.take(call.Address, time.Now()); idle != nil {
+		if idle := c.pool.take(call.Address, time.Now(), call.FreshWithin); idle != nil {
 			return idle, nil
 		}
 	}
--- /dev/null
+++ b/pkg/dispatch/response.go
@@ -0,0 +1,118 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+)
+
+// Response is an upstream's answer whose body is still to be read. Exactly one of
+// Finish and Abort ends it.
+type Response struct {
+	x    *exchange
+	body io.Reader
+	// silence bounds how long one read may wait; 0 means as long as the deadline.
+	silence time.Duration
+	ended   bool
+}
+
+// Begin sends a call and returns once the header of the answer is there, or a
+// *CallError. When ctx ends the connection is closed.
+func (c *Client) Begin(ctx context.Context, call Call) (*Response, error) {
+	x, err := c.begin(ctx, call, call.Method == "HEAD")
+	if err != nil {
+		return nil, err
+	}
+	if !x.bounded() && !c.opts.Protocol.Unframed {
+		return nil, x.abort(CutOff, errNoLength)
+	}
+	return &Response{x: x, body: x.resp.BodyStream()}, nil
+}
+
+// Status returns the status code.
+func (r *Response) Status() int { return r.x.resp.StatusCode() }
+
+// Length returns the length of the body; negative when it is not stated.
+func (r *Response) Length() int { return r.x.resp.Header.ContentLength() }
+
+// Header returns the value of one header; nil when there is none.
+func (r *Response) Header(name string) []byte { return r.x.resp.Header.Peek(name) }
+
+// Lines returns the header's lines, without those that frame the body.
+func (r *Response) Lines() []HeaderLine {
+	var lines []HeaderLine
+	for name, value := range r.x.resp.Header.All() {
+		lines = append(lines, HeaderLine{string(name), string(value)})
+	}
+	return lines
+}
+
+// BoundSilence sets how long one read may wait for bytes; 0 means as long as the
+// deadline.
+func (r *Response) BoundSilence(d time.Duration) { r.silence = d }
+
+// Read reads the body. Its errors are io.EOF after the whole body, or a *CallError.
+func (r *Response) Read(p []byte) (int, error) {
+	if r.body == nil {
+		return 0, io.EOF
+	}
+	waiting := r.silence > 0 && r.x.conn.reader.Buffered() == 0
+	if waiting {
+		until := time.Now().Add(r.silence)
+		if until.After(r.x.call.Deadline) {
+			until = r.x.call.Deadline
+		}
+		_ = r.x.conn.SetReadDeadline(until)
+	}
+	n, err := r.body.Read(p)
+	if err == nil || errors.Is(err, io.EOF) {
+		return n, err
+	}
+	reason := reasonOf(r.x.ctx, err, CutOff)
+	if reason == TimedOut && r.silence > 0 && time.Now().Before(r.x.call.Deadline) {
+		reason = Stalled
+	}
+	return n, r.abort(reason, err)
+}
+
+// ReadAll reads the whole body and ends the response.
+func (r *Response) ReadAll() ([]byte, error) {
+	if r.body == nil {
+		r.Finish()
+		return nil, nil
+	}
+	body, err := readAll(r.body, r.Length())
+	if err != nil {
+		return nil, r.abort(reasonOf(r.x.ctx, err, CutOff), err)
+	}
+	if len(body) > maxAnswerBytes {
+		return nil, r.abort(TooLarge, errors.New("the answer is larger than a client takes"))
+	}
+	r.Finish()
+	return body, nil
+}
+
+// Finish gives the connection back after the whole body was read.
+func (r *Response) Finish() {
+	if r.ended {
+		return
+	}
+	r.ended = true
+	if !r.x.bounded() {
+		r.x.echoed = false
+	}
+	r.x.finish()
+}
+
+// Abort closes the connection, which cancels the work at the upstream, and returns
+// the failure.
+func (r *Response) Abort(reason Reason, cause error) *CallError { return r.abort(reason, cause) }
+
+func (r *Response) abort(reason Reason, cause error) *CallError {
+	if r.ended {
+		return r.x.fail(reason, cause)
+	}
+	r.ended = true
+	return r.x.abort(reason, cause)
+}
