State: a whole configuration document with the operators' version

Cause: the region log knew single objects with compare-and-set only; an operator who replaces everything at once had no place. Ruled out: turning a document into objects inside the log (not atomic, and the bytes could not be read back).

--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -34,7 +34,9 @@
 	history History
 	claims  *claims.Table
 	shares  *share.Table
-	options options
+	// document is the operators' whole configuration document; nil before the first.
+	document *peerpb.DocumentChange
+	options  options
 }
 
 // options switch off single safeguards, to show that the proofs notice.
@@ -71,6 +73,8 @@
 		grants := m.shares.Apply(m.nowMS, m.config.Limits, body.ShareReport)
 		grants.Revision = m.config.Revision
 		return &peerpb.Result{Revision: m.config.Revision, Shares: grants}
+	case *peerpb.Command_DocumentChange:
+		return m.applyDocument(body.DocumentChange)
 	default:
 		return &peerpb.Result{Revision: m.config.Revision}
 	}
@@ -193,6 +197,7 @@
 		Claims:        m.claims.Records(),
 		SpentAttempts: m.claims.Spent(),
 		ShareHolders:  m.shares.Holders(),
+		Document:      m.document,
 	}
 	if m.options.forgetChangesAtSnapshot {
 		snapshot.Changes = nil
@@ -230,6 +235,7 @@
 	}
 	restored.claims.Restore(snapshot.GetClaims(), snapshot.GetSpentAttempts())
 	restored.shares.Restore(snapshot.GetShareHolders())
+	restored.document = snapshot.GetDocument()
 	*m = *restored
 	return nil
 }
