--- /dev/null
+++ b/pkg/document/document.go
@@ -0,0 +1,230 @@
+// Package document holds the operators' whole configuration document in decoded
+// form, and decides what it says of one request: its route, its client account
+// and the service it goes to. It is pure.
+package document
+
+import (
+	"fmt"
+	"time"
+)
+
+// Idempotency says whether a request may run more than once.
+type Idempotency int
+
+const (
+	// RunOnce requests run at most once.
+	RunOnce Idempotency = iota
+	// Repeatable requests may run again after any failure.
+	Repeatable
+	// Resumable streams may go on at another upstream after the last event.
+	Resumable
+)
+
+// Document is one version of the configuration. It is immutable.
+type Document struct {
+	// Version is the operators' own; higher versions replace lower ones.
+	Version  uint64
+	Routes   []Route
+	Services map[string]*Service
+	Accounts []Account
+	Limits   Limits
+
+	hosts map[string]*pathTree
+	byKey map[string]*Account
+}
+
+// Route says how the requests below a path prefix are served.
+type Route struct {
+	Name       string
+	Host       string
+	PathPrefix string
+	// Stream is true where answers are event streams.
+	Stream      bool
+	Idempotency Idempotency
+	// Timeout is the longest time that a request may be kept waiting.
+	Timeout time.Duration
+	// Objective is the time within which the answer, or its first event, is on time.
+	Objective time.Duration
+	// MaxPause is the longest pause between two events of a stream that is on time.
+	MaxPause time.Duration
+	// Priority orders routes at overload; 0 goes first.
+	Priority int
+	// MaxAttempts is the number of upstreams that one request may be sent to.
+	MaxAttempts int
+	// Public routes need no key.
+	Public bool
+	// Services share the route's requests by weight.
+	Services []WeightedService
+}
+
+// WeightedService is one destination of a route.
+type WeightedService struct {
+	Service string
+	Weight  int
+}
+
+// Service is a set of upstreams with the same program.
+type Service struct {
+	Name string
+	// MaxConnections that one upstream takes from all its callers.
+	MaxConnections int
+	// Engine is nil for plain services.
+	Engine *Engine
+}
+
+// Engine describes the model engines of a service.
+type Engine struct {
+	// Slots is the number of requests that a group runs at once.
+	Slots  int
+	Models []Model
+	// StepTime is one token step of a group with pace 1; StepTimePerRequest adds to
+	// it for each request that is writing.
+	StepTime, StepTimePerRequest time.Duration
+	// PromptTokensPerSecond is how fast prompts are read.
+	PromptTokensPerSecond float64
+	// TokensPerEvent is the number of token steps in one pass, and so in one event.
+	TokensPerEvent int
+	// LoadsPerSecond bounds the loads that begin at the weight store; LoadsAtOnce is
+	// the number from which loads slow each other down.
+	LoadsPerSecond float64
+	LoadsAtOnce    int
+	// StagedModels is the number of models that a VM keeps staged.
+	StagedModels int
+	// OpenTime passes between the order to open a group and its first request.
+	OpenTime time.Duration
+}
+
+// Model is one model of a service's engines.
+type Model struct {
+	Name string
+	// GroupSize is the number of VMs that a replica spans.
+	GroupSize int
+	// Share of the work at the start, from 0 to 1.
+	Share float64
+	// Pace is a factor on all times of a group.
+	Pace float64
+	// LoadTime is a load from the weight store; WarmTime one from the VM's own memory.
+	LoadTime, WarmTime time.Duration
+}
+
+// Account is a client account.
+type Account struct {
+	Name string
+	Keys []string
+	// Priority takes precedence over the route's where HasPriority.
+	Priority    int
+	HasPriority bool
+}
+
+// Limits bound what callers may send.
+type Limits struct {
+	MaxHeaderBytes, MaxBodyBytes int
+	HeaderTimeout, IdleTimeout   time.Duration
+}
+
+// InvalidError tells why a document is refused.
+type InvalidError struct {
+	// Where names the part at fault; Remedy says how to mend it.
+	Where, Remedy string
+}
+
+// Error implements error.
+func (e *InvalidError) Error() string {
+	return fmt.Sprintf("configuration document: %s: %s", e.Where, e.Remedy)
+}
+
+// Index checks the document and prepares it for look-ups.
+func (d *Document) Index() error {
+	d.hosts, d.byKey = map[string]*pathTree{}, map[string]*Account{}
+	for i := range d.Routes {
+		if err := d.indexRoute(&d.Routes[i]); err != nil {
+			return err
+		}
+	}
+	for i := range d.Accounts {
+		account := &d.Accounts[i]
+		for _, key := range account.Keys {
+			if other, taken := d.byKey[key]; taken && other != account {
+				return &InvalidError{"account " + account.Name, "give it a key of its own: account " + other.Name + " has the same one"}
+			}
+			d.byKey[key] = account
+		}
+	}
+	return nil
+}
+
+func (d *Document) indexRoute(r *Route) error {
+	where := "route " + r.Name
+	if r.Timeout <= 0 {
+		return &InvalidError{where, "give a timeout above 0"}
+	}
+	weight := 0
+	for _, s := range r.Services {
+		if _, known := d.Services[s.Service]; !known {
+			return &InvalidError{where, fmt.Sprintf("define service %q or name another one", s.Service)}
+		}
+		if s.Weight < 0 {
+			return &InvalidError{where, "give weights from 0 up"}
+		}
+		weight += s.Weight
+	}
+	if weight == 0 {
+		return &InvalidError{where, "give at least one service a weight above 0"}
+	}
+	tree := d.hosts[r.Host]
+	if tree == nil {
+		tree = &pathTree{}
+		d.hosts[r.Host] = tree
+	}
+	if !tree.add(r) {
+		return &InvalidError{where, fmt.Sprintf("choose another prefix: host %s has a route at %s", r.Host, r.PathPrefix)}
+	}
+	return nil
+}
+
+// Route returns the route of the host with the longest prefix of the path; nil
+// when there is none.
+func (d *Document) Route(host, path string) *Route {
+	tree := d.hosts[host]
+	if tree == nil {
+		return nil
+	}
+	return tree.longest(path)
+}
+
+// Account returns the client account that holds a key; nil when there is none.
+func (d *Document) Account(key string) *Account { return d.byKey[key] }
+
+// Service returns the destination for a request; draw is uniform in [0, 1).
+func (r *Route) Service(draw float64) string {
+	total := 0
+	for _, s := range r.Services {
+		total += s.Weight
+	}
+	at := int(draw * float64(total))
+	for _, s := range r.Services {
+		if at < s.Weight {
+			return s.Service
+		}
+		at -= s.Weight
+	}
+	return r.Services[len(r.Services)-1].Service
+}
+
+// Model returns a model of the engine by its name; nil when there is none.
+func (e *Engine) Model(name string) *Model {
+	for i := range e.Models {
+		if e.Models[i].Name == name {
+			return &e.Models[i]
+		}
+	}
+	return nil
+}
+
+// VersionOrZero returns the version; 0 for no document.
+func (d *Document) VersionOrZero() uint64 {
+	if d == nil {
+		return 0
+	}
+	return d.Version
+}
