Grouping: groups of several models formed in steps

Cause: the planner of pkg/placement knows one size, one selector and one order. Engines here need join, ready on every member, open, close before reuse, and hold one staged model. Change: a pure planner with a group's phases, adoption by name after a change of steward, a hold for the stall time where the head cannot be reached, a budget of loads, staging of free engines. Ruled out: stretching placement: its generations and single order do not carry the steps.

--- /dev/null
+++ b/pkg/grouping/planner.go
@@ -0,0 +1,308 @@
+// Package grouping decides which engines make up which groups where several
+// models share one pool: it forms groups in steps, opens them once every member
+// is ready, closes them before their members are used again, and keeps spares
+// staged. It is pure: time and reports in, orders out.
+package grouping
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/masticmount/masticmount/pkg/document"
+	"github.com/masticmount/masticmount/pkg/fleet"
+)
+
+// OrderKind says what an engine is told to do.
+type OrderKind string
+
+// The kinds of orders.
+const (
+	// Join makes the engine a member of a group.
+	Join OrderKind = "join"
+	// Open lets a head that is ready take requests.
+	Open OrderKind = "open"
+	// Close ends a head's service.
+	Close OrderKind = "close"
+	// Leave takes the engine out of its group at once.
+	Leave OrderKind = "leave"
+	// Stage loads a model onto the VM.
+	Stage OrderKind = "stage"
+	// Probe asks whether the engine answers; it changes nothing.
+	Probe OrderKind = "probe"
+)
+
+// Order is one order to one engine.
+type Order struct {
+	Kind     OrderKind
+	Upstream string
+	Born     uint64
+	Address  string
+	Group    string
+	Epoch    uint64
+	Model    string
+	// Members are the identifiers of a join's group, the head first.
+	Members []string
+	// Cancel makes a close cut off the work under way.
+	Cancel bool
+}
+
+// Outcome is what became of an order.
+type Outcome int
+
+const (
+	// Accepted orders began, or held already.
+	Accepted Outcome = iota
+	// Rejected orders changed nothing.
+	Rejected
+	// Unanswered orders may have begun, or may begin later.
+	Unanswered
+	// Refused means that nothing listens at the address.
+	Refused
+)
+
+// Result is the outcome of one order.
+type Result struct {
+	Order   Order
+	Outcome Outcome
+}
+
+// Options of a Planner.
+type Options struct {
+	// Term of the steward; epochs of later terms are higher.
+	Term uint64
+	// Stall is the time after which a head without one of its members is broken.
+	Stall time.Duration
+	// FreeLoads is true while loads neither cost nor count: before the first request
+	// of a region that starts for the first time.
+	FreeLoads bool
+}
+
+const (
+	// settleTime passes between an election and the first order: the steward before
+	// may still act until its lease has surely ended, and reports must come in.
+	settleTime = 1500 * time.Millisecond
+	// firstSettleTime replaces it at the first start: announcements come within one
+	// interval of each other and nobody led before.
+	firstSettleTime = 1300 * time.Millisecond
+	// resendAfter passes before an order whose effect does not show is sent again.
+	resendAfter = 900 * time.Millisecond
+	// stallMargin is added to the stall time: reports and clocks lag.
+	stallMargin = 600 * time.Millisecond
+	// formTimeout bounds the forming of a group whose members have the weights.
+	formTimeout = 6 * time.Second
+	// drainTimeout bounds the wait for the work of a group with a leaving member.
+	drainTimeout = 1800 * time.Millisecond
+	// aliveFor is how long an entry's word that a group answers counts.
+	aliveFor = 1500 * time.Millisecond
+	// probeInterval is the shortest time between two probes of a group's members.
+	probeInterval = 400 * time.Millisecond
+	// probesToDeath is the number of unanswered probes in a row that make a member lost.
+	probesToDeath = 2
+	// releasedFor is how long the name of a dissolved group is kept, so that late
+	// reports of its members do not bring it back.
+	releasedFor = time.Minute
+	// stagingTimeout passes before a load that does not show is ordered again: loads
+	// take tens of seconds when many begin at once.
+	stagingTimeout = 45 * time.Second
+	// termShift leaves room for the epochs of one term.
+	termShift = 20
+)
+
+// Planner is the steward's plan. It is not safe for concurrent use.
+type Planner struct {
+	opts      Options
+	startedAt time.Time
+	upstreams map[string]fleet.Upstream
+	engines   map[string]*document.Engine
+	groups    map[string]*group
+	// released are the names of groups that no longer bind their members.
+	released map[string]time.Time
+	// heldUntil keeps members out of new groups until their old head is surely broken.
+	heldUntil map[string]time.Time
+	// dead are runs that answer nobody, by the time that was found.
+	dead map[run]time.Time
+	// missed counts the probes in a row that a run left unanswered.
+	missed map[run]int
+	// aliveAt is when an entry last got an answer of the group with this head.
+	aliveAt map[string]time.Time
+	// busy are engines with an order under way.
+	busy map[string]Order
+	// staging are the loads ordered that no report shows yet.
+	staging map[run]staging
+	demand  map[string]float64
+	loads   loadBudget
+	epoch   uint64
+	number  uint64
+	events  []Event
+}
+
+// run is one run of an engine.
+type run struct {
+	id   string
+	born uint64
+}
+
+// staging is a load onto a VM that was ordered.
+type staging struct {
+	model string
+	at    time.Time
+}
+
+// Event tells of a change for the log.
+type Event struct {
+	Group, Change, Reason string
+	Members               []string
+}
+
+// New returns the planner of a new steward.
+func New(now time.Time, opts Options) *Planner {
+	return &Planner{
+		opts: opts, startedAt: now, upstreams: map[string]fleet.Upstream{}, engines: map[string]*document.Engine{},
+		groups: map[string]*group{}, released: map[string]time.Time{}, heldUntil: map[string]time.Time{},
+		staging: map[run]staging{}, dead: map[run]time.Time{}, missed: map[run]int{}, aliveAt: map[string]time.Time{}, busy: map[string]Order{},
+		demand: map[string]float64{}, epoch: opts.Term << termShift, loads: loadBudget{at: now},
+	}
+}
+
+// Configure puts the engines of services in force.
+func (p *Planner) Configure(services map[string]*document.Service) {
+	p.engines = map[string]*document.Engine{}
+	for name, s := range services {
+		if s.Engine != nil {
+			p.engines[name] = s.Engine
+		}
+	}
+}
+
+// Observe takes in the directory.
+func (p *Planner) Observe(upstreams []fleet.Upstream) {
+	clear(p.upstreams)
+	for _, u := range upstreams {
+		if p.engines[u.Service] == nil {
+			continue
+		}
+		p.upstreams[u.ID] = u
+		p.epoch = max(p.epoch, u.Group.Epoch)
+		r := run{u.ID, u.Born}
+		if found, dead := p.dead[r]; dead && u.HeardAt.After(found) {
+			delete(p.dead, r)
+			delete(p.missed, r)
+		}
+	}
+}
+
+// TrafficBegan ends the time in which loads are free.
+func (p *Planner) TrafficBegan() { p.opts.FreeLoads = false }
+
+// Demand sets how the work divides between the models, in any unit.
+func (p *Planner) Demand(byModel map[string]float64) { p.demand = byModel }
+
+// Alive notes that a group's head answers an entry.
+func (p *Planner) Alive(now time.Time, head string) { p.aliveAt[head] = now }
+
+// Suspect notes that a group whose head is named fell silent at an entry.
+func (p *Planner) Suspect(now time.Time, head string) {
+	for _, g := range p.groups {
+		if g.members[0].id == head {
+			g.suspectedAt = now
+		}
+	}
+}
+
+// Done takes in what became of an order.
+func (p *Planner) Done(now time.Time, result Result) {
+	o := result.Order
+	r := run{o.Upstream, o.Born}
+	if o.Kind == Probe {
+		p.probed(now, r, result.Outcome)
+		return
+	}
+	delete(p.busy, o.Upstream)
+	if o.Kind == Stage && result.Outcome != Accepted {
+		delete(p.staging, r)
+	}
+	if result.Outcome == Refused {
+		p.dead[r] = now
+	}
+	if g := p.groups[o.Group]; g != nil && g.epoch == o.Epoch {
+		g.done(now, result)
+	}
+}
+
+func (p *Planner) probed(now time.Time, r run, outcome Outcome) {
+	switch outcome {
+	case Refused:
+		p.dead[r] = now
+	case Unanswered:
+		p.missed[r]++
+		if p.missed[r] >= probesToDeath {
+			p.dead[r] = now
+		}
+	default:
+		delete(p.missed, r)
+	}
+}
+
+// Plan returns the orders that are due.
+func (p *Planner) Plan(now time.Time) []Order {
+	settle := settleTime
+	if p.opts.FreeLoads {
+		settle = firstSettleTime
+	}
+	if len(p.upstreams) == 0 {
+		p.startedAt = maxTime(p.startedAt, now.Add(-settle))
+	}
+	if now.Sub(p.startedAt) < settle {
+		return nil
+	}
+	p.forget(now)
+	p.adopt(now)
+	var orders []Order
+	for _, name := range slices.Sorted(maps.Keys(p.groups)) {
+		orders = append(orders, p.advance(now, p.groups[name])...)
+	}
+	orders = append(orders, p.place(now)...)
+	for _, o := range orders {
+		if o.Kind != Probe {
+			p.busy[o.Upstream] = o
+		}
+	}
+	return orders
+}
+
+// Events returns what changed since the last call.
+func (p *Planner) Events() []Event {
+	events := p.events
+	p.events = nil
+	return events
+}
+
+func (p *Planner) note(g *group, change, reason string) {
+	p.events = append(p.events, Event{Group: g.name, Change: change, Reason: reason, Members: g.memberIDs()})
+}
+
+func (p *Planner) forget(now time.Time) {
+	maps.DeleteFunc(p.released, func(_ string, at time.Time) bool { return now.Sub(at) > releasedFor })
+	maps.DeleteFunc(p.heldUntil, func(_ string, until time.Time) bool { return now.After(until) })
+	maps.DeleteFunc(p.staging, func(_ run, s staging) bool { return now.Sub(s.at) > stagingTimeout })
+	maps.DeleteFunc(p.dead, func(_ run, at time.Time) bool { return now.Sub(at) > releasedFor })
+}
+
+func (p *Planner) nextEpoch() uint64 {
+	p.epoch++
+	return p.epoch
+}
+
+func maxTime(a, b time.Time) time.Time {
+	if cmp.Compare(a.UnixNano(), b.UnixNano()) >= 0 {
+		return a
+	}
+	return b
+}
+
+// String returns the outcome's name.
+func (o Outcome) String() string {
+	return [...]string{"accepted", "rejected", "unanswered", "refused"}[o]
+}
