Keeper: joins a log it finds, and takes an absent voter's place

Cause: membership came from settings and operators alone; nodes that only know seeds must join by themselves. Figures: table tests of the decision.

--- a/pkg/keeper/formation.go
+++ b/pkg/keeper/formation.go
@@ -57,7 +57,7 @@
 		}
 		answers = append(answers, &peerpb.Member{Identity: answer.GetIdentity(), NodeId: p.NodeID, Address: p.Address})
 	}
-	if len(k.opts.Keepers) == 0 {
+	if len(k.opts.Keepers) == 0 || k.opts.OnlyJoin {
 		return
 	}
 	founder := slices.MinFunc(k.opts.Keepers, func(a, b Peer) int { return cmp.Compare(a.NodeID, b.NodeID) })
@@ -105,7 +105,7 @@
 	if listed {
 		return
 	}
-	if !known {
+	if !known && k.opts.Grow == 0 {
 		k.opts.Log.Warn().Str("remedy", "masticmount keepers add "+k.opts.NodeID+" "+k.opts.Address).Msg("keeper_not_a_member")
 		return
 	}
--- /dev/null
+++ b/pkg/keeper/growth_test.go
@@ -0,0 +1,51 @@
+package keeper
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/masticmount/masticmount/pkg/peerpb"
+	"github.com/masticmount/masticmount/pkg/regionlog"
+)
+
+func growthStatus(members []*peerpb.Member, active ...uint64) regionlog.Status {
+	s := regionlog.Status{
+		Identity: 1, Role: regionlog.Leader, Commit: 10, Membership: &peerpb.Membership{Members: members},
+		Match: map[uint64]uint64{}, Active: map[uint64]bool{},
+	}
+	for _, id := range active {
+		s.Match[id], s.Active[id] = 10, true
+	}
+	return s
+}
+
+func TestLearnersBecomeVotersUpToTheWantedNumber(t *testing.T) {
+	members := []*peerpb.Member{{Identity: 1}, {Identity: 2}, {Identity: 3}, {Identity: 4, Learner: true}}
+	var g growth
+	require.Nil(t, g.next(0, growthStatus(members, 1, 2, 3, 4), 3), "enough voters")
+	change := g.next(1, growthStatus(members, 1, 2, 3, 4), 5)
+	require.Equal(t, peerpb.MembershipChange_ACTION_PROMOTE, change.GetAction())
+	require.EqualValues(t, 4, change.GetIdentity())
+	behind := growthStatus(members, 1, 2, 3, 4)
+	behind.Match[4] = 9
+	require.Nil(t, g.next(2, behind, 5))
+	require.Nil(t, g.next(3, growthStatus(members, 1, 2, 3), 5), "a learner that does not answer")
+	follower := growthStatus(members, 1, 2, 3, 4)
+	follower.Role = regionlog.Follower
+	require.Nil(t, g.next(4, follower, 5))
+}
+
+func TestAnAbsentVoterIsReplaced(t *testing.T) {
+	members := []*peerpb.Member{{Identity: 1}, {Identity: 2}, {Identity: 3}, {Identity: 4, Learner: true}}
+	var g growth
+	status := growthStatus(members, 1, 2, 4)
+	require.Nil(t, g.next(0, status, 3), "its absence begins when the leader first looks")
+	require.Nil(t, g.next(absentTicks-1, status, 3))
+	change := g.next(absentTicks, status, 3)
+	require.Equal(t, peerpb.MembershipChange_ACTION_REMOVE, change.GetAction())
+	require.EqualValues(t, 3, change.GetIdentity())
+	g = growth{}
+	require.Nil(t, g.next(0, growthStatus(members[:3], 1, 2), 3))
+	require.Nil(t, g.next(2*absentTicks, growthStatus(members[:3], 1, 2), 3), "without a successor it keeps its vote")
+}
--- a/pkg/keeper/keeper.go
+++ b/pkg/keeper/keeper.go
@@ -84,6 +84,11 @@
 	Folder string
 	// Keepers form the first membership. Later the log's own counts alone.
 	Keepers []Peer
+	// OnlyJoin keeps the keeper from forming a log: the region started before.
+	OnlyJoin bool
+	// Grow lets keepers that the membership does not know join, and learners become
+	// voters up to that number; 0 leaves both to operators.
+	Grow int
 	// Dial returns the connection to a peer's address.
 	Dial func(address string) (*grpc.ClientConn, error)
 	// SnapshotEntries pass between two snapshots; 0 means the default.
--- a/pkg/keeper/logduty.go
+++ b/pkg/keeper/logduty.go
@@ -25,6 +25,7 @@
 	// hardState is the last one synced.
 	hardState *peerpb.HardState
 	published regionlog.Status
+	growth    growth
 	// refreshed is the membership that the transport was last told.
 	refreshed *peerpb.Membership
 }
@@ -96,6 +97,9 @@
 // that replaces it.
 func (l *logDuty) replaceLost() {
 	change := l.machine.NextReplacement()
+	if change == nil {
+		change = l.growth.next(l.ticks, l.machine.Status(), l.k.opts.Grow)
+	}
 	if change == nil {
 		return
 	}
--- a/pkg/keeper/view.go
+++ b/pkg/keeper/view.go
@@ -94,3 +94,12 @@
 		}
 	}
 }
+
+// LeaderlessFor returns for how long no leader has been known; 0 while one is.
+func (k *Keeper) LeaderlessFor() time.Duration {
+	v := k.view.get()
+	if v.status.Leader != 0 {
+		return 0
+	}
+	return time.Since(v.leaderless)
+}
