Control and attach: keepers and entries share one picture

Cause: entries need the document, the targets and a proof that a quorum confirmed both, without a list of nodes.

--- /dev/null
+++ b/pkg/control/documents.go
@@ -0,0 +1,56 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/masticmount/masticmount/pkg/fault"
+	"github.com/masticmount/masticmount/pkg/keeper"
+	"github.com/masticmount/masticmount/pkg/peerpb"
+)
+
+// replaceTimeout bounds one change of the document: operators turn to another node
+// after a second without an answer.
+const replaceTimeout = 900 * time.Millisecond
+
+// Replace commits a document that was found valid. One that a higher version has
+// overtaken, or that was committed before, changes nothing and is no fault.
+func (c *Control) Replace(ctx context.Context, version uint64, content []byte) error {
+	if c.heldVersion() >= version {
+		c.opts.Log.Info().Uint64("version", version).Uint64("held", c.heldVersion()).Msg("document_overtaken")
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, replaceTimeout)
+	defer cancel()
+	change := &peerpb.DocumentChange{Version: version, Content: content}
+	resp, err := c.opts.Keeper.Propose(ctx, &peerpb.ProposeRequest{
+		Command: &peerpb.Command{Body: &peerpb.Command_DocumentChange{DocumentChange: change}},
+	})
+	if err != nil {
+		f := keeper.FaultOf(err)
+		c.opts.Log.Warn().Err(f).Uint64("version", version).Msg("document_not_committed")
+		return f
+	}
+	c.opts.Log.Info().Uint64("version", version).Uint64("in_force", resp.GetResult().GetDocumentVersion()).Msg("document_committed")
+	return nil
+}
+
+func (c *Control) heldVersion() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.content.GetVersion()
+}
+
+// Read returns the newest document as a quorum confirms it.
+func (c *Control) Read(ctx context.Context) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, replaceTimeout)
+	defer cancel()
+	var held *peerpb.DocumentChange
+	if err := c.opts.Keeper.ReadConfirmed(ctx, func() { held = c.opts.Machine.Document() }); err != nil {
+		return nil, err
+	}
+	if held == nil {
+		return nil, fault.New(fault.NotReady, "send a document first", "there is no configuration document yet")
+	}
+	return held.GetContent(), nil
+}
--- /dev/null
+++ b/pkg/control/relay.go
@@ -0,0 +1,173 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"github.com/masticmount/masticmount/pkg/boottime"
+	"github.com/masticmount/masticmount/pkg/fleet"
+	"github.com/masticmount/masticmount/pkg/peerpb"
+	"github.com/masticmount/masticmount/pkg/ring"
+)
+
+const (
+	// relaySize bounds the batches that wait for one keeper; the oldest gives way, as
+	// announcements come again.
+	relaySize = 256
+	// relayGather passes before a batch is sent, so that it carries what follows.
+	relayGather = 25 * time.Millisecond
+	// relayPause passes after a broken stream.
+	relayPause = 300 * time.Millisecond
+	// relayLook is the time between two looks at the membership.
+	relayLook = time.Second
+)
+
+// relays pass what reaches this keeper on to the others.
+type relays struct {
+	c     *Control
+	mu    sync.Mutex
+	links map[string]*relayLink
+	duty  sync.WaitGroup
+}
+
+type relayLink struct {
+	address string
+	batches *ring.Ring[*peerpb.RelayBatch]
+	stop    context.CancelFunc
+}
+
+func (r *relays) init(c *Control) { r.c, r.links = c, map[string]*relayLink{} }
+
+// run keeps a link to each other keeper.
+func (r *relays) run(ctx context.Context) {
+	defer r.duty.Wait()
+	look := time.NewTicker(relayLook)
+	defer look.Stop()
+	for {
+		r.follow(ctx)
+		select {
+		case <-look.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (r *relays) follow(ctx context.Context) {
+	wanted := map[string]bool{}
+	for _, m := range r.c.opts.Keeper.Status().Membership.GetMembers() {
+		if m.GetAddress() != r.c.opts.Address {
+			wanted[m.GetAddress()] = true
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for address, link := range r.links {
+		if !wanted[address] {
+			link.stop()
+			delete(r.links, address)
+		}
+	}
+	for address := range wanted {
+		if r.links[address] != nil {
+			continue
+		}
+		running, stop := context.WithCancel(ctx)
+		link := &relayLink{address: address, batches: ring.New[*peerpb.RelayBatch](relaySize, ring.DropOldest), stop: stop}
+		r.links[address] = link
+		r.duty.Go(func() { r.serve(running, link) })
+	}
+}
+
+func (r *relays) push(b *peerpb.RelayBatch) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, link := range r.links {
+		link.batches.Push(b)
+	}
+}
+
+func (r *relays) announce(u *fleet.Upstream, now time.Time) {
+	r.push(&peerpb.RelayBatch{Upstreams: []*peerpb.UpstreamRecord{fleet.Encode(u, now)}})
+}
+
+func (r *relays) entryReport(evidence []*peerpb.UpstreamEvidence, demand []*peerpb.ModelDemand) {
+	r.push(&peerpb.RelayBatch{Evidence: evidence, Demand: demand})
+}
+
+// serve sends batches to one keeper until ctx ends.
+func (r *relays) serve(ctx context.Context, link *relayLink) {
+	for ctx.Err() == nil {
+		if err := r.stream(ctx, link); err != nil && ctx.Err() == nil {
+			r.c.opts.Log.Debug().Err(err).Str("keeper", link.address).Msg("relay_broken")
+		}
+		select {
+		case <-time.After(relayPause):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (r *relays) stream(ctx context.Context, link *relayLink) error {
+	conn, err := r.c.opts.Dialer.Dial(link.address)
+	if err != nil {
+		return err
+	}
+	stream, err := peerpb.NewFleetClient(conn).Relay(ctx)
+	if err != nil {
+		return err
+	}
+	for {
+		batch, ok := link.batches.Pop(ctx)
+		if !ok {
+			return ctx.Err()
+		}
+		select {
+		case <-time.After(relayGather):
+		case <-ctx.Done():
+		}
+		if err := stream.Send(link.gather(batch)); err != nil {
+			return err
+		}
+	}
+}
+
+// gather adds what waits to a batch.
+func (l *relayLink) gather(first *peerpb.RelayBatch) *peerpb.RelayBatch {
+	all := &peerpb.RelayBatch{}
+	for b := first; ; {
+		all.Upstreams = append(all.Upstreams, b.GetUpstreams()...)
+		all.Evidence = append(all.Evidence, b.GetEvidence()...)
+		all.Demand = append(all.Demand, b.GetDemand()...)
+		select {
+		case b = <-l.batches.Chan():
+		default:
+			return all
+		}
+	}
+}
+
+// Relay takes in what another keeper passes on.
+func (c *Control) Relay(stream grpc.ClientStreamingServer[peerpb.RelayBatch, peerpb.RelayClosed]) error {
+	for {
+		b, err := stream.Recv()
+		if errors.Is(err, io.EOF) {
+			return stream.SendAndClose(&peerpb.RelayClosed{})
+		}
+		if err != nil {
+			return err
+		}
+		now := boottime.Now()
+		for _, r := range b.GetUpstreams() {
+			c.note(fleet.Decode(r, now))
+		}
+		if len(b.GetEvidence()) > 0 || len(b.GetDemand()) > 0 {
+			c.inbox.Push(entryReport{b.GetEvidence(), b.GetDemand()})
+		}
+	}
+}
--- /dev/null
+++ b/pkg/control/steward.go
@@ -0,0 +1,120 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/masticmount/masticmount/pkg/boottime"
+	"github.com/masticmount/masticmount/pkg/grouping"
+	"github.com/masticmount/masticmount/pkg/peerpb"
+	"github.com/masticmount/masticmount/pkg/regionlog"
+)
+
+// Kinds of evidence that entries give of a group's head.
+const (
+	// EvidenceAlive says that the head answers although its announcements are missing.
+	EvidenceAlive = "alive"
+	// EvidenceStalled says that all streams of the group fell silent.
+	EvidenceStalled = "stalled"
+)
+
+// entryReport is what an entry saw and what its callers asked for.
+type entryReport struct {
+	evidence []*peerpb.UpstreamEvidence
+	demand   []*peerpb.ModelDemand
+}
+
+func (e entryReport) handle(c *Control, now time.Time) {
+	for _, d := range e.demand {
+		c.trafficBegan = c.trafficBegan || d.GetArrivals() > 0
+		c.demand.add(now, d.GetModel(), float64(d.GetWorkUs()))
+	}
+	if c.planner == nil {
+		return
+	}
+	for _, v := range e.evidence {
+		switch v.GetKind() {
+		case EvidenceAlive:
+			c.planner.Alive(now, v.GetUpstream())
+		case EvidenceStalled:
+			c.opts.Log.Info().Str("upstream", v.GetUpstream()).Msg("group_suspected")
+			c.planner.Suspect(now, v.GetUpstream())
+		}
+	}
+}
+
+// orderDone is the outcome of an order.
+type orderDone struct{ result grouping.Result }
+
+func (e orderDone) handle(c *Control, now time.Time) {
+	if c.planner != nil {
+		c.planner.Done(now, e.result)
+	}
+}
+
+// plan steps the planner while this keeper leads the region log.
+func (c *Control) plan(now time.Time) {
+	if now.Sub(c.lastPlan) < minPlanGap {
+		return
+	}
+	c.lastPlan = now
+	c.followLeadership(now)
+	if c.planner == nil {
+		return
+	}
+	c.mu.Lock()
+	upstreams, doc := c.directory.All(), c.document
+	c.mu.Unlock()
+	if doc == nil {
+		return
+	}
+	if c.trafficBegan {
+		c.planner.TrafficBegan()
+	}
+	c.planner.Configure(doc.Services)
+	c.planner.Observe(upstreams)
+	c.planner.Demand(c.demand.shares(now))
+	for _, o := range c.planner.Plan(now) {
+		if !c.orders.Push(o) {
+			c.planner.Done(now, grouping.Result{Order: o, Outcome: grouping.Rejected})
+		}
+	}
+	for _, e := range c.planner.Events() {
+		c.opts.Log.Info().Str("group", e.Group).Str("change", e.Change).Str("reason", e.Reason).
+			Strs("members", e.Members).Uint64("term", c.leadsTerm).Msg("group_changed")
+	}
+}
+
+// followLeadership starts and ends the planner with this keeper's leadership.
+func (c *Control) followLeadership(now time.Time) {
+	status := c.opts.Keeper.Status()
+	leads := status.Role == regionlog.Leader
+	switch {
+	case leads && c.leadsTerm != status.Term:
+		c.leadsTerm = status.Term
+		c.planner = grouping.New(now, grouping.Options{
+			Term: status.Term, Stall: c.opts.Stall, FreeLoads: c.opts.FirstStart && !c.trafficBegan,
+		})
+		c.opts.Log.Info().Uint64("term", status.Term).Msg("steward_began")
+	case !leads && c.planner != nil:
+		c.planner, c.leadsTerm = nil, 0
+		c.opts.Log.Info().Msg("steward_ended")
+	}
+}
+
+// sendOrders is a duty that passes orders to engines.
+func (c *Control) sendOrders(ctx context.Context) {
+	for {
+		o, ok := c.orders.Pop(ctx)
+		if !ok {
+			return
+		}
+		began := boottime.Now()
+		outcome := c.opts.Orderer.Order(ctx, o)
+		c.opts.Metrics.Add("orders."+string(o.Kind), 1)
+		c.opts.Log.Info().Str("order", string(o.Kind)).Str("upstream", o.Upstream).Str("group", o.Group).
+			Uint64("epoch", o.Epoch).Str("model", o.Model).Stringer("outcome", outcome).
+			Dur("took_ms", boottime.Now().Sub(began)).Msg("order_sent")
+		c.inbox.Push(orderDone{grouping.Result{Order: o, Outcome: outcome}})
+	}
+}
--- a/pkg/peers/peers.go
+++ b/pkg/peers/peers.go
@@ -42,6 +42,17 @@
 	return conn, nil
 }
 
+// Reset closes the connection to an address, so that the next Dial opens a new one.
+// Connections may fall silent for good while new ones work.
+func (d *Dialer) Reset(address string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if conn, ok := d.conns[address]; ok {
+		_ = conn.Close()
+		delete(d.conns, address)
+	}
+}
+
 // Close closes every connection.
 func (d *Dialer) Close() {
 	d.mu.Lock()
