Forward: requests by route, placed, sent once or resumed

Change: a pure placer (filter, score, pick; bounded wait), sessions that repeat only what may be repeated, streams that go on after the last whole event, refusals at once with Retry-After.

--- /dev/null
+++ b/pkg/forward/entry.go
@@ -0,0 +1,159 @@
+// Package forward serves callers: it finds a request's route and client account,
+// has the placer choose a target, sends the request there and brings the answer
+// back, whole and from one upstream or as a stream that may go on at another.
+package forward
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+
+	"github.com/masticmount/masticmount/pkg/attach"
+	"github.com/masticmount/masticmount/pkg/boottime"
+	"github.com/masticmount/masticmount/pkg/dispatch"
+	"github.com/masticmount/masticmount/pkg/peerpb"
+	"github.com/masticmount/masticmount/pkg/telemetry"
+)
+
+const (
+	// maxHeaderBytes bounds a request's header.
+	maxHeaderBytes = 32 << 10
+	// maxBodyBytes bounds a request's body before its route is known.
+	maxBodyBytes = 8 << 20
+	// idleTimeout closes callers' idle connections; it is longer than any that
+	// documents allow callers to rely on.
+	idleTimeout = 120 * time.Second
+	// readTimeout bounds how long a request may take to arrive.
+	readTimeout = 30 * time.Second
+	// sweepInterval is the time between two looks for idle upstream connections.
+	sweepInterval = 2 * time.Second
+)
+
+// Options configure an Entry.
+type Options struct {
+	FailureDomain string
+	View          func() *attach.View
+	// Age is the time since a quorum confirmed the configuration.
+	Age func() time.Duration
+	// MaxAge is the age from which the configuration may have lost a revocation.
+	MaxAge  time.Duration
+	Client  *dispatch.Client
+	Wire    Wire
+	Metrics *telemetry.Registry
+	Log     zerolog.Logger
+}
+
+// Entry serves callers.
+type Entry struct {
+	opts   Options
+	server *fasthttp.Server
+
+	mu       sync.Mutex
+	placer   *Placer
+	repeats  repeats
+	waiters  map[uint64]chan *attach.Target
+	lastWork uint64
+	random   *rand.Rand
+	reports  reports
+
+	inFlight atomic.Int64
+	draining atomic.Bool
+}
+
+// New returns an entry that does not serve yet.
+func New(opts Options) *Entry {
+	if opts.Metrics == nil {
+		opts.Metrics = telemetry.New("")
+	}
+	seed := uint64(time.Now().UnixNano())
+	e := &Entry{
+		opts: opts, waiters: map[uint64]chan *attach.Target{}, repeats: newRepeats(),
+		random: rand.New(rand.NewPCG(seed, 1)), placer: NewPlacer(opts.FailureDomain, rand.New(rand.NewPCG(seed, 2))),
+	}
+	e.reports.init()
+	e.server = &fasthttp.Server{
+		Handler: e.serve, ReadBufferSize: maxHeaderBytes, MaxRequestBodySize: maxBodyBytes,
+		ReadTimeout: readTimeout, IdleTimeout: idleTimeout, NoDefaultServerHeader: true, NoDefaultDate: true,
+		NoDefaultContentType: true, DisablePreParseMultipartForm: true, CloseOnShutdown: true,
+	}
+	return e
+}
+
+// Serve takes callers' connections from a listener of hangup.Listen.
+func (e *Entry) Serve(l net.Listener) error { return e.server.Serve(l) }
+
+// Run closes idle upstream connections until ctx ends.
+func (e *Entry) Run(ctx context.Context) {
+	sweep := time.NewTicker(sweepInterval)
+	defer sweep.Stop()
+	for {
+		select {
+		case now := <-sweep.C:
+			e.opts.Client.Sweep(now)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// OnView takes in a new view.
+func (e *Entry) OnView(v *attach.View) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.deliver(e.placer.Update(boottime.Now(), v))
+}
+
+// deliver hands granted targets to those who wait; the caller holds the lock.
+func (e *Entry) deliver(grants []Grant) {
+	for _, g := range grants {
+		if waiter := e.waiters[g.ID]; waiter != nil {
+			delete(e.waiters, g.ID)
+			waiter <- g.Target
+		}
+	}
+}
+
+func (e *Entry) draw() float64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.random.Float64()
+}
+
+// Drain lets callers finish: from now on every answer closes its connection. It
+// returns the number of requests left when ctx ended.
+func (e *Entry) Drain(ctx context.Context) int {
+	e.draining.Store(true)
+	look := time.NewTicker(drainLook)
+	defer look.Stop()
+	for e.inFlight.Load() > 0 {
+		select {
+		case <-look.C:
+		case <-ctx.Done():
+			return int(e.inFlight.Load())
+		}
+	}
+	return 0
+}
+
+// drainLook is the time between two looks for the last request.
+const drainLook = 50 * time.Millisecond
+
+// Shutdown closes idle callers' connections and waits for the others until ctx ends.
+func (e *Entry) Shutdown(ctx context.Context) error { return e.server.ShutdownWithContext(ctx) }
+
+// Report fills in what keepers are told of this entry.
+func (e *Entry) Report(now time.Time, primary bool, r *peerpb.EntryReport) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r.Loads = e.placer.loads()
+	r.Evidence = e.reports.takeEvidence(now, e.placer)
+	if primary {
+		r.Demand = e.reports.takeDemand()
+	}
+}
--- /dev/null
+++ b/pkg/forward/placer.go
@@ -0,0 +1,277 @@
+package forward
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/masticmount/masticmount/pkg/attach"
+)
+
+const (
+	// engineSurplus is the number of requests beyond its slots that a group is given:
+	// they wait in its queue while an answer travels, so that no slot stands empty.
+	engineSurplus = 2
+	// plainSurplus is the same for plain upstreams, as a share of their slots.
+	plainSurplus = 0.5
+	// otherDomainPenalty is what a target in another failure domain must be less
+	// loaded by, as a share of its slots: bytes between failure domains cost.
+	otherDomainPenalty = 0.35
+	// doubtPenalty puts targets with a doubtful member behind all others.
+	doubtPenalty = 2.0
+	// suspectFor is how long a target that failed gets no work, unless it is seen to
+	// answer before.
+	suspectFor = 1500 * time.Millisecond
+	// jitterShare of a slot breaks ties between targets.
+	jitterShare = 0.05
+)
+
+// Work is a request that needs a target.
+type Work struct {
+	ID             uint64
+	Service, Model string
+	// Rank orders waiting requests; lower goes first.
+	Rank float64
+	// GiveUpAt is when waiting any longer does not help the caller.
+	GiveUpAt time.Time
+	// Excluded are targets that the request was sent to before.
+	Excluded []string
+	// Hold is how long the request is expected to occupy a slot.
+	Hold time.Duration
+}
+
+// Placement says what becomes of a request that asked for a target.
+type Placement struct {
+	// Target is set when the request may be sent.
+	Target *attach.Target
+	// Waiting is true when a Grant or the end of its patience follows.
+	Waiting bool
+	// RetryAfter is when to come back after a refusal.
+	RetryAfter time.Duration
+	// Reason names a refusal.
+	Reason Reason
+}
+
+// Reason says why a request got no target.
+type Reason string
+
+// The reasons of a refusal.
+const (
+	NoTarget Reason = "no-target"
+	Crowded  Reason = "crowded"
+	Outlived Reason = "waited-long-enough"
+)
+
+// Grant gives a waiting request its target.
+type Grant struct {
+	ID     uint64
+	Target *attach.Target
+}
+
+// slot is what the placer knows of one target.
+type slot struct {
+	target attach.Target
+	// own are this entry's requests there, others those of the other entries when
+	// last told.
+	own, others int
+	// suspectUntil keeps work away after a failure.
+	suspectUntil time.Time
+	answeredAt   time.Time
+	// seen is the number of the view that last had the target.
+	seen uint64
+}
+
+// Placer decides which target a request goes to and which requests wait. It is
+// pure and not safe for concurrent use.
+type Placer struct {
+	failureDomain string
+	rand          *rand.Rand
+	slots         map[string]*slot
+	lanes         map[laneKey]*lane
+	views         uint64
+	entries       int
+}
+
+// NewPlacer returns a placer of an entry in a failure domain.
+func NewPlacer(failureDomain string, random *rand.Rand) *Placer {
+	return &Placer{
+		failureDomain: failureDomain, rand: random, slots: map[string]*slot{}, lanes: map[laneKey]*lane{},
+	}
+}
+
+// Update takes in a new view.
+func (p *Placer) Update(now time.Time, v *attach.View) []Grant {
+	p.views++
+	for _, t := range v.Targets {
+		key := keyOf(&t)
+		s := p.slots[key]
+		if s == nil {
+			s = &slot{}
+			p.slots[key] = s
+		}
+		s.target, s.seen, s.others = t, p.views, v.Loads[key]
+	}
+	for key, s := range p.slots {
+		if s.seen != p.views && s.own == 0 {
+			delete(p.slots, key)
+		}
+	}
+	return p.grant(now)
+}
+
+// keyOf names a target across views: the group, or the upstream where there is none.
+func keyOf(t *attach.Target) string {
+	if t.Group != "" {
+		return t.Group
+	}
+	return t.ID
+}
+
+// Arrive places a request, has it wait or refuses it.
+func (p *Placer) Arrive(now time.Time, w Work) Placement {
+	l := p.lane(w)
+	if len(l.waiting) == 0 || l.waiting[0].Rank > w.Rank {
+		if s := p.pick(now, &w); s != nil {
+			return Placement{Target: p.take(s, l, w.Hold)}
+		}
+	}
+	capacity := p.capacity(now, &w)
+	switch {
+	case capacity == 0:
+		return Placement{Reason: NoTarget, RetryAfter: l.retryAfter(p.rand, 0)}
+	case now.Add(l.expectedWait(&w, capacity)).After(w.GiveUpAt):
+		return Placement{Reason: Crowded, RetryAfter: l.retryAfter(p.rand, capacity)}
+	}
+	l.insert(w)
+	return Placement{Waiting: true}
+}
+
+// GiveUp takes a waiting request out; false when it was granted already.
+func (p *Placer) GiveUp(w Work) (Placement, bool) {
+	l := p.lane(w)
+	if !l.remove(w.ID) {
+		return Placement{}, false
+	}
+	return Placement{Reason: Outlived, RetryAfter: l.retryAfter(p.rand, 1)}, true
+}
+
+// Release frees a request's place at its target.
+func (p *Placer) Release(now time.Time, t *attach.Target) []Grant {
+	if s := p.slots[keyOf(t)]; s != nil {
+		s.own = max(s.own-1, 0)
+	}
+	return p.grant(now)
+}
+
+// Answered notes that a target answers.
+func (p *Placer) Answered(now time.Time, t *attach.Target) {
+	if s := p.slots[keyOf(t)]; s != nil {
+		s.answeredAt, s.suspectUntil = now, time.Time{}
+	}
+}
+
+// Failed keeps work away from a target for a while.
+func (p *Placer) Failed(now time.Time, t *attach.Target) {
+	if s := p.slots[keyOf(t)]; s != nil {
+		s.suspectUntil = now.Add(suspectFor)
+	}
+}
+
+// Pause keeps work away from a target until a time.
+func (p *Placer) Pause(t *attach.Target, until time.Time) {
+	if s := p.slots[keyOf(t)]; s != nil && s.suspectUntil.Before(until) {
+		s.suspectUntil = until
+	}
+}
+
+// AnsweredSince reports whether a target answered after a time.
+func (p *Placer) AnsweredSince(t *attach.Target, at time.Time) bool {
+	s := p.slots[keyOf(t)]
+	return s != nil && s.answeredAt.After(at)
+}
+
+// take counts a request at a target.
+func (p *Placer) take(s *slot, l *lane, hold time.Duration) *attach.Target {
+	s.own++
+	l.served(hold)
+	t := s.target
+	return &t
+}
+
+// grant gives waiting requests the places that are free.
+func (p *Placer) grant(now time.Time) []Grant {
+	var grants []Grant
+	for _, l := range p.lanes {
+		for len(l.waiting) > 0 {
+			w := l.waiting[0]
+			s := p.pick(now, &w)
+			if s == nil {
+				break
+			}
+			l.waiting = l.waiting[1:]
+			grants = append(grants, Grant{ID: w.ID, Target: p.take(s, l, w.Hold)})
+		}
+	}
+	return grants
+}
+
+// pick returns the best target with room; nil when there is none.
+func (p *Placer) pick(now time.Time, w *Work) *slot {
+	var best *slot
+	bestScore := 0.0
+	for _, s := range p.slots {
+		if !p.admits(now, s, w) || s.own+s.others >= s.limit() {
+			continue
+		}
+		if score := p.score(now, s); best == nil || score < bestScore {
+			best, bestScore = s, score
+		}
+	}
+	return best
+}
+
+// admits reports whether a request may go to a target at all.
+func (p *Placer) admits(now time.Time, s *slot, w *Work) bool {
+	if s.seen != p.views || s.target.Service != w.Service || s.target.Model != w.Model || now.Before(s.suspectUntil) {
+		return false
+	}
+	for _, id := range w.Excluded {
+		if id == s.target.ID {
+			return false
+		}
+	}
+	return true
+}
+
+// score is lower for a better target.
+func (p *Placer) score(now time.Time, s *slot) float64 {
+	score := float64(s.own+s.others)/float64(s.target.Slots) + jitterShare*p.rand.Float64()
+	if s.target.FailureDomain != p.failureDomain {
+		score += otherDomainPenalty
+	}
+	if s.target.Doubtful && now.Sub(s.answeredAt) > answerMemory {
+		score += doubtPenalty
+	}
+	return score
+}
+
+// answerMemory is how long an answer clears a target of doubt.
+const answerMemory = time.Second
+
+// limit is the number of requests of all entries that a target is given.
+func (s *slot) limit() int {
+	if s.target.Group == "" {
+		return s.target.Slots + int(plainSurplus*float64(s.target.Slots))
+	}
+	return s.target.Slots + engineSurplus
+}
+
+// capacity is the number of requests that the targets of a request run at once.
+func (p *Placer) capacity(now time.Time, w *Work) int {
+	total := 0
+	for _, s := range p.slots {
+		if p.admits(now, s, w) {
+			total += s.limit()
+		}
+	}
+	return total
+}
--- /dev/null
+++ b/pkg/forward/reports.go
@@ -0,0 +1,93 @@
+package forward
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/masticmount/masticmount/pkg/attach"
+	"github.com/masticmount/masticmount/pkg/peerpb"
+)
+
+// Kinds of evidence; keepers know them by these names.
+const (
+	evidenceAlive   = "alive"
+	evidenceStalled = "stalled"
+)
+
+// stallMemory is how long a stalled target is reported: to each keeper at least once.
+const stallMemory = 450 * time.Millisecond
+
+// reports gathers what keepers are told.
+type reports struct {
+	stalled map[string]stalled
+	demand  map[string]*peerpb.ModelDemand
+}
+
+type stalled struct {
+	born uint64
+	at   time.Time
+}
+
+func (r *reports) init() {
+	r.stalled, r.demand = map[string]stalled{}, map[string]*peerpb.ModelDemand{}
+}
+
+// stall notes that all streams of a group fell silent.
+func (r *reports) stall(now time.Time, t *attach.Target) {
+	if t.Group != "" {
+		r.stalled[t.ID] = stalled{t.Born, now}
+	}
+}
+
+// arrived notes a caller's request for a model.
+func (r *reports) arrived(model string, work time.Duration) {
+	d := r.demand[model]
+	if d == nil {
+		d = &peerpb.ModelDemand{Model: model}
+		r.demand[model] = d
+	}
+	d.Arrivals++
+	d.WorkUs += uint64(work.Microseconds())
+}
+
+func (r *reports) takeDemand() []*peerpb.ModelDemand {
+	demand := make([]*peerpb.ModelDemand, 0, len(r.demand))
+	for _, model := range slices.Sorted(maps.Keys(r.demand)) {
+		demand = append(demand, r.demand[model])
+	}
+	clear(r.demand)
+	return demand
+}
+
+// takeEvidence returns the targets that fell silent, and the doubtful ones that are
+// seen to answer.
+func (r *reports) takeEvidence(now time.Time, p *Placer) []*peerpb.UpstreamEvidence {
+	var evidence []*peerpb.UpstreamEvidence
+	for _, id := range slices.Sorted(maps.Keys(r.stalled)) {
+		s := r.stalled[id]
+		if now.Sub(s.at) > stallMemory {
+			delete(r.stalled, id)
+			continue
+		}
+		evidence = append(evidence, &peerpb.UpstreamEvidence{Upstream: id, BornMs: s.born, Kind: evidenceStalled})
+	}
+	for _, key := range slices.Sorted(maps.Keys(p.slots)) {
+		s := p.slots[key]
+		if s.target.Doubtful && now.Sub(s.answeredAt) < answerMemory {
+			evidence = append(evidence, &peerpb.UpstreamEvidence{Upstream: s.target.ID, BornMs: s.target.Born, Kind: evidenceAlive})
+		}
+	}
+	return evidence
+}
+
+// loads returns this entry's requests at each target.
+func (p *Placer) loads() []*peerpb.GroupLoad {
+	loads := []*peerpb.GroupLoad{}
+	for _, key := range slices.Sorted(maps.Keys(p.slots)) {
+		if s := p.slots[key]; s.own > 0 {
+			loads = append(loads, &peerpb.GroupLoad{Group: key, Outstanding: uint32(s.own)})
+		}
+	}
+	return loads
+}
--- /dev/null
+++ b/pkg/forward/respond.go
@@ -0,0 +1,88 @@
+package forward
+
+import (
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/masticmount/masticmount/pkg/dispatch"
+	"github.com/masticmount/masticmount/pkg/fault"
+	"github.com/masticmount/masticmount/pkg/telemetry"
+)
+
+// sampleOf is the number of ordinary answers for each one that is logged.
+const sampleOf = 64
+
+// copyHeader passes the upstream's header on.
+func (s *session) copyHeader(ctx *fasthttp.RequestCtx) {
+	ctx.Response.SetStatusCode(s.status)
+	for _, l := range s.header {
+		if !hopByHop[l.Name] {
+			ctx.Response.Header.Add(l.Name, l.Value)
+		}
+	}
+}
+
+// refuse gives a request its final answer at once.
+func (e *Entry) refuse(ctx *fasthttp.RequestCtx, r *request, s *session, f *fault.Error) {
+	ctx.Response.SetStatusCode(f.Status())
+	if r.id != "" {
+		ctx.Response.Header.Set(e.opts.Wire.RequestID, r.id)
+	}
+	if f.RetryAfter > 0 {
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(f.RetryAfter.Seconds(), 'f', 2, 64))
+	}
+	ctx.Response.Header.Set(fault.OutcomeHeader, string(f.Outcome))
+	ctx.Response.Header.SetContentType(fault.ProblemType)
+	body, err := json.Marshal(map[string]any{"type": string(f.Kind), "title": f.Detail, "detail": f.Remedy, "status": f.Status()})
+	if err != nil {
+		e.opts.Log.Error().Err(err).Str("request_id", r.id).Msg("problem_not_encoded")
+	}
+	ctx.Response.SetBodyRaw(body)
+	e.opts.Metrics.Add("refusals."+string(f.Kind), 1)
+	line := e.opts.Log.Info().Str("request_id", r.id).Str("kind", string(f.Kind)).Int("status", f.Status()).
+		Str("outcome", string(f.Outcome)).Str("detail", f.Detail).Dur("retry_after_ms", f.RetryAfter).
+		Str("class", r.class()).Str("account", r.accountName()).Dur("config_age_ms", min(e.opts.Age(), time.Hour))
+	if s != nil {
+		line = line.Int("sends", s.history.sends).Bool("may_have_run", s.history.mayHaveRun).Dur("queued_ms", s.queued).
+			Bool("caller_left", s.ctx.Err() != nil)
+	}
+	line.Msg("request_refused")
+}
+
+// logAnswer writes a line for each answer that was not ordinary, and for a sample of
+// the others.
+func (e *Entry) logAnswer(s *session, status int, outcome string) {
+	e.opts.Metrics.Add("answers."+outcome, 1)
+	ordinary := outcome == "whole" && s.history.sends == 1 && status < fasthttp.StatusBadRequest
+	if ordinary && e.draw() > 1.0/sampleOf {
+		return
+	}
+	line := e.opts.Log.Info().Str("request_id", s.r.id).Int("status", status).Str("outcome", outcome).
+		Str("class", s.r.class()).Str("account", s.r.accountName()).Int("sends", s.history.sends).
+		Dur("queued_ms", s.queued).Dur("first_ms", s.first).Dur("took_ms", time.Since(s.r.arrivedAt)).Bool("caller_left", s.ctx.Err() != nil)
+	if s.target != nil {
+		line = line.Str("target", s.target.ID).Str("group", s.target.Group)
+	}
+	line.Msg("request_answered")
+}
+
+// logFailure writes a line for each send that failed.
+func (e *Entry) logFailure(s *session, err *dispatch.CallError) {
+	e.opts.Metrics.Add("sends_failed."+string(err.Reason), 1)
+	e.opts.Log.Info().Str("request_id", s.r.id).Str("target", s.target.ID).Str("group", s.target.Group).
+		Str("reason", string(err.Reason)).Bool("sent", err.Sent).Str("at_fault", err.AtFault).AnErr("cause", err.Unwrap()).
+		Dur("after_ms", time.Since(s.r.arrivedAt)).Bool("doubtful", s.target.Doubtful).Msg("send_failed")
+}
+
+func (e *Entry) observeStream(s *session, _ time.Time) {
+	series := telemetry.Series{Account: s.r.accountName(), Class: s.r.class()}
+	series.Name = "first_token"
+	e.opts.Metrics.Observe(series, s.first)
+	series.Name = "whole"
+	e.opts.Metrics.Observe(series, time.Since(s.r.arrivedAt))
+	series.Name = "queueing"
+	e.opts.Metrics.Observe(series, s.queued)
+}
--- /dev/null
+++ b/pkg/forward/session.go
@@ -0,0 +1,387 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/masticmount/masticmount/pkg/attach"
+	"github.com/masticmount/masticmount/pkg/boottime"
+	"github.com/masticmount/masticmount/pkg/dispatch"
+	"github.com/masticmount/masticmount/pkg/document"
+	"github.com/masticmount/masticmount/pkg/fault"
+	"github.com/masticmount/masticmount/pkg/hangup"
+)
+
+var (
+	errCallerGone = errors.New("the caller left")
+	errNoProof    = errors.New("the answer does not bear an upstream's proof")
+	errEncoded    = errors.New("the answer is encoded, which nobody asked for")
+)
+
+const (
+	// waitShare of the objective is the longest wait for a target: the rest is needed
+	// to read the prompt and to make the first event.
+	waitShare = 0.5
+	// returningWait is the longest wait of a caller that was refused before; it is late
+	// already and would not come back again.
+	returningWait = 1200 * time.Millisecond
+	// firstEventSilence is how long a stream that can go elsewhere may take to begin.
+	firstEventSilence = 1500 * time.Millisecond
+	// eventSilence is how long such a stream may pause: several passes of an engine.
+	eventSilence = 600 * time.Millisecond
+	// refusedPause keeps a full target from the next request for a moment.
+	refusedPause = 100 * time.Millisecond
+)
+
+// session carries one request from arrival to its end.
+type session struct {
+	e       *Entry
+	r       *request
+	ctx     context.Context
+	cancel  context.CancelCauseFunc
+	caller  *hangup.Conn
+	history history
+	// excluded are the targets that failed.
+	excluded []string
+	target   *attach.Target
+	resp     *dispatch.Response
+	// status and header are those of the first answer: a stream keeps them when it
+	// goes on elsewhere.
+	status   int
+	header   []dispatch.HeaderLine
+	events   eventSplitter
+	lastFail *dispatch.CallError
+	queued   time.Duration
+	first    time.Duration
+}
+
+// serve handles one request.
+func (e *Entry) serve(ctx *fasthttp.RequestCtx) {
+	e.inFlight.Add(1)
+	r, refusal := e.read(ctx)
+	if e.draining.Load() {
+		ctx.Response.SetConnectionClose()
+	}
+	if refusal != nil {
+		e.refuse(ctx, r, nil, refusal)
+		e.inFlight.Add(-1)
+		return
+	}
+	s := &session{e: e, r: r, target: nil}
+	s.ctx, s.cancel = context.WithCancelCause(context.Background())
+	if caller, ok := ctx.Conn().(*hangup.Conn); ok {
+		s.caller = caller
+		caller.Watch(func() { s.cancel(errCallerGone) })
+	}
+	e.mu.Lock()
+	e.repeats.request()
+	if r.modelName != "" {
+		e.reports.arrived(r.modelName, r.hold)
+	}
+	e.mu.Unlock()
+	s.run(ctx)
+}
+
+// run sends the request until it is answered or refused for good.
+func (s *session) run(ctx *fasthttp.RequestCtx) {
+	for {
+		refusal := s.acquire()
+		if refusal != nil {
+			s.end(ctx, refusal)
+			return
+		}
+		done, err := s.attempt(ctx)
+		if done {
+			return
+		}
+		if !s.failed(err) {
+			s.end(ctx, s.history.refusal(err.Reason, s.retryAfter(err)))
+			return
+		}
+	}
+}
+
+// end refuses the request.
+func (s *session) end(ctx *fasthttp.RequestCtx, refusal *fault.Error) {
+	s.e.refuse(ctx, s.r, s, refusal)
+	s.close()
+}
+
+// close gives everything back.
+func (s *session) close() {
+	if s.caller != nil {
+		s.caller.Unwatch()
+	}
+	s.release()
+	s.cancel(nil)
+	s.e.inFlight.Add(-1)
+}
+
+// release gives the place at the target back.
+func (s *session) release() {
+	if s.target == nil {
+		return
+	}
+	e := s.e
+	e.mu.Lock()
+	e.deliver(e.placer.Release(boottime.Now(), s.target))
+	e.mu.Unlock()
+	s.target = nil
+}
+
+// work describes the request to the placer.
+func (s *session) work() Work {
+	r := s.r
+	patience := time.Duration(waitShare * float64(r.route.Objective))
+	if r.returning {
+		patience = returningWait
+	}
+	priority := r.route.Priority
+	if r.account != nil && r.account.HasPriority {
+		priority = r.account.Priority
+	}
+	now := boottime.Now()
+	giveUp := now.Add(patience - time.Since(r.arrivedAt))
+	if s.history.sends > 0 {
+		giveUp = now.Add(patience)
+	}
+	w := Work{
+		Service: r.service.Name, GiveUpAt: giveUp, Excluded: s.excluded, Hold: r.hold,
+		Rank: rank(priority, r.hold, r.returning || s.history.sends > 0),
+	}
+	if r.service.Engine != nil {
+		w.Model = r.modelName
+	}
+	return w
+}
+
+// rankOfPriority separates priorities by more than any hold time in seconds.
+const rankOfPriority = 1000
+
+// rank puts urgent requests first, then those that were sent or refused before, then
+// short ones: they gain the most of their objective for each slot.
+func rank(priority int, hold time.Duration, again bool) float64 {
+	rank := float64(priority)*rankOfPriority + hold.Seconds()
+	if again {
+		rank -= rankOfPriority / 2
+	}
+	return rank
+}
+
+// acquire gets a place at a target.
+func (s *session) acquire() *fault.Error {
+	e, w := s.e, s.work()
+	e.mu.Lock()
+	e.lastWork++
+	w.ID = e.lastWork
+	p := e.placer.Arrive(boottime.Now(), w)
+	var granted chan *attach.Target
+	if p.Waiting {
+		granted = make(chan *attach.Target, 1)
+		e.waiters[w.ID] = granted
+	}
+	e.mu.Unlock()
+	if p.Target != nil {
+		s.target = p.Target
+		return nil
+	}
+	if !p.Waiting {
+		return s.crowded(p)
+	}
+	return s.wait(w, granted)
+}
+
+// wait waits for a place until its caller's patience ends.
+func (s *session) wait(w Work, granted chan *attach.Target) *fault.Error {
+	began := time.Now()
+	patience := time.NewTimer(min(w.GiveUpAt.Sub(boottime.Now()), time.Until(s.r.deadline)))
+	defer patience.Stop()
+	defer func() { s.queued += time.Since(began) }()
+	select {
+	case s.target = <-granted:
+		return nil
+	case <-patience.C:
+	case <-s.ctx.Done():
+	}
+	e := s.e
+	e.mu.Lock()
+	p, waiting := e.placer.GiveUp(w)
+	delete(e.waiters, w.ID)
+	e.mu.Unlock()
+	if !waiting {
+		s.target = <-granted
+		return nil
+	}
+	return s.crowded(p)
+}
+
+func (s *session) crowded(p Placement) *fault.Error {
+	if s.lastFail != nil {
+		return s.history.refusal(s.lastFail.Reason, p.RetryAfter)
+	}
+	return fault.New(fault.Overloaded, "come back after the time in Retry-After", "no place for the request: %s", p.Reason).After(p.RetryAfter)
+}
+
+// attempt sends the request to the target. It returns true once the caller is being
+// answered.
+func (s *session) attempt(ctx *fasthttp.RequestCtx) (done bool, failure *dispatch.CallError) {
+	if failure := s.send(); failure != nil {
+		return false, failure
+	}
+	resp := s.resp
+	if failure := s.check(resp); failure != nil {
+		return false, failure
+	}
+	s.status, s.header = resp.Status(), resp.Lines()
+	if s.r.route.Stream && s.status == http.StatusOK {
+		return s.beginStream(ctx)
+	}
+	body, err := resp.ReadAll()
+	if err != nil {
+		return false, callError(err)
+	}
+	s.answered()
+	s.copyHeader(ctx)
+	ctx.Response.SetBodyRaw(body)
+	s.e.logAnswer(s, s.status, "whole")
+	s.close()
+	return true, nil
+}
+
+// send sends the request to the target and waits for the header of its answer.
+func (s *session) send() *dispatch.CallError {
+	s.history.sends++
+	resp, err := s.e.opts.Client.Begin(s.ctx, s.call())
+	if err != nil {
+		return callError(err)
+	}
+	s.resp = resp
+	return nil
+}
+
+// call is the request as it goes to the target.
+func (s *session) call() dispatch.Call {
+	r, w := s.r, &s.e.opts.Wire
+	lines := append([]dispatch.HeaderLine(nil), r.lines...)
+	left := time.Until(r.deadline)
+	lines = append(lines,
+		dispatch.HeaderLine{Name: w.TimeLeft, Value: strconv.FormatInt(max(left.Milliseconds(), 1), 10)},
+		dispatch.HeaderLine{Name: w.ExpectedUpstream, Value: s.target.ID},
+	)
+	if r.account != nil {
+		lines = append(lines, dispatch.HeaderLine{Name: w.Account, Value: r.account.Name})
+	}
+	if after := s.lastEvent(); after != "" {
+		lines = append(lines, dispatch.HeaderLine{Name: w.LastEvent, Value: after})
+	}
+	return dispatch.Call{
+		RequestID: r.id, Address: s.target.Address, Method: r.method, Target: r.target, Host: r.host, Lines: lines,
+		Body: r.body, Deadline: r.deadline, FreshWithin: s.reuse(),
+	}
+}
+
+// reuseOnce is how long a connection may have been idle to carry a request that is
+// sent once: an upstream that closes it at that moment would leave the outcome open.
+const reuseOnce = time.Second
+
+func (s *session) reuse() time.Duration {
+	if s.r.route.Idempotency == document.RunOnce {
+		return reuseOnce
+	}
+	return 0
+}
+
+// lastEvent is the identifier after which the answer goes on.
+func (s *session) lastEvent() string {
+	if s.events.lastID != "" {
+		return s.events.lastID
+	}
+	return s.r.lastEvent
+}
+
+// check refuses answers that are not the upstream's own.
+func (s *session) check(resp *dispatch.Response) *dispatch.CallError {
+	status := resp.Status()
+	proven := len(resp.Header(s.e.opts.Wire.Proof)) > 0
+	switch {
+	case !proven:
+		return resp.Abort(dispatch.Malformed, errNoProof)
+	case len(resp.Header("Content-Encoding")) > 0:
+		return resp.Abort(dispatch.Malformed, errEncoded)
+	case status >= http.StatusInternalServerError && s.r.route.Idempotency != document.RunOnce && s.mayRepeatNow():
+		return resp.Abort(dispatch.Failed, errors.New("status "+strconv.Itoa(status)))
+	default:
+		return nil
+	}
+}
+
+// mayRepeatNow reports whether another send is possible and within the budget,
+// without using the budget up.
+func (s *session) mayRepeatNow() bool {
+	s.e.mu.Lock()
+	defer s.e.mu.Unlock()
+	return s.history.mayRepeat(s.r.route.Idempotency, s.r.route.MaxAttempts, time.Until(s.r.deadline)) && s.e.repeats.left >= 1
+}
+
+// answered notes that the target answers.
+func (s *session) answered() {
+	s.e.mu.Lock()
+	defer s.e.mu.Unlock()
+	s.e.placer.Answered(boottime.Now(), s.target)
+}
+
+// failed takes in a failed send and reports whether the request may be sent again.
+func (s *session) failed(err *dispatch.CallError) bool {
+	s.lastFail = err
+	s.history.note(err)
+	s.excluded = append(s.excluded, s.target.ID)
+	s.e.logFailure(s, err)
+	now := boottime.Now()
+	e := s.e
+	e.mu.Lock()
+	if err.Reason != dispatch.Canceled && err.Reason != dispatch.Failed {
+		s.suspect(now, err)
+	}
+	again := s.ctx.Err() == nil &&
+		s.history.mayRepeat(s.r.route.Idempotency, s.r.route.MaxAttempts, time.Until(s.r.deadline)) &&
+		(!err.Sent || e.repeats.take())
+	e.mu.Unlock()
+	s.release()
+	return again
+}
+
+// suspect keeps work away from a target that failed; the caller holds the lock.
+func (s *session) suspect(now time.Time, err *dispatch.CallError) {
+	switch err.Reason {
+	case dispatch.Refused:
+		s.e.placer.Pause(s.target, now.Add(refusedPause))
+		if err.AtFault != "" {
+			s.e.reports.stall(now, s.target)
+		}
+	case dispatch.Stalled, dispatch.DialFailed:
+		if !s.e.placer.AnsweredSince(s.target, now.Add(-eventSilence/2)) {
+			s.e.placer.Failed(now, s.target)
+			s.e.reports.stall(now, s.target)
+		}
+	default:
+	}
+}
+
+// retryAfter is when a refused caller should come back.
+func (s *session) retryAfter(*dispatch.CallError) time.Duration {
+	s.e.mu.Lock()
+	defer s.e.mu.Unlock()
+	return s.e.placer.lane(s.work()).retryAfter(s.e.random, 1)
+}
+
+func callError(err error) *dispatch.CallError {
+	if f, ok := dispatch.CallErrorOf(err); ok {
+		return f
+	}
+	return &dispatch.CallError{Reason: dispatch.Malformed, Sent: true}
+}
--- /dev/null
+++ b/pkg/forward/stream.go
@@ -0,0 +1,170 @@
+package forward
+
+import (
+	"errors"
+	"io"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/masticmount/masticmount/pkg/boottime"
+	"github.com/masticmount/masticmount/pkg/dispatch"
+	"github.com/masticmount/masticmount/pkg/document"
+)
+
+// readBytes is the most that one read of a stream takes.
+const readBytes = 8 << 10
+
+var (
+	errCutEvent   = errors.New("the stream ended inside an event")
+	errEventSize  = errors.New("an event is longer than 256 KiB")
+	errNotResumed = errors.New("the stream broke and cannot go on")
+)
+
+// stream is the body of an answer to a caller. The server reads it and writes what
+// it gets at once, so that no goroutine stands between upstream and caller.
+type stream struct {
+	s *session
+	// ready are whole events that were not passed on yet.
+	ready []byte
+	buf   []byte
+	ended bool
+	// outcome is how the stream ended, for the log.
+	outcome string
+}
+
+// beginStream waits for the first event, so that a stream that fails before it can
+// still begin elsewhere or be refused.
+func (s *session) beginStream(ctx *fasthttp.RequestCtx) (done bool, failure *dispatch.CallError) {
+	st := &stream{s: s, buf: make([]byte, readBytes), outcome: "cut"}
+	s.boundSilence(firstEventSilence)
+	if err := st.fill(); err != nil && !errors.Is(err, io.EOF) {
+		return false, callError(err)
+	}
+	s.history.firstEvent = true
+	s.first = time.Since(s.r.arrivedAt)
+	if !st.ended {
+		s.boundSilence(eventSilence)
+	}
+	s.copyHeader(ctx)
+	ctx.Response.SetBodyStream(st, -1)
+	return true, nil
+}
+
+// boundSilence limits the pauses of a stream that could go on elsewhere.
+func (s *session) boundSilence(d time.Duration) {
+	if s.r.route.Idempotency == document.Resumable && s.mayRepeatNow() {
+		s.resp.BoundSilence(d)
+		return
+	}
+	s.resp.BoundSilence(0)
+}
+
+// Read implements io.Reader. It goes on at another target when one breaks.
+func (st *stream) Read(p []byte) (int, error) {
+	for len(st.ready) == 0 {
+		if st.ended {
+			st.outcome = "whole"
+			return 0, io.EOF
+		}
+		err := st.fill()
+		if err == nil || errors.Is(err, io.EOF) {
+			continue
+		}
+		if err = st.resume(callError(err)); err != nil {
+			return 0, err
+		}
+	}
+	n := copy(p, st.ready)
+	st.ready = st.ready[n:]
+	return n, nil
+}
+
+// fill reads until whole events are there or the stream has ended.
+func (st *stream) fill() error {
+	s := st.s
+	for {
+		n, err := s.resp.Read(st.buf)
+		if n > 0 {
+			if events := s.events.whole(st.buf[:n]); len(events) > 0 {
+				st.ready = append(st.ready[:0], events...)
+				s.events.pass(events)
+			}
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			return st.endOfBody()
+		case err != nil:
+			if len(st.ready) > 0 {
+				// What came before the break is passed on first; the next read meets it again.
+				return nil
+			}
+			return err
+		case len(s.events.held) > maxEventBytes:
+			return s.resp.Abort(dispatch.Malformed, errEventSize)
+		case len(st.ready) > 0:
+			s.answered()
+			return nil
+		}
+	}
+}
+
+func (st *stream) endOfBody() error {
+	s := st.s
+	if s.events.partial() {
+		return s.resp.Abort(dispatch.CutOff, errCutEvent)
+	}
+	s.resp.Finish()
+	st.ended = true
+	return io.EOF
+}
+
+// resume goes on at another target after the last whole event.
+func (st *stream) resume(err *dispatch.CallError) error {
+	s := st.s
+	for {
+		if !s.failed(err) {
+			s.e.opts.Log.Warn().Str("request_id", s.r.id).Str("reason", string(err.Reason)).Str("last_event", s.lastEvent()).
+				Int("sends", s.history.sends).Msg("stream_not_resumed")
+			return errNotResumed
+		}
+		if refusal := s.acquire(); refusal != nil {
+			s.e.opts.Log.Warn().Str("request_id", s.r.id).Str("last_event", s.lastEvent()).Str("refused", refusal.Detail).Msg("stream_not_resumed")
+			return errNotResumed
+		}
+		s.events.reset()
+		if err = s.send(); err != nil {
+			continue
+		}
+		if err = s.checkResumed(s.resp); err != nil {
+			continue
+		}
+		s.boundSilence(firstEventSilence)
+		if sendErr := st.fill(); sendErr != nil && !errors.Is(sendErr, io.EOF) {
+			err = callError(sendErr)
+			continue
+		}
+		if !st.ended {
+			s.boundSilence(eventSilence)
+		}
+		s.e.opts.Log.Info().Str("request_id", s.r.id).Str("target", s.target.ID).Str("last_event", s.lastEvent()).Msg("stream_resumed")
+		return nil
+	}
+}
+
+func (s *session) checkResumed(resp *dispatch.Response) *dispatch.CallError {
+	if resp.Status() != fasthttp.StatusOK {
+		return resp.Abort(dispatch.Failed, errNotResumed)
+	}
+	return s.check(resp)
+}
+
+// Close implements io.Closer; the server calls it once the answer has ended.
+func (st *stream) Close() error {
+	s := st.s
+	s.resp.Abort(dispatch.Canceled, errCallerGone)
+	s.e.observeStream(s, boottime.Now())
+	s.e.logAnswer(s, fasthttp.StatusOK, st.outcome)
+	s.close()
+	return nil
+}
