--- /dev/null
+++ b/cmd/mastic-platformd/main.go
@@ -0,0 +1,60 @@
+// Command mastic-platformd runs one node of masticmount on the users' platform.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+
+	"github.com/masticmount/masticmount/pkg/logging"
+	"github.com/masticmount/masticmount/platform"
+)
+
+type arguments struct {
+	Role          string `arg:"positional,required" help:"entry or keeper"`
+	Settings      string `arg:"--settings,env:MASTICMOUNT_CONFIG" help:"path of the platform's settings file"`
+	CheckSettings bool   `arg:"--check-settings" help:"check the settings and exit"`
+	LogLevel      string `arg:"--log-level" default:"info" help:"debug, info, warn or error"`
+}
+
+// memoryShare of the VM's memory, in percent, is what the runtime may use before it
+// collects more often; sockets and the binary need the rest.
+const memoryShare = 60
+
+const megabyte = 1 << 20
+
+func main() {
+	var args arguments
+	arg.MustParse(&args)
+	if err := run(args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(args arguments) error {
+	s, err := platform.LoadSettings(args.Settings)
+	if err != nil || args.CheckSettings {
+		return err
+	}
+	debug.SetMemoryLimit(int64(s.Limits.MemoryMB) * megabyte * memoryShare / 100)
+	log, err := logging.New(os.Stdout, args.LogLevel, s.Node)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	switch args.Role {
+	case "entry":
+		return platform.RunEntry(ctx, args.Settings, s, log)
+	case "keeper":
+		return platform.RunKeeper(ctx, s, log)
+	default:
+		return fmt.Errorf("role %q is not known; use entry or keeper", args.Role)
+	}
+}
--- /dev/null
+++ b/pkg/fleetnode/entry.go
@@ -0,0 +1,127 @@
+// Package fleetnode joins the parts of a node whose peers find each other from a few
+// seed addresses: an entry that serves callers, or a keeper that keeps the state.
+package fleetnode
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/samber/do/v2"
+
+	"github.com/masticmount/masticmount/pkg/attach"
+	"github.com/masticmount/masticmount/pkg/dispatch"
+	"github.com/masticmount/masticmount/pkg/document"
+	"github.com/masticmount/masticmount/pkg/forward"
+	"github.com/masticmount/masticmount/pkg/hangup"
+	"github.com/masticmount/masticmount/pkg/peers"
+	"github.com/masticmount/masticmount/pkg/telemetry"
+)
+
+// EntryOptions configure an entry.
+type EntryOptions struct {
+	NodeID, FailureDomain string
+	// Callers is the address for callers.
+	Callers string
+	// Seeds returns the peer addresses of keepers that the settings name.
+	Seeds func() []string
+	// Decode turns a document's content into its meaning.
+	Decode   func(content []byte) (*document.Document, error)
+	Wire     forward.Wire
+	Protocol dispatch.Protocol
+	// MaxAge is the age from which the configuration may have lost a revocation.
+	MaxAge time.Duration
+	// BalancerWait passes between the end of readiness and the last new connection.
+	BalancerWait time.Duration
+	// Grace bounds a planned stop.
+	Grace   time.Duration
+	Metrics *telemetry.Registry
+	Log     zerolog.Logger
+}
+
+// Entry is a node that serves callers.
+type Entry struct {
+	opts     EntryOptions
+	injector do.Injector
+	ready    readiness
+}
+
+// NewEntry returns an entry that is not running yet.
+func NewEntry(opts EntryOptions) *Entry {
+	n := &Entry{opts: opts, injector: do.New()}
+	do.ProvideValue(n.injector, peers.NewDialer(nil))
+	do.ProvideValue(n.injector, dispatch.NewClientWith(dispatch.Options{Protocol: opts.Protocol}))
+	do.Provide(n.injector, n.provideAttachment)
+	do.Provide(n.injector, n.provideForward)
+	return n
+}
+
+func (n *Entry) provideAttachment(i do.Injector) (*attach.Attachment, error) {
+	return attach.New(attach.Options{
+		NodeID: n.opts.NodeID, FailureDomain: n.opts.FailureDomain, Seeds: n.opts.Seeds,
+		Dialer: do.MustInvoke[*peers.Dialer](i), Decode: n.opts.Decode, Log: n.opts.Log,
+	}), nil
+}
+
+func (n *Entry) provideForward(i do.Injector) (*forward.Entry, error) {
+	attachment := do.MustInvoke[*attach.Attachment](i)
+	entry := forward.New(forward.Options{
+		FailureDomain: n.opts.FailureDomain, View: attachment.View, Age: attachment.Age, MaxAge: n.opts.MaxAge,
+		Client: do.MustInvoke[*dispatch.Client](i), Wire: n.opts.Wire, Metrics: n.opts.Metrics, Log: n.opts.Log,
+	})
+	attachment.Connect(entry.OnView, entry.Report)
+	return entry, nil
+}
+
+// Ready reports whether the entry takes new connections.
+func (n *Entry) Ready() bool { return n.ready.get() }
+
+// Run serves until ctx ends, then stops within the grace.
+func (n *Entry) Run(ctx context.Context) error {
+	entry := do.MustInvoke[*forward.Entry](n.injector)
+	attachment := do.MustInvoke[*attach.Attachment](n.injector)
+	listener, err := net.Listen("tcp", n.opts.Callers)
+	if err != nil {
+		return fmt.Errorf("listen for callers on %s: %w; free the address or correct the settings", n.opts.Callers, err)
+	}
+	work, stopWork := context.WithCancel(context.Background())
+	defer stopWork()
+	var duties duties
+	duties.start(func() { attachment.Run(work) })
+	duties.start(func() { entry.Run(work) })
+	duties.start(func() {
+		if err := entry.Serve(hangup.Listen(listener)); err != nil {
+			n.opts.Log.Error().Err(err).Msg("callers_not_served")
+		}
+	})
+	n.ready.set(true)
+	n.opts.Log.Info().Str("role", "entry").Str("callers", n.opts.Callers).Msg("node_started")
+	<-ctx.Done()
+	n.stop(entry)
+	stopWork()
+	duties.wait()
+	n.opts.Log.Info().Msg("node_stopped")
+	return nil
+}
+
+// stop ends readiness, waits for the balancer and lets callers finish.
+func (n *Entry) stop(entry *forward.Entry) {
+	n.ready.set(false)
+	n.opts.Log.Info().Dur("balancer_wait_ms", n.opts.BalancerWait).Dur("grace_ms", n.opts.Grace).Msg("node_stopping")
+	ctx, cancel := context.WithTimeout(context.Background(), n.opts.Grace)
+	defer cancel()
+	<-time.After(n.opts.BalancerWait)
+	if left := entry.Drain(ctx); left > 0 {
+		n.opts.Log.Warn().Int("requests", left).Msg("requests_cut_off")
+	}
+	closing, cancelClosing := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancelClosing()
+	if err := entry.Shutdown(closing); err != nil {
+		n.opts.Log.Info().Err(err).Msg("connections_left")
+	}
+}
+
+// closeTimeout bounds the closing of idle connections.
+const closeTimeout = 400 * time.Millisecond
