Grouping: members that cannot be reached stay bound; SIGHUP does not end the process

Entries ended with code 129 at SIGHUP. Ruled out: late orders (all were answered or timed out before). Change: a group whose members are all out of reach is left alone; a member of a headless group is freed only once it reports that it left, and after the stall time; nothing is planned after a pause of the process; SIGHUP is taken; dialing ends with the call's deadline.

--- a/cmd/mastic-platformd/main.go
+++ b/cmd/mastic-platformd/main.go
@@ -49,6 +49,14 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	go func() {
+		for range reload {
+			// The seeds are read again whenever the file changes, with or without a signal.
+			log.Info().Msg("settings_reloaded")
+		}
+	}()
 	switch args.Role {
 	case "entry":
 		return platform.RunEntry(ctx, args.Settings, s, log)
--- a/pkg/control/control.go
+++ b/pkg/control/control.go
@@ -89,6 +89,8 @@
 	trafficBegan bool
 	demand       demand
 	lastPlan     time.Time
+	// pausedUntil keeps a keeper that was paused from planning.
+	pausedUntil time.Time
 }
 
 // New returns a control that is not running yet.
--- a/pkg/control/steward.go
+++ b/pkg/control/steward.go
@@ -18,6 +18,15 @@
 	EvidenceStalled = "stalled"
 )
 
+const (
+	// pauseLimit is the gap between two plans from which this process counts as having
+	// been paused: its leadership and its directory may be old.
+	pauseLimit = 500 * time.Millisecond
+	// pauseSettle is how long nothing is planned after a pause; a leader that lost its
+	// quorum finds out within one election timeout, 1 s at most.
+	pauseSettle = 1200 * time.Millisecond
+)
+
 // entryReport is what an entry saw and what its callers asked for.
 type entryReport struct {
 	evidence []*peerpb.UpstreamEvidence
@@ -57,6 +66,9 @@
 	if now.Sub(c.lastPlan) < minPlanGap {
 		return
 	}
+	if now.Sub(c.lastPlan) > pauseLimit {
+		c.pausedUntil = now.Add(pauseSettle)
+	}
 	c.lastPlan = now
 	c.followLeadership(now)
 	if c.planner == nil {
@@ -88,7 +100,7 @@
 // followLeadership starts and ends the planner with this keeper's leadership.
 func (c *Control) followLeadership(now time.Time) {
 	status := c.opts.Keeper.Status()
-	leads := status.Role == regionlog.Leader
+	leads := status.Role == regionlog.Leader && now.After(c.pausedUntil)
 	switch {
 	case leads && c.leadsTerm != status.Term:
 		c.leadsTerm = status.Term
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -131,7 +131,11 @@
 			return idle, nil
 		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	until := time.Now().Add(dialTimeout)
+	if !call.Deadline.IsZero() && call.Deadline.Before(until) {
+		until = call.Deadline
+	}
+	ctx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
 	netConn, err := c.opts.Dial(ctx, call.Address)
 	if err != nil {
--- a/pkg/grouping/adopt.go
+++ b/pkg/grouping/adopt.go
@@ -38,7 +38,7 @@
 		return
 	}
 	g := &group{
-		name: name, epoch: first.Group.Epoch, service: first.Service, model: model, wasReady: map[string]bool{},
+		name: name, epoch: first.Group.Epoch, service: first.Service, model: model, wasReady: map[string]bool{}, freed: map[string]bool{},
 		place: place{first.Service, first.FailureDomain, first.FabricDomain}, staged: true,
 	}
 	complete := len(members) == size && size == model.GroupSize
--- a/pkg/grouping/advance.go
+++ b/pkg/grouping/advance.go
@@ -35,18 +35,8 @@
 	}
 }
 
-// lost returns the first member that cannot go on, and why.
-func (p *Planner) lost(now time.Time, g *group) (r run, reason string) {
-	for _, r := range g.members {
-		if reason := p.lostReason(now, g, r); reason != "" {
-			return r, reason
-		}
-	}
-	return run{}, ""
-}
-
 func (p *Planner) advanceForming(now time.Time, g *group) []Order {
-	if _, reason := p.lost(now, g); reason != "" {
+	if reason := p.lostReason(now, g); reason != "" {
 		p.release(now, g, reason)
 		return nil
 	}
@@ -79,7 +69,7 @@
 		p.note(g, "open", "")
 		return nil
 	}
-	if _, reason := p.lost(now, g); reason != "" {
+	if reason := p.lostReason(now, g); reason != "" {
 		return p.breakUp(now, g, reason)
 	}
 	if g.rejected {
@@ -89,7 +79,7 @@
 }
 
 func (p *Planner) advanceOpen(now time.Time, g *group) []Order {
-	if _, reason := p.lost(now, g); reason != "" {
+	if reason := p.lostReason(now, g); reason != "" {
 		return p.breakUp(now, g, reason)
 	}
 	head, _ := p.member(g.members[0])
@@ -124,7 +114,7 @@
 // the others where it does not.
 func (p *Planner) breakUp(now time.Time, g *group, reason string) []Order {
 	p.note(g, "broken", reason)
-	if p.lostReason(now, g, g.members[0]) != "" {
+	if !p.reachable(g.members[0]) {
 		g.enter(now, leaving)
 		return p.advanceLeaving(now, g)
 	}
@@ -133,7 +123,7 @@
 }
 
 func (p *Planner) advanceDraining(now time.Time, g *group) []Order {
-	if _, reason := p.lost(now, g); reason != "" || now.Sub(g.since) > drainTimeout {
+	if reason := p.lostReason(now, g); reason != "" || now.Sub(g.since) > drainTimeout {
 		return p.breakUp(now, g, lo.CoalesceOrEmpty(reason, "drained long enough"))
 	}
 	head, _ := p.member(g.members[0])
@@ -145,8 +135,8 @@
 }
 
 func (p *Planner) advanceClosing(now time.Time, g *group) []Order {
-	head, _ := p.member(g.members[0])
-	if p.lostReason(now, g, g.members[0]) != "" && !head.Gone {
+	head, current := p.member(g.members[0])
+	if !current || !p.reachable(g.members[0]) {
 		g.enter(now, leaving)
 		return p.advanceLeaving(now, g)
 	}
@@ -168,37 +158,37 @@
 	return orders
 }
 
-// advanceLeaving takes the members out of a group whose head cannot be reached.
-// If the head still runs, it is broken once they have been away for the stall time.
+// advanceLeaving takes the members out of a group whose head cannot be reached. If
+// the head still runs, it is broken once they have been away for the stall time.
 func (p *Planner) advanceLeaving(now time.Time, g *group) []Order {
 	head := g.members[0]
 	if p.ended(head) {
 		p.release(now, g, "head ended")
 		return nil
 	}
-	if p.lostReason(now, g, head) == "" {
+	if p.reachable(head) {
 		g.enter(now, closing)
 		return p.advanceClosing(now, g)
 	}
 	var orders []Order
-	away := g.since
+	bound := false
 	for _, r := range g.members[1:] {
 		u, current := p.member(r)
-		if !current || u.Silent || u.Gone {
-			continue
+		switch {
+		case !current || g.freed[r.id] || p.ended(r):
+		case u.Group.Group == g.name && u.Group.Epoch == g.epoch || !u.HeardAt.After(g.since):
+			bound = true
+			if p.reachable(r) {
+				orders = append(orders, p.order(now, g, r, Leave)...)
+			}
+		default:
+			g.freed[r.id] = true
+			p.heldUntil[r.id] = u.HeardAt.Add(p.opts.Stall + stallMargin)
 		}
-		if g.holds(u, fleet.Joining, fleet.Ready, fleet.Open, fleet.Closing, fleet.Broken) {
-			orders = append(orders, p.order(now, g, r, Leave)...)
-			away = now
-			continue
-		}
-		away = maxTime(away, g.sentAt[r.id])
 	}
-	if hold := away.Add(p.opts.Stall + stallMargin); len(orders) == 0 && away != now {
-		for _, r := range g.members[1:] {
-			p.heldUntil[r.id] = hold
-		}
-		p.release(now, g, "head lost")
+	_, headKnown := p.upstreams[head.id]
+	if !bound && !headKnown {
+		p.release(now, g, "head forgotten")
 	}
 	return orders
 }
--- a/pkg/grouping/group.go
+++ b/pkg/grouping/group.go
@@ -51,6 +51,8 @@
 	probedAt       time.Time
 	// wasReady are members that reported ready under this epoch.
 	wasReady map[string]bool
+	// freed are members that left a group whose head is lost, and may be used again.
+	freed map[string]bool
 	// staged is true when every member had the weights on its VM.
 	staged bool
 }
@@ -151,17 +153,13 @@
 	return dead && !found.IsZero() && p.missed[r] < probesToDeath
 }
 
-// lostReason tells why a member cannot go on in its group; empty when it can.
-func (p *Planner) lostReason(now time.Time, g *group, r run) string {
+// endedReason tells why a member's part in its group has certainly ended; empty when
+// it has not.
+func (p *Planner) endedReason(g *group, r run) string {
 	u, current := p.member(r)
-	_, dead := p.dead[r]
 	switch {
-	case !current:
+	case !current || p.ended(r):
 		return "member ended"
-	case dead:
-		return "member does not answer"
-	case u.Silent && now.Sub(p.aliveAt[g.members[0].id]) > aliveFor:
-		return "member silent"
 	case u.Gone:
 		return "member deregistered"
 	case g.wasReady[r.id] && !u.HeardAt.Before(g.since) && (u.Group.Group != g.name || u.Group.Epoch != g.epoch):
@@ -170,3 +168,34 @@
 		return ""
 	}
 }
+
+// reachable reports whether a member is heard of and answers.
+func (p *Planner) reachable(r run) bool {
+	u, current := p.member(r)
+	_, dead := p.dead[r]
+	return current && !dead && !u.Silent
+}
+
+// answersEntries reports whether an entry saw the group answer of late.
+func (p *Planner) answersEntries(now time.Time, g *group) bool {
+	return now.Sub(p.aliveAt[g.members[0].id]) <= aliveFor
+}
+
+// lostReason tells why a group cannot go on as it is. Where no member at all can be
+// reached it is this node that is cut off: the group may well serve, and nothing could
+// be done for it.
+func (p *Planner) lostReason(now time.Time, g *group) string {
+	reached := 0
+	for _, r := range g.members {
+		if reason := p.endedReason(g, r); reason != "" {
+			return reason
+		}
+		if p.reachable(r) {
+			reached++
+		}
+	}
+	if reached == len(g.members) || reached == 0 || p.answersEntries(now, g) {
+		return ""
+	}
+	return "member does not answer"
+}
--- a/pkg/grouping/place.go
+++ b/pkg/grouping/place.go
@@ -40,7 +40,7 @@
 	taken := map[string]bool{}
 	for _, g := range p.groups {
 		for _, r := range g.members {
-			taken[r.id] = true
+			taken[r.id] = taken[r.id] || !g.freed[r.id]
 		}
 	}
 	free := map[place][]fleet.Upstream{}
@@ -89,7 +89,7 @@
 	epoch := p.nextEpoch()
 	g := &group{
 		name: groupName(best.model.Name, best.model.GroupSize, epoch), epoch: epoch, service: service, model: best.model,
-		place: best.at, wasReady: map[string]bool{}, staged: best.loads == 0,
+		place: best.at, wasReady: map[string]bool{}, freed: map[string]bool{}, staged: best.loads == 0,
 	}
 	for _, u := range best.members {
 		g.members = append(g.members, run{u.ID, u.Born})
