Grouping: a new steward waits for heads; a cut domain is not a lost member

Members of a group without a known head were adopted with the first of them as head, found not open, and released; before adoption they counted as free. Ruled out: late orders; epochs going back. Change: an unknown head keeps its place until it reports; incomplete groups wait 4 s for their members; engines that report an unknown group are not free; an engine counts as silent alone only when others of its failure domain were heard of later.

--- a/pkg/control/steward.go
+++ b/pkg/control/steward.go
@@ -105,7 +105,7 @@
 	case leads && c.leadsTerm != status.Term:
 		c.leadsTerm = status.Term
 		c.planner = grouping.New(now, grouping.Options{
-			Term: status.Term, Stall: c.opts.Stall, FreeLoads: c.opts.FirstStart && !c.trafficBegan,
+			Term: status.Term, Stall: c.opts.Stall, Interval: c.opts.Interval, FreeLoads: c.opts.FirstStart && !c.trafficBegan,
 		})
 		c.opts.Log.Info().Uint64("term", status.Term).Msg("steward_began")
 	case !leads && c.planner != nil:
--- a/pkg/grouping/adopt.go
+++ b/pkg/grouping/adopt.go
@@ -18,7 +18,11 @@
 	for _, u := range p.upstreams {
 		name := u.Group.Group
 		_, released := p.released[name]
-		if name == "" || released || p.groups[name] != nil || u.Gone {
+		if name == "" || released || u.Gone {
+			continue
+		}
+		if g := p.groups[name]; g != nil {
+			g.findHead(u)
 			continue
 		}
 		reported[name] = append(reported[name], u)
@@ -28,6 +32,20 @@
 	}
 }
 
+// completeTime is how long a new steward waits for the members of a group that some
+// report: after a restart of everything announcements take a while to come in.
+const completeTime = 4 * time.Second
+
+// unknownHead stands for the head of a group that only other members report.
+var unknownHead = run{}
+
+// findHead takes in the report of a head that was not known.
+func (g *group) findHead(u fleet.Upstream) {
+	if g.members[0] == unknownHead && u.Group.Rank == 0 && u.Group.Epoch == g.epoch {
+		g.members[0] = run{u.ID, u.Born}
+	}
+}
+
 func (p *Planner) adoptGroup(now time.Time, name string, members []fleet.Upstream) {
 	slices.SortFunc(members, func(a, b fleet.Upstream) int { return cmp.Compare(a.Group.Rank, b.Group.Rank) })
 	modelName, size, ok := parseName(name)
@@ -42,6 +60,12 @@
 		place: place{first.Service, first.FailureDomain, first.FabricDomain}, staged: true,
 	}
 	complete := len(members) == size && size == model.GroupSize
+	if !complete && now.Sub(p.startedAt) < completeTime {
+		return
+	}
+	if first.Group.Rank != 0 {
+		g.members = append(g.members, unknownHead)
+	}
 	for rank, u := range members {
 		complete = complete && u.Group.Rank == rank && u.Group.Epoch == g.epoch
 		g.members = append(g.members, run{u.ID, u.Born})
--- a/pkg/grouping/group.go
+++ b/pkg/grouping/group.go
@@ -173,7 +173,18 @@
 func (p *Planner) reachable(r run) bool {
 	u, current := p.member(r)
 	_, dead := p.dead[r]
-	return current && !dead && !u.Silent
+	return current && !dead && !p.silent(u)
+}
+
+// silentAlone is the time, in announcement intervals, by which others of its failure
+// domain were heard of later than an engine that fell silent alone. In a cut all
+// of them are heard of last within one interval.
+const silentAlone = 1.3
+
+// silent reports whether an engine, and not its failure domain, fell silent.
+func (p *Planner) silent(u fleet.Upstream) bool {
+	alone := time.Duration(silentAlone * float64(p.opts.Interval))
+	return u.Silent && p.heardAt[u.FailureDomain].Sub(u.HeardAt) > alone
 }
 
 // answersEntries reports whether an entry saw the group answer of late.
--- a/pkg/grouping/place.go
+++ b/pkg/grouping/place.go
@@ -48,7 +48,7 @@
 		u := p.upstreams[id]
 		_, busy := p.busy[id]
 		_, dead := p.dead[run{id, u.Born}]
-		if taken[id] || busy || dead || u.Silent || u.Leaving() || now.Before(p.heldUntil[id]) {
+		if taken[id] || busy || dead || u.Silent || u.Leaving() || now.Before(p.heldUntil[id]) || p.boundElsewhere(u) {
 			continue
 		}
 		at := place{u.Service, u.FailureDomain, u.FabricDomain}
@@ -57,6 +57,13 @@
 	return free
 }
 
+// boundElsewhere reports whether an engine says that it is in a group that this
+// planner neither knows nor has released.
+func (p *Planner) boundElsewhere(u fleet.Upstream) bool {
+	_, released := p.released[u.Group.Group]
+	return u.Group.Group != "" && !released
+}
+
 // option is a group that could be formed.
 type option struct {
 	at      place
--- a/pkg/grouping/planner.go
+++ b/pkg/grouping/planner.go
@@ -74,6 +74,8 @@
 	Term uint64
 	// Stall is the time after which a head without one of its members is broken.
 	Stall time.Duration
+	// Interval is the time between two announcements of an engine.
+	Interval time.Duration
 	// FreeLoads is true while loads neither cost nor count: before the first request
 	// of a region that starts for the first time.
 	FreeLoads bool
@@ -115,8 +117,10 @@
 	opts      Options
 	startedAt time.Time
 	upstreams map[string]fleet.Upstream
-	engines   map[string]*document.Engine
-	groups    map[string]*group
+	// heardAt is when any engine of a failure domain was heard of last.
+	heardAt map[string]time.Time
+	engines map[string]*document.Engine
+	groups  map[string]*group
 	// released are the names of groups that no longer bind their members.
 	released map[string]time.Time
 	// heldUntil keeps members out of new groups until their old head is surely broken.
@@ -159,7 +163,7 @@
 // New returns the planner of a new steward.
 func New(now time.Time, opts Options) *Planner {
 	return &Planner{
-		opts: opts, startedAt: now, upstreams: map[string]fleet.Upstream{}, engines: map[string]*document.Engine{},
+		opts: opts, startedAt: now, upstreams: map[string]fleet.Upstream{}, heardAt: map[string]time.Time{}, engines: map[string]*document.Engine{},
 		groups: map[string]*group{}, released: map[string]time.Time{}, heldUntil: map[string]time.Time{},
 		staging: map[run]staging{}, dead: map[run]time.Time{}, missed: map[run]int{}, aliveAt: map[string]time.Time{}, busy: map[string]Order{},
 		demand: map[string]float64{}, epoch: opts.Term << termShift, loads: loadBudget{at: now},
@@ -184,6 +188,7 @@
 			continue
 		}
 		p.upstreams[u.ID] = u
+		p.heardAt[u.FailureDomain] = maxTime(p.heardAt[u.FailureDomain], u.HeardAt)
 		p.epoch = max(p.epoch, u.Group.Epoch)
 		r := run{u.ID, u.Born}
 		if found, dead := p.dead[r]; dead && u.HeardAt.After(found) {
--- /dev/null
+++ b/pkg/grouping/planner_test.go
@@ -0,0 +1,347 @@
+package grouping
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/masticmount/masticmount/pkg/document"
+	"github.com/masticmount/masticmount/pkg/fleet"
+)
+
+const (
+	stall    = 4 * time.Second
+	interval = time.Second
+	tick     = 100 * time.Millisecond
+)
+
+// world is a set of engines that carry out orders at once and report every second.
+type world struct {
+	t       *testing.T
+	now     time.Time
+	planner *Planner
+	engines map[string]*fleet.Upstream
+	// heard is what the steward was told last.
+	heard map[string]fleet.Upstream
+	// cut engines report nothing and answer nothing; deaf ones answer no orders.
+	cut  map[string]bool
+	deaf map[string]bool
+	// lastReport is when each engine last reported.
+	lastReport map[string]time.Time
+	// missing is since when an open head has lacked a member.
+	missing map[string]time.Time
+	orders  []Order
+}
+
+func newWorld(t *testing.T, opts Options, engines int) *world {
+	w := &world{
+		t: t, now: time.Unix(1000, 0), engines: map[string]*fleet.Upstream{}, heard: map[string]fleet.Upstream{},
+		cut: map[string]bool{}, deaf: map[string]bool{}, lastReport: map[string]time.Time{},
+		missing: map[string]time.Time{},
+	}
+	for i := range engines {
+		w.add(fmt.Sprintf("e%02d", i))
+	}
+	w.steward(opts)
+	return w
+}
+
+func (w *world) add(id string) {
+	w.engines[id] = &fleet.Upstream{
+		ID: id, Born: 1, Service: "pool", Address: id + ":1", FailureDomain: "fd", FabricDomain: "fab", Slots: 17,
+	}
+}
+
+// steward replaces the planner, as an election does.
+func (w *world) steward(opts Options) {
+	opts.Stall, opts.Interval = stall, interval
+	w.planner = New(w.now, opts)
+	w.planner.Configure(map[string]*document.Service{"pool": {Name: "pool", Engine: &document.Engine{
+		Slots: 17, LoadsPerSecond: 5, LoadsAtOnce: 7, StagedModels: 1,
+		Models: []document.Model{
+			{Name: "big", GroupSize: 4, Share: 0.5, Pace: 1, LoadTime: 16 * time.Second, WarmTime: time.Second},
+			{Name: "small", GroupSize: 2, Share: 0.5, Pace: 0.6, LoadTime: 12 * time.Second, WarmTime: time.Second},
+		},
+	}}})
+}
+
+func (w *world) run(d time.Duration) {
+	for end := w.now.Add(d); w.now.Before(end); w.now = w.now.Add(tick) {
+		w.breakHeads()
+		w.report()
+		w.carryOut(w.planner.Plan(w.now))
+	}
+}
+
+// breakHeads breaks the heads that have lacked a member for the stall time.
+func (w *world) breakHeads() {
+	for id, e := range w.engines {
+		_, size, ok := GroupModel(e.Group.Group)
+		if !ok || e.Group.State != fleet.Open || len(w.members(e.Group.Group)) == size {
+			delete(w.missing, id)
+			continue
+		}
+		if since, known := w.missing[id]; !known {
+			w.missing[id] = w.now
+		} else if w.now.Sub(since) >= stall {
+			e.Group.State = fleet.Broken
+		}
+	}
+}
+
+func (w *world) report() {
+	for id, e := range w.engines {
+		if !w.cut[id] && w.now.Sub(w.lastReport[id]) >= interval {
+			w.tell(e)
+		}
+	}
+	var all []fleet.Upstream
+	for _, u := range w.heard {
+		u.Silent = w.now.Sub(u.HeardAt) > 3*interval
+		all = append(all, u)
+	}
+	w.planner.Observe(all)
+}
+
+func (w *world) tell(e *fleet.Upstream) {
+	e.Sequence++
+	w.lastReport[e.ID] = w.now
+	u := *e
+	u.HeardAt = w.now
+	w.heard[e.ID] = u
+}
+
+func (w *world) carryOut(orders []Order) {
+	for _, o := range orders {
+		w.orders = append(w.orders, o)
+		e := w.engines[o.Upstream]
+		if e == nil || w.cut[o.Upstream] || w.deaf[o.Upstream] {
+			w.planner.Done(w.now, Result{o, Unanswered})
+			continue
+		}
+		w.planner.Done(w.now, Result{o, w.obey(e, o)})
+		w.tell(e)
+	}
+}
+
+func (w *world) obey(e *fleet.Upstream, o Order) Outcome {
+	switch o.Kind {
+	case Join:
+		w.checkJoin(e, o)
+		if o.Epoch < e.Group.Epoch {
+			return Rejected
+		}
+		rank := 0
+		for i, id := range o.Members {
+			if id == e.ID {
+				rank = i
+			}
+		}
+		e.Group = fleet.Membership{Group: o.Group, Epoch: o.Epoch, Rank: rank, State: fleet.Ready}
+		e.Staged = []string{o.Model}
+	case Open:
+		if e.Group.Group != o.Group || e.Group.State != fleet.Ready {
+			return Rejected
+		}
+		w.checkWhole(o)
+		e.Group.State = fleet.Open
+	case Close:
+		if e.Group.Group == o.Group && e.Group.State == fleet.Open {
+			e.Group.State = fleet.Ready
+		}
+	case Leave:
+		if e.Group.Group == o.Group {
+			e.Group = fleet.Membership{}
+		}
+	case Stage:
+		e.Staged = []string{o.Model}
+	case Probe:
+	}
+	return Accepted
+}
+
+// checkJoin holds the promise that no engine is taken from a group whose head is open
+// and has not stood still for the stall time.
+func (w *world) checkJoin(e *fleet.Upstream, o Order) {
+	if e.Group.Group == "" || e.Group.Group == o.Group {
+		return
+	}
+	for _, head := range w.engines {
+		open := head.Group.Group == e.Group.Group && head.Group.Rank == 0 && head.Group.State == fleet.Open
+		require.False(w.t, open, "%s joined %s while %s of %s was open", e.ID, o.Group, e.Group.Group, head.ID)
+	}
+}
+
+// checkWhole holds the promise that a group opens with all its members ready.
+func (w *world) checkWhole(o Order) {
+	_, size, ok := GroupModel(o.Group)
+	require.True(w.t, ok)
+	ready := 0
+	for _, e := range w.engines {
+		if e.Group.Group == o.Group && e.Group.Epoch == o.Epoch {
+			ready++
+		}
+	}
+	require.Equal(w.t, size, ready, "members of %s", o.Group)
+}
+
+func (w *world) open() map[string]int {
+	open := map[string]int{}
+	for id, e := range w.engines {
+		if e.Group.State == fleet.Open && !w.cut[id] {
+			model, _, _ := GroupModel(e.Group.Group)
+			open[model]++
+		}
+	}
+	return open
+}
+
+func (w *world) head(model string) *fleet.Upstream {
+	for _, id := range []string{"e00", "e01", "e02", "e03", "e04", "e05", "e06", "e07", "e08", "e09"} {
+		e := w.engines[id]
+		if name, _, _ := GroupModel(e.Group.Group); name == model && e.Group.State == fleet.Open {
+			return e
+		}
+	}
+	w.t.Fatalf("no open group of %s", model)
+	return nil
+}
+
+func (w *world) members(group string) []string {
+	var ids []string
+	for id, e := range w.engines {
+		if e.Group.Group == group {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+func firstStart(term uint64) Options { return Options{Term: term, FreeLoads: true} }
+
+func TestTenEnginesFormTheGroupsOfBothModels(t *testing.T) {
+	w := newWorld(t, firstStart(2), 10)
+	w.run(4 * time.Second)
+	assert.Equal(t, map[string]int{"big": 2, "small": 1}, w.open())
+}
+
+func TestALostMemberIsReplacedByAStagedSpare(t *testing.T) {
+	w := newWorld(t, firstStart(2), 10)
+	w.run(4 * time.Second)
+	w.planner.TrafficBegan()
+	w.add("spare")
+	w.engines["spare"].Staged = []string{"big"}
+	w.run(2 * time.Second)
+	head := w.head("big")
+	for _, id := range w.members(head.Group.Group) {
+		if id != head.ID {
+			w.cut[id] = true
+			delete(w.engines, id)
+			break
+		}
+	}
+	w.run(6 * time.Second)
+	assert.Equal(t, 2, w.open()["big"])
+}
+
+func TestMembersOfALostHeadAreHeldForTheStallTime(t *testing.T) {
+	w := newWorld(t, firstStart(2), 10)
+	w.run(4 * time.Second)
+	w.planner.TrafficBegan()
+	head := w.head("small")
+	w.cut[head.ID] = true
+	w.add("spare")
+	w.engines["spare"].Staged = []string{"small"}
+	gone := w.now
+	w.run(14 * time.Second)
+	var rejoined time.Time
+	for _, id := range w.members(w.head("small").Group.Group) {
+		if id != "spare" {
+			rejoined = w.heard[id].HeardAt
+		}
+	}
+	require.False(t, rejoined.IsZero(), "the other member serves again")
+	for _, o := range w.orders {
+		if o.Kind == Leave && o.Group == head.Group.Group {
+			assert.NotEqual(t, head.ID, o.Upstream)
+		}
+	}
+	assert.Greater(t, w.now.Sub(gone), stall)
+}
+
+// A failure domain that is cut off from the steward looks like groups without any
+// member: they may well serve.
+func TestACutOffFailureDomainIsLeftAlone(t *testing.T) {
+	w := newWorld(t, firstStart(2), 10)
+	w.run(4 * time.Second)
+	w.planner.TrafficBegan()
+	before := len(w.orders)
+	for id := range w.engines {
+		w.cut[id] = true
+	}
+	w.run(8 * time.Second)
+	for _, o := range w.orders[before:] {
+		assert.Equal(t, Probe, o.Kind)
+	}
+	clear(w.cut)
+	w.run(3 * time.Second)
+	assert.Equal(t, map[string]int{"big": 2, "small": 1}, w.open())
+}
+
+// After a restart of everything the heads may be heard of last.
+func TestANewStewardWaitsForTheHeadsOfGroups(t *testing.T) {
+	w := newWorld(t, firstStart(2), 10)
+	w.run(4 * time.Second)
+	for id, e := range w.engines {
+		w.cut[id] = e.Group.State == fleet.Open
+	}
+	w.heard = map[string]fleet.Upstream{}
+	w.steward(Options{Term: 5})
+	w.run(6 * time.Second)
+	clear(w.cut)
+	w.run(8 * time.Second)
+	assert.Equal(t, map[string]int{"big": 2, "small": 1}, w.open())
+}
+
+func TestANewStewardAdoptsOpenGroups(t *testing.T) {
+	w := newWorld(t, firstStart(2), 10)
+	w.run(4 * time.Second)
+	before := len(w.orders)
+	w.steward(Options{Term: 5})
+	w.run(8 * time.Second)
+	assert.Empty(t, w.orders[before:])
+}
+
+func TestSeededLossesKeepThePromises(t *testing.T) {
+	for seed := range 200 {
+		w := newWorld(t, firstStart(2), 10)
+		w.run(4 * time.Second)
+		w.planner.TrafficBegan()
+		for step := range 12 {
+			id := fmt.Sprintf("e%02d", (seed*7+step*3)%10)
+			switch (seed + step*5) % 6 {
+			case 0:
+				w.cut[id] = !w.cut[id]
+			case 1:
+				w.deaf[id] = !w.deaf[id]
+			case 2:
+				w.steward(Options{Term: uint64(3 + step)})
+			case 3:
+				e := w.engines[id]
+				e.Born, e.Sequence, e.Group = e.Born+1, 0, fleet.Membership{}
+			case 4:
+				clear(w.cut)
+			default:
+				w.planner.Suspect(w.now, id)
+			}
+			w.run(time.Duration(500+seed*37%2500) * time.Millisecond)
+		}
+		clear(w.cut)
+		clear(w.deaf)
+		w.run(45 * time.Second)
+		assert.NotEmpty(t, w.open(), "seed %d", seed)
+	}
+}
