--- a/pkg/control/steward.go
+++ b/pkg/control/steward.go
@@ -66,7 +66,7 @@
 	if now.Sub(c.lastPlan) < minPlanGap {
 		return
 	}
-	if now.Sub(c.lastPlan) > pauseLimit {
+	if now.Sub(c.lastPlan) > pauseLimit || c.opts.Keeper.Stalled() > pauseLimit {
 		c.pausedUntil = now.Add(pauseSettle)
 	}
 	c.lastPlan = now
--- a/pkg/grouping/adopt.go
+++ b/pkg/grouping/adopt.go
@@ -57,7 +57,9 @@
 	}
 	g := &group{
 		name: name, epoch: first.Group.Epoch, service: first.Service, model: model, wasReady: map[string]bool{}, freed: map[string]bool{},
-		place: place{first.Service, first.FailureDomain, first.FabricDomain}, staged: true,
+		// The steward before may have ordered the head to open, and got no answer.
+		openUnanswered: true,
+		place:          place{first.Service, first.FailureDomain, first.FabricDomain}, staged: true,
 	}
 	complete := len(members) == size && size == model.GroupSize
 	if !complete && now.Sub(p.startedAt) < completeTime {
--- a/pkg/grouping/group.go
+++ b/pkg/grouping/group.go
@@ -176,15 +176,16 @@
 	return current && !dead && !p.silent(u)
 }
 
-// silentAlone is the time, in announcement intervals, by which others of its failure
-// domain were heard of later than an engine that fell silent alone. In a cut all
-// of them are heard of last within one interval.
+// silentAlone is the time, in announcement intervals, for which others of its failure
+// domain were heard of without a gap after an engine that fell silent alone. In a
+// cut all of them are heard of last within one interval, and after it first.
 const silentAlone = 1.3
 
 // silent reports whether an engine, and not its failure domain, fell silent.
 func (p *Planner) silent(u fleet.Upstream) bool {
 	alone := time.Duration(silentAlone * float64(p.opts.Interval))
-	return u.Silent && p.heardAt[u.FailureDomain].Sub(u.HeardAt) > alone
+	since := maxTime(u.HeardAt, p.heardSince[u.FailureDomain])
+	return u.Silent && p.heardAt[u.FailureDomain].Sub(since) > alone
 }
 
 // answersEntries reports whether an entry saw the group answer of late.
--- a/pkg/grouping/planner.go
+++ b/pkg/grouping/planner.go
@@ -119,8 +119,10 @@
 	upstreams map[string]fleet.Upstream
 	// heardAt is when any engine of a failure domain was heard of last.
 	heardAt map[string]time.Time
-	engines map[string]*document.Engine
-	groups  map[string]*group
+	// heardSince is since when a failure domain has been heard of without a gap.
+	heardSince map[string]time.Time
+	engines    map[string]*document.Engine
+	groups     map[string]*group
 	// released are the names of groups that no longer bind their members.
 	released map[string]time.Time
 	// heldUntil keeps members out of new groups until their old head is surely broken.
@@ -163,7 +165,7 @@
 // New returns the planner of a new steward.
 func New(now time.Time, opts Options) *Planner {
 	return &Planner{
-		opts: opts, startedAt: now, upstreams: map[string]fleet.Upstream{}, heardAt: map[string]time.Time{}, engines: map[string]*document.Engine{},
+		opts: opts, startedAt: now, upstreams: map[string]fleet.Upstream{}, heardAt: map[string]time.Time{}, heardSince: map[string]time.Time{}, engines: map[string]*document.Engine{},
 		groups: map[string]*group{}, released: map[string]time.Time{}, heldUntil: map[string]time.Time{},
 		staging: map[run]staging{}, dead: map[run]time.Time{}, missed: map[run]int{}, aliveAt: map[string]time.Time{}, busy: map[string]Order{},
 		demand: map[string]float64{}, epoch: opts.Term << termShift, loads: loadBudget{at: now},
@@ -183,6 +185,7 @@
 // Observe takes in the directory.
 func (p *Planner) Observe(upstreams []fleet.Upstream) {
 	clear(p.upstreams)
+	before := maps.Clone(p.heardAt)
 	for _, u := range upstreams {
 		if p.engines[u.Service] == nil {
 			continue
@@ -196,6 +199,11 @@
 			delete(p.missed, r)
 		}
 	}
+	for domain, at := range p.heardAt {
+		if at.Sub(before[domain]) > p.opts.Interval {
+			p.heardSince[domain] = at
+		}
+	}
 }
 
 // TrafficBegan ends the time in which loads are free.
--- a/pkg/keeper/keeper.go
+++ b/pkg/keeper/keeper.go
@@ -17,6 +17,7 @@
 	"github.com/rs/zerolog"
 	"google.golang.org/grpc"
 
+	"github.com/masticmount/masticmount/pkg/boottime"
 	"github.com/masticmount/masticmount/pkg/fault"
 	"github.com/masticmount/masticmount/pkg/peerpb"
 	"github.com/masticmount/masticmount/pkg/regionlog"
@@ -111,6 +112,8 @@
 	waiters  waiters
 	messages *transport
 	stopping atomic.Bool
+	// tickedAt is when the log duty last ticked, in nanoseconds of boot time.
+	tickedAt atomic.Int64
 	failed   atomic.Pointer[fault.Error]
 
 	// mu guards the state machine.
@@ -233,6 +236,15 @@
 	k.opts.Log.Info().Msg("leadership_transferred")
 }
 
+// Ended is closed once the keeper has stopped, by itself or by Close.
+func (k *Keeper) Ended() <-chan struct{} { return k.stopped }
+
+// Stalled returns for how long the log duty has not ticked: a disk that hangs stalls
+// it, and what it last published of leadership may be old.
+func (k *Keeper) Stalled() time.Duration {
+	return boottime.Now().Sub(time.Unix(0, k.tickedAt.Load()))
+}
+
 // Kill ends the duties at once, as the death of the process would. It serves
 // tests and measurements.
 func (k *Keeper) Kill() { k.Close() }
--- a/pkg/keeper/logduty.go
+++ b/pkg/keeper/logduty.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"time"
 
+	"github.com/masticmount/masticmount/pkg/boottime"
 	"github.com/masticmount/masticmount/pkg/fault"
 	"github.com/masticmount/masticmount/pkg/peerpb"
 	"github.com/masticmount/masticmount/pkg/regionlog"
@@ -87,6 +88,7 @@
 
 func (l *logDuty) tick() {
 	l.machine.Tick()
+	l.k.tickedAt.Store(boottime.Now().UnixNano())
 	l.ticks++
 	if l.ticks%replacementTicks == 0 {
 		l.replaceLost()
--- a/pkg/regionlog/storage/storage.go
+++ b/pkg/regionlog/storage/storage.go
@@ -257,3 +257,33 @@
 		"move the data folder away and start the node again: it comes back as a learner under a new identity and copies the log from the other keepers",
 		"%s is damaged: %s", path, reason)
 }
+
+const (
+	probeFile = "probe"
+	// probeBytes is what a disk must take before a keeper relies on it again: more
+	// than a batch of entries.
+	probeBytes = 256 << 10
+)
+
+// Probe reports whether a data folder takes and syncs writes.
+func Probe(folder string) error {
+	path := filepath.Join(folder, probeFile)
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_RDWR|os.O_TRUNC, fileMode)
+	if err != nil {
+		return diskFault(err, "create a file")
+	}
+	_, err = f.Write(make([]byte, probeBytes))
+	if err == nil {
+		err = f.Sync()
+	}
+	if closeErr := f.Close(); err == nil {
+		err = closeErr
+	}
+	if removeErr := os.Remove(path); err == nil {
+		err = removeErr
+	}
+	if err != nil {
+		return diskFault(err, "write")
+	}
+	return nil
+}
