Grouping: a refused connection does not end a run; entries refuse what a stop would cut off

Ruled out: (1) late orders, as the log shows the release 'head ended' after refused probes. Change: only a later run of the engine proves that one has ended; a stopping entry closes each connection with its answer and refuses, with Retry-After, what would outlast the stop.

--- a/pkg/fleetnode/entry.go
+++ b/pkg/fleetnode/entry.go
@@ -112,6 +112,7 @@
 	n.opts.Log.Info().Dur("balancer_wait_ms", n.opts.BalancerWait).Dur("grace_ms", n.opts.Grace).Msg("node_stopping")
 	ctx, cancel := context.WithTimeout(context.Background(), n.opts.Grace)
 	defer cancel()
+	entry.Stopping(time.Now().Add(n.opts.Grace))
 	<-time.After(n.opts.BalancerWait)
 	if left := entry.Drain(ctx); left > 0 {
 		n.opts.Log.Warn().Int("requests", left).Msg("requests_cut_off")
--- a/pkg/forward/entry.go
+++ b/pkg/forward/entry.go
@@ -17,6 +17,7 @@
 	"github.com/masticmount/masticmount/pkg/attach"
 	"github.com/masticmount/masticmount/pkg/boottime"
 	"github.com/masticmount/masticmount/pkg/dispatch"
+	"github.com/masticmount/masticmount/pkg/fault"
 	"github.com/masticmount/masticmount/pkg/peerpb"
 	"github.com/masticmount/masticmount/pkg/telemetry"
 )
@@ -63,7 +64,8 @@
 	reports  reports
 
 	inFlight atomic.Int64
-	draining atomic.Bool
+	// stopAt is when a planned stop ends, in Unix nanoseconds; 0 while there is none.
+	stopAt atomic.Int64
 }
 
 // New returns an entry that does not serve yet.
@@ -125,10 +127,37 @@
 	return e.random.Float64()
 }
 
-// Drain lets callers finish: from now on every answer closes its connection. It
-// returns the number of requests left when ctx ended.
+// Stopping begins a planned stop that ends at a time: from now on every answer closes
+// its connection, and what cannot be answered before the end is refused.
+func (e *Entry) Stopping(end time.Time) { e.stopAt.Store(end.UnixNano()) }
+
+// stopping reports whether a planned stop has begun, and how long it lasts yet.
+func (e *Entry) stopping(now time.Time) (left time.Duration, begun bool) {
+	end := e.stopAt.Load()
+	return time.Duration(end - now.UnixNano()), end != 0
+}
+
+// stopMargin is how many times its expected time a request is given to end before
+// a planned stop does; stopReserve is added for the way.
+const (
+	stopMargin  = 2
+	stopReserve = 500 * time.Millisecond
+)
+
+// outlastsStop refuses a request that a planned stop would cut off.
+func (e *Entry) outlastsStop(r *request) *fault.Error {
+	left, begun := e.stopping(r.arrivedAt)
+	if !begun || stopMargin*r.hold+stopReserve < left {
+		return nil
+	}
+	return fault.New(fault.Stopping, "send it again over a new connection", "this node stops").After(stopRetry)
+}
+
+// stopRetry is when to come back after such a refusal: other nodes serve at once.
+const stopRetry = 50 * time.Millisecond
+
+// Drain waits for the requests under way. It returns the number left when ctx ended.
 func (e *Entry) Drain(ctx context.Context) int {
-	e.draining.Store(true)
 	look := time.NewTicker(drainLook)
 	defer look.Stop()
 	for e.inFlight.Load() > 0 {
--- a/pkg/forward/session.go
+++ b/pkg/forward/session.go
@@ -64,9 +64,12 @@
 func (e *Entry) serve(ctx *fasthttp.RequestCtx) {
 	e.inFlight.Add(1)
 	r, refusal := e.read(ctx)
-	if e.draining.Load() {
+	if _, stopping := e.stopping(r.arrivedAt); stopping {
 		ctx.Response.SetConnectionClose()
 	}
+	if refusal == nil {
+		refusal = e.outlastsStop(r)
+	}
 	if refusal != nil {
 		e.refuse(ctx, r, nil, refusal)
 		e.inFlight.Add(-1)
--- a/pkg/grouping/group.go
+++ b/pkg/grouping/group.go
@@ -143,14 +143,11 @@
 	return u, known && u.Born == r.born
 }
 
-// ended reports whether a run is certainly over: its engine started again, or
-// nothing listens any more.
+// ended reports whether a run is certainly over, as its engine started again. A
+// refused connection does not tell: a cut may refuse in the engine's place.
 func (p *Planner) ended(r run) bool {
-	if u, known := p.upstreams[r.id]; known && u.Born != r.born {
-		return true
-	}
-	found, dead := p.dead[r]
-	return dead && !found.IsZero() && p.missed[r] < probesToDeath
+	u, known := p.upstreams[r.id]
+	return known && u.Born != r.born
 }
 
 // endedReason tells why a member's part in its group has certainly ended; empty when
--- a/pkg/grouping/planner.go
+++ b/pkg/grouping/planner.go
@@ -58,7 +58,8 @@
 	Rejected
 	// Unanswered orders may have begun, or may begin later.
 	Unanswered
-	// Refused means that nothing listens at the address.
+	// Refused means that the connection was refused: the engine is gone, or a cut
+	// answers in its place.
 	Refused
 )
 
--- a/pkg/grouping/planner_test.go
+++ b/pkg/grouping/planner_test.go
@@ -29,6 +29,8 @@
 	// cut engines report nothing and answer nothing; deaf ones answer no orders.
 	cut  map[string]bool
 	deaf map[string]bool
+	// refusing is true while a cut refuses connections to cut engines.
+	refusing bool
 	// lastReport is when each engine last reported.
 	lastReport map[string]time.Time
 	// missing is since when an open head has lacked a member.
@@ -121,7 +123,11 @@
 		w.orders = append(w.orders, o)
 		e := w.engines[o.Upstream]
 		if e == nil || w.cut[o.Upstream] || w.deaf[o.Upstream] {
-			w.planner.Done(w.now, Result{o, Unanswered})
+			outcome := Unanswered
+			if w.refusing {
+				outcome = Refused
+			}
+			w.planner.Done(w.now, Result{o, outcome})
 			continue
 		}
 		w.planner.Done(w.now, Result{o, w.obey(e, o)})
@@ -307,6 +313,27 @@
 	assert.Equal(t, map[string]int{"big": 2, "small": 1}, w.open())
 }
 
+// A cut may refuse connections in the place of engines that serve on.
+func TestRefusedConnectionsDoNotFreeMembers(t *testing.T) {
+	w := newWorld(t, firstStart(2), 10)
+	w.run(4 * time.Second)
+	w.planner.TrafficBegan()
+	w.refusing = true
+	for id, e := range w.engines {
+		w.cut[id] = true
+		w.planner.Suspect(w.now, e.ID)
+	}
+	for range 6 {
+		w.run(500 * time.Millisecond)
+		for id := range w.engines {
+			w.planner.Suspect(w.now, id)
+		}
+	}
+	clear(w.cut)
+	w.run(3 * time.Second)
+	assert.Equal(t, map[string]int{"big": 2, "small": 1}, w.open())
+}
+
 func TestANewStewardAdoptsOpenGroups(t *testing.T) {
 	w := newWorld(t, firstStart(2), 10)
 	w.run(4 * time.Second)
