Grouping: announcements are trusted once the engine's own word agrees

Change: a new steward asks an engine once for its own word and uses it only when that agrees with an announcement; joins carry the expected count where it is certain; a head that may still be told to open leaves instead of closing.

--- a/pkg/control/control.go
+++ b/pkg/control/control.go
@@ -41,7 +41,7 @@
 // Orderer sends orders to engines.
 type Orderer interface {
 	// Order sends one order and tells what became of it.
-	Order(ctx context.Context, order grouping.Order) grouping.Outcome
+	Order(ctx context.Context, order grouping.Order) grouping.Result
 }
 
 // Options configure a Control.
--- a/pkg/control/steward.go
+++ b/pkg/control/steward.go
@@ -122,11 +122,11 @@
 			return
 		}
 		began := boottime.Now()
-		outcome := c.opts.Orderer.Order(ctx, o)
+		result := c.opts.Orderer.Order(ctx, o)
 		c.opts.Metrics.Add("orders."+string(o.Kind), 1)
 		c.opts.Log.Info().Str("order", string(o.Kind)).Str("upstream", o.Upstream).Str("group", o.Group).
-			Uint64("epoch", o.Epoch).Str("model", o.Model).Stringer("outcome", outcome).
+			Uint64("epoch", o.Epoch).Str("model", o.Model).Stringer("outcome", result.Outcome).
 			Dur("took_ms", boottime.Now().Sub(began)).Msg("order_sent")
-		c.inbox.Push(orderDone{grouping.Result{Order: o, Outcome: outcome}})
+		c.inbox.Push(orderDone{result})
 	}
 }
--- a/pkg/grouping/advance.go
+++ b/pkg/grouping/advance.go
@@ -147,7 +147,7 @@
 		return nil
 	}
 	kind := Close
-	if told && !serving {
+	if g.openUnanswered {
 		// An order to open may still be on its way; a head outside the group ignores it.
 		kind = Leave
 	}
--- a/pkg/grouping/group.go
+++ b/pkg/grouping/group.go
@@ -128,6 +128,9 @@
 	o := Order{Kind: kind, Upstream: r.id, Born: r.born, Address: u.Address, Group: g.name, Epoch: g.epoch}
 	if kind == Join {
 		o.Model, o.Members = g.model.Name, g.memberIDs()
+		if v := p.verified[r]; v.counted {
+			o.Expected, o.HasExpected = v.orders, true
+		}
 	}
 	return []Order{o}
 }
--- a/pkg/grouping/place.go
+++ b/pkg/grouping/place.go
@@ -15,8 +15,7 @@
 
 // place forms groups of the free engines and has the others stage a model.
 func (p *Planner) place(now time.Time) []Order {
-	free := p.freeEngines(now)
-	var orders []Order
+	free, orders := p.freeEngines(now)
 	for _, service := range slices.Sorted(maps.Keys(p.engines)) {
 		engine := p.engines[service]
 		for {
@@ -35,8 +34,10 @@
 	return orders
 }
 
-// freeEngines returns the engines that may join a group, by fabric domain.
-func (p *Planner) freeEngines(now time.Time) map[place][]fleet.Upstream {
+// freeEngines returns the engines that may join a group, by fabric domain, and asks
+// those for their own word that seem to be free.
+func (p *Planner) freeEngines(now time.Time) (map[place][]fleet.Upstream, []Order) {
+	var orders []Order
 	taken := map[string]bool{}
 	for _, g := range p.groups {
 		for _, r := range g.members {
@@ -51,10 +52,14 @@
 		if taken[id] || busy || dead || u.Silent || u.Leaving() || now.Before(p.heldUntil[id]) || p.boundElsewhere(u) {
 			continue
 		}
+		if !p.verified[run{id, u.Born}].agreed {
+			orders = append(orders, p.verify(now, u)...)
+			continue
+		}
 		at := place{u.Service, u.FailureDomain, u.FabricDomain}
 		free[at] = append(free[at], u)
 	}
-	return free
+	return free, orders
 }
 
 // boundElsewhere reports whether an engine says that it is in a group that this
--- a/pkg/grouping/planner.go
+++ b/pkg/grouping/planner.go
@@ -46,14 +46,20 @@
 	Members []string
 	// Cancel makes a close cut off the work under way.
 	Cancel bool
+	// Expected is the number of orders that the engine must have begun for the order to
+	// fit, where HasExpected is true.
+	Expected    uint64
+	HasExpected bool
 }
 
 // Outcome is what became of an order.
 type Outcome int
 
 const (
-	// Accepted orders began, or held already.
+	// Accepted orders began, as one more of the engine's count.
 	Accepted Outcome = iota
+	// Held orders are done, or were before: the engine's count is not known.
+	Held
 	// Rejected orders changed nothing.
 	Rejected
 	// Unanswered orders may have begun, or may begin later.
@@ -67,6 +73,15 @@
 type Result struct {
 	Order   Order
 	Outcome Outcome
+	// Report is what the engine answered to a probe.
+	Report Report
+}
+
+// Report is an engine's own answer, a fraction of a second old.
+type Report struct {
+	Group fleet.Membership
+	// OrdersBegun counts the orders that the run has begun.
+	OrdersBegun uint64
 }
 
 // Options of a Planner.
@@ -136,6 +151,9 @@
 	aliveAt map[string]time.Time
 	// busy are engines with an order under way.
 	busy map[string]Order
+	// verified is what engines answered when they were asked; announcements alone may
+	// be old when a steward begins.
+	verified map[run]verification
 	// staging are the loads ordered that no report shows yet.
 	staging map[run]staging
 	demand  map[string]float64
@@ -168,7 +186,7 @@
 	return &Planner{
 		opts: opts, startedAt: now, upstreams: map[string]fleet.Upstream{}, heardAt: map[string]time.Time{}, heardSince: map[string]time.Time{}, engines: map[string]*document.Engine{},
 		groups: map[string]*group{}, released: map[string]time.Time{}, heldUntil: map[string]time.Time{},
-		staging: map[run]staging{}, dead: map[run]time.Time{}, missed: map[run]int{}, aliveAt: map[string]time.Time{}, busy: map[string]Order{},
+		staging: map[run]staging{}, verified: map[run]verification{}, dead: map[run]time.Time{}, missed: map[run]int{}, aliveAt: map[string]time.Time{}, busy: map[string]Order{},
 		demand: map[string]float64{}, epoch: opts.Term << termShift, loads: loadBudget{at: now},
 	}
 }
@@ -230,10 +248,11 @@
 	o := result.Order
 	r := run{o.Upstream, o.Born}
 	if o.Kind == Probe {
-		p.probed(now, r, result.Outcome)
+		p.probed(now, r, result)
 		return
 	}
 	delete(p.busy, o.Upstream)
+	p.count(r, result.Outcome)
 	if o.Kind == Stage && result.Outcome != Accepted {
 		delete(p.staging, r)
 	}
@@ -245,8 +264,8 @@
 	}
 }
 
-func (p *Planner) probed(now time.Time, r run, outcome Outcome) {
-	switch outcome {
+func (p *Planner) probed(now time.Time, r run, result Result) {
+	switch result.Outcome {
 	case Refused:
 		p.dead[r] = now
 	case Unanswered:
@@ -256,6 +275,7 @@
 		}
 	default:
 		delete(p.missed, r)
+		p.asked(r, result.Report)
 	}
 }
 
@@ -300,6 +320,7 @@
 func (p *Planner) forget(now time.Time) {
 	maps.DeleteFunc(p.released, func(_ string, at time.Time) bool { return now.Sub(at) > releasedFor })
 	maps.DeleteFunc(p.heldUntil, func(_ string, until time.Time) bool { return now.After(until) })
+	maps.DeleteFunc(p.verified, func(r run, _ verification) bool { _, current := p.member(r); return !current })
 	maps.DeleteFunc(p.staging, func(_ run, s staging) bool { return now.Sub(s.at) > stagingTimeout })
 	maps.DeleteFunc(p.dead, func(_ run, at time.Time) bool { return now.Sub(at) > releasedFor })
 }
@@ -318,5 +339,5 @@
 
 // String returns the outcome's name.
 func (o Outcome) String() string {
-	return [...]string{"accepted", "rejected", "unanswered", "refused"}[o]
+	return [...]string{"accepted", "held", "rejected", "unanswered", "refused"}[o]
 }
--- a/pkg/grouping/planner_test.go
+++ b/pkg/grouping/planner_test.go
@@ -38,13 +38,15 @@
 	// everReady are the members that were ready, by group.
 	everReady map[string]map[string]bool
 	orders    []Order
+	// begun counts the orders that each run began.
+	begun map[run]uint64
 }
 
 func newWorld(t *testing.T, opts Options, engines int) *world {
 	w := &world{
 		t: t, now: time.Unix(1000, 0), engines: map[string]*fleet.Upstream{}, heard: map[string]fleet.Upstream{},
 		cut: map[string]bool{}, deaf: map[string]bool{}, lastReport: map[string]time.Time{},
-		missing: map[string]time.Time{}, everReady: map[string]map[string]bool{},
+		missing: map[string]time.Time{}, everReady: map[string]map[string]bool{}, begun: map[run]uint64{},
 	}
 	for i := range engines {
 		w.add(fmt.Sprintf("e%02d", i))
@@ -127,15 +129,22 @@
 			if w.refusing {
 				outcome = Refused
 			}
-			w.planner.Done(w.now, Result{o, outcome})
+			w.planner.Done(w.now, Result{Order: o, Outcome: outcome})
 			continue
 		}
-		w.planner.Done(w.now, Result{o, w.obey(e, o)})
+		outcome := w.obey(e, o)
+		if outcome == Accepted && o.Kind != Probe {
+			w.begun[run{e.ID, e.Born}]++
+		}
+		w.planner.Done(w.now, Result{o, outcome, Report{e.Group, w.begun[run{e.ID, e.Born}]}})
 		w.tell(e)
 	}
 }
 
 func (w *world) obey(e *fleet.Upstream, o Order) Outcome {
+	if o.HasExpected && o.Expected != w.begun[run{e.ID, e.Born}] {
+		return Rejected
+	}
 	switch o.Kind {
 	case Join:
 		w.checkJoin(e, o)
@@ -313,6 +322,26 @@
 	assert.Equal(t, map[string]int{"big": 2, "small": 1}, w.open())
 }
 
+// The first announcement that reaches a new steward may be one that was delayed.
+func TestADelayedAnnouncementDoesNotFreeAHead(t *testing.T) {
+	w := newWorld(t, firstStart(2), 10)
+	w.run(4 * time.Second)
+	w.planner.TrafficBegan()
+	w.heard = map[string]fleet.Upstream{}
+	w.steward(Options{Term: 5})
+	for id, e := range w.engines {
+		w.tell(e)
+		if e.Group.State == fleet.Open {
+			late := w.heard[id]
+			late.Group, late.Sequence = fleet.Membership{}, 1
+			w.heard[id] = late
+			w.lastReport[id] = w.now.Add(2 * interval)
+		}
+	}
+	w.run(10 * time.Second)
+	assert.Equal(t, map[string]int{"big": 2, "small": 1}, w.open())
+}
+
 // A cut may refuse connections in the place of engines that serve on.
 func TestRefusedConnectionsDoNotFreeMembers(t *testing.T) {
 	w := newWorld(t, firstStart(2), 10)
