--- a/pkg/control/attach.go
+++ b/pkg/control/attach.go
@@ -23,13 +23,10 @@
 type subscriber struct {
 	nodeID, failureDomain string
 	stream                grpc.BidiStreamingServer[peerpb.EntryReport, peerpb.FleetUpdate]
-	// token is the highest that the entry asked to have confirmed.
-	token uint64
-	woken chan struct{}
+	woken                 chan struct{}
 
 	sentVersion  uint64
 	sentDocument uint64
-	sentToken    uint64
 	sentKeepers  int
 }
 
--- a/pkg/dispatch/response.go
+++ b/pkg/dispatch/response.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"time"
 )
 
@@ -20,7 +21,7 @@
 // Begin sends a call and returns once the header of the answer is there, or a
 // *CallError. When ctx ends the connection is closed.
 func (c *Client) Begin(ctx context.Context, call Call) (*Response, error) {
-	x, err := c.begin(ctx, call, call.Method == "HEAD")
+	x, err := c.begin(ctx, call, call.Method == http.MethodHead)
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/fleet/directory_test.go
+++ b/pkg/fleet/directory_test.go
@@ -12,41 +12,41 @@
 
 const interval = time.Second
 
-func announce(id string, born, sequence uint64, address string) Upstream {
-	return Upstream{ID: id, Born: born, Sequence: sequence, Address: address, Service: "s", HeardAt: start}
+func announce(id string, born, sequence uint64) Upstream {
+	return Upstream{ID: id, Born: born, Sequence: sequence, Address: "a:1", Service: "s", HeardAt: start}
 }
 
 func TestNewestAnnouncementIsKept(t *testing.T) {
 	d := NewDirectory(interval)
-	require.True(t, d.Observe(announce("e1", 10, 4, "a:1")))
-	assert.False(t, d.Observe(announce("e1", 10, 3, "a:1")), "late")
-	assert.False(t, d.Observe(announce("e1", 9, 8, "a:1")), "of an earlier run")
-	assert.True(t, d.Observe(announce("e1", 11, 1, "a:1")), "a later run counts anew")
+	require.True(t, d.Observe(announce("e1", 10, 4)))
+	assert.False(t, d.Observe(announce("e1", 10, 3)), "late")
+	assert.False(t, d.Observe(announce("e1", 9, 8)), "of an earlier run")
+	assert.True(t, d.Observe(announce("e1", 11, 1)), "a later run counts anew")
 	u, _ := d.Get("e1")
 	assert.EqualValues(t, 11, u.Born)
 }
 
 func TestAnAddressBelongsToTheLatestRun(t *testing.T) {
 	d := NewDirectory(interval)
-	require.True(t, d.Observe(announce("old", 10, 9, "a:1")))
-	require.True(t, d.Observe(announce("new", 20, 1, "a:1")))
+	require.True(t, d.Observe(announce("old", 10, 9)))
+	require.True(t, d.Observe(announce("new", 20, 1)))
 	_, known := d.Get("old")
 	assert.False(t, known)
-	assert.False(t, d.Observe(announce("old", 10, 10, "a:1")), "a late announcement of the dead run")
+	assert.False(t, d.Observe(announce("old", 10, 10)), "a late announcement of the dead run")
 	u, _ := d.Get("new")
 	assert.Equal(t, "a:1", u.Address)
 }
 
 func TestAFarewellHoldsForTheRun(t *testing.T) {
 	d := NewDirectory(interval)
-	d.Observe(announce("e1", 10, 4, "a:1"))
+	d.Observe(announce("e1", 10, 4))
 	gone, known := d.Deregister("e1", start)
 	require.True(t, known)
 	assert.True(t, gone.Gone)
-	d.Observe(announce("e1", 10, 5, "a:1"))
+	d.Observe(announce("e1", 10, 5))
 	u, _ := d.Get("e1")
 	assert.True(t, u.Gone)
-	d.Observe(announce("e1", 12, 1, "a:1"))
+	d.Observe(announce("e1", 12, 1))
 	u, _ = d.Get("e1")
 	assert.False(t, u.Gone, "a new run under the same identifier")
 	_, known = d.Deregister("nobody", start)
@@ -55,13 +55,13 @@
 
 func TestSilenceAndForgetting(t *testing.T) {
 	d := NewDirectory(interval)
-	d.Observe(announce("e1", 10, 4, "a:1"))
+	d.Observe(announce("e1", 10, 4))
 	silent, forgotten := d.Expire(start.Add(2 * interval))
 	assert.Empty(t, silent)
 	assert.Empty(t, forgotten)
 	silent, _ = d.Expire(start.Add(3 * interval))
 	assert.Equal(t, []string{"e1"}, silent)
-	back := announce("e1", 10, 5, "a:1")
+	back := announce("e1", 10, 5)
 	back.HeardAt = start.Add(4 * interval)
 	require.True(t, d.Observe(back))
 	u, _ := d.Get("e1")
@@ -72,7 +72,7 @@
 }
 
 func TestRecordsTravelWhole(t *testing.T) {
-	u := announce("e1", 10, 4, "a:1")
+	u := announce("e1", 10, 4)
 	u.Staged, u.Slots, u.Draining, u.FabricDomain = []string{"m"}, 17, true, "f"
 	u.Group = Membership{Group: "g", Epoch: 1 << 40, Rank: 2, State: Ready}
 	now := start.Add(300 * time.Millisecond)
--- a/pkg/forward/placer.go
+++ b/pkg/forward/placer.go
@@ -88,7 +88,6 @@
 	slots         map[string]*slot
 	lanes         map[laneKey]*lane
 	views         uint64
-	entries       int
 }
 
 // NewPlacer returns a placer of an entry in a failure domain.
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -162,7 +162,7 @@
 // Close implements io.Closer; the server calls it once the answer has ended.
 func (st *stream) Close() error {
 	s := st.s
-	s.resp.Abort(dispatch.Canceled, errCallerGone)
+	_ = s.resp.Abort(dispatch.Canceled, errCallerGone)
 	s.e.observeStream(s, boottime.Now())
 	s.e.logAnswer(s, fasthttp.StatusOK, st.outcome)
 	s.close()
--- a/pkg/grouping/planner.go
+++ b/pkg/grouping/planner.go
@@ -159,7 +159,6 @@
 	demand  map[string]float64
 	loads   loadBudget
 	epoch   uint64
-	number  uint64
 	events  []Event
 }
 
--- a/pkg/grouping/planner_test.go
+++ b/pkg/grouping/planner_test.go
@@ -16,6 +16,8 @@
 	stall    = 4 * time.Second
 	interval = time.Second
 	tick     = 100 * time.Millisecond
+	// engineCount engines make up two groups of four and one of two.
+	engineCount = 10
 )
 
 // world is a set of engines that carry out orders at once and report every second.
@@ -42,13 +44,13 @@
 	begun map[run]uint64
 }
 
-func newWorld(t *testing.T, opts Options, engines int) *world {
+func newWorld(t *testing.T, opts Options) *world {
 	w := &world{
 		t: t, now: time.Unix(1000, 0), engines: map[string]*fleet.Upstream{}, heard: map[string]fleet.Upstream{},
 		cut: map[string]bool{}, deaf: map[string]bool{}, lastReport: map[string]time.Time{},
 		missing: map[string]time.Time{}, everReady: map[string]map[string]bool{}, begun: map[run]uint64{},
 	}
-	for i := range engines {
+	for i := range engineCount {
 		w.add(fmt.Sprintf("e%02d", i))
 	}
 	w.steward(opts)
@@ -236,16 +238,16 @@
 	return ids
 }
 
-func firstStart(term uint64) Options { return Options{Term: term, FreeLoads: true} }
+func firstStart() Options { return Options{Term: 2, FreeLoads: true} }
 
 func TestTenEnginesFormTheGroupsOfBothModels(t *testing.T) {
-	w := newWorld(t, firstStart(2), 10)
+	w := newWorld(t, firstStart())
 	w.run(4 * time.Second)
 	assert.Equal(t, map[string]int{"big": 2, "small": 1}, w.open())
 }
 
 func TestALostMemberIsReplacedByAStagedSpare(t *testing.T) {
-	w := newWorld(t, firstStart(2), 10)
+	w := newWorld(t, firstStart())
 	w.run(4 * time.Second)
 	w.planner.TrafficBegan()
 	w.add("spare")
@@ -264,7 +266,7 @@
 }
 
 func TestMembersOfALostHeadAreHeldForTheStallTime(t *testing.T) {
-	w := newWorld(t, firstStart(2), 10)
+	w := newWorld(t, firstStart())
 	w.run(4 * time.Second)
 	w.planner.TrafficBegan()
 	head := w.head("small")
@@ -291,7 +293,7 @@
 // A failure domain that is cut off from the steward looks like groups without any
 // member: they may well serve.
 func TestACutOffFailureDomainIsLeftAlone(t *testing.T) {
-	w := newWorld(t, firstStart(2), 10)
+	w := newWorld(t, firstStart())
 	w.run(4 * time.Second)
 	w.planner.TrafficBegan()
 	before := len(w.orders)
@@ -309,7 +311,7 @@
 
 // After a restart of everything the heads may be heard of last.
 func TestANewStewardWaitsForTheHeadsOfGroups(t *testing.T) {
-	w := newWorld(t, firstStart(2), 10)
+	w := newWorld(t, firstStart())
 	w.run(4 * time.Second)
 	for id, e := range w.engines {
 		w.cut[id] = e.Group.State == fleet.Open
@@ -324,7 +326,7 @@
 
 // The first announcement that reaches a new steward may be one that was delayed.
 func TestADelayedAnnouncementDoesNotFreeAHead(t *testing.T) {
-	w := newWorld(t, firstStart(2), 10)
+	w := newWorld(t, firstStart())
 	w.run(4 * time.Second)
 	w.planner.TrafficBegan()
 	w.heard = map[string]fleet.Upstream{}
@@ -344,7 +346,7 @@
 
 // A cut may refuse connections in the place of engines that serve on.
 func TestRefusedConnectionsDoNotFreeMembers(t *testing.T) {
-	w := newWorld(t, firstStart(2), 10)
+	w := newWorld(t, firstStart())
 	w.run(4 * time.Second)
 	w.planner.TrafficBegan()
 	w.refusing = true
@@ -364,7 +366,7 @@
 }
 
 func TestANewStewardAdoptsOpenGroups(t *testing.T) {
-	w := newWorld(t, firstStart(2), 10)
+	w := newWorld(t, firstStart())
 	w.run(4 * time.Second)
 	before := len(w.orders)
 	w.steward(Options{Term: 5})
@@ -374,7 +376,7 @@
 
 func TestSeededLossesKeepThePromises(t *testing.T) {
 	for seed := range 200 {
-		w := newWorld(t, firstStart(2), 10)
+		w := newWorld(t, firstStart())
 		w.run(4 * time.Second)
 		w.planner.TrafficBegan()
 		for step := range 12 {
