Documents travel packed, on one link, from the own failure domain first

Change: documents are packed in the log and on the wire; the primary link, a keeper of the own failure domain where there is one, carries documents, loads and demand; others send a document only to an entry that has lacked it for 300 ms.

--- a/pkg/attach/attach.go
+++ b/pkg/attach/attach.go
@@ -37,7 +37,7 @@
 	Seeds  func() []string
 	Dialer *peers.Dialer
 	// Decode turns a document's content into its meaning.
-	Decode func(content []byte) (*document.Document, error)
+	Decode document.Decoder
 	Log    zerolog.Logger
 }
 
@@ -153,14 +153,21 @@
 	}
 }
 
-// isPrimary makes the first working link the primary one.
+// isPrimary reports whether a link carries loads, demand and documents. A keeper of
+// the entry's own failure domain goes first.
 func (a *Attachment) isPrimary(address string) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.primary == "" {
+	return a.primary == address
+}
+
+// choosePrimary takes in that a keeper of a failure domain sent an update.
+func (a *Attachment) choosePrimary(address, failureDomain string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.primary == "" || failureDomain == a.opts.FailureDomain {
 		a.primary = address
 	}
-	return a.primary == address
 }
 
 // takeUpdates is the duty that keeps the picture.
@@ -198,6 +205,7 @@
 	}
 	f := u.fleet
 	s.attached = true
+	a.choosePrimary(u.keeper, f.GetFailureDomain())
 	s.apply(f, u.at)
 	changed := f.GetFull() || len(f.GetUpstreams())+len(f.GetForgotten()) > 0
 	if len(f.GetKeepers()) > 0 {
@@ -228,7 +236,7 @@
 	if len(f.GetDocument()) == 0 || f.GetDocumentVersion() <= a.doc.VersionOrZero() {
 		return false
 	}
-	doc, err := a.opts.Decode(f.GetDocument())
+	doc, err := a.opts.Decode.Packed(f.GetDocument())
 	if err != nil {
 		a.opts.Log.Error().Err(err).Str("keeper", keeper).Msg("document_not_decoded")
 		return false
--- a/pkg/attach/link.go
+++ b/pkg/attach/link.go
@@ -102,21 +102,17 @@
 	var confirmAt time.Time
 	for first := true; ; first = false {
 		now := boottime.Now()
-		r := &peerpb.EntryReport{}
+		r := &peerpb.EntryReport{DocumentVersion: l.a.View().Document.VersionOrZero(), Primary: l.a.isPrimary(l.address)}
 		if first {
 			r.NodeId, r.FailureDomain = l.a.opts.NodeID, l.a.opts.FailureDomain
-			r.DocumentVersion = l.a.View().Document.VersionOrZero()
 		}
 		if now.Sub(confirmAt) >= confirmInterval {
 			confirmAt, r.ConfirmToken = now, l.a.fresh.token(now)
 		}
-		primary := !first && l.a.isPrimary(l.address)
-		l.a.report(now, primary, r)
-		if first || r.ConfirmToken > 0 || r.Loads != nil || len(r.Evidence)+len(r.Demand) > 0 {
-			if err := stream.Send(r); err != nil {
-				cancel(err)
-				return
-			}
+		l.a.report(now, r.GetPrimary(), r)
+		if err := stream.Send(r); err != nil {
+			cancel(err)
+			return
 		}
 		select {
 		case <-tick.C:
--- a/pkg/control/attach.go
+++ b/pkg/control/attach.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/samber/lo"
@@ -27,7 +28,13 @@
 
 	sentVersion  uint64
 	sentDocument uint64
-	sentKeepers  int
+	// primary links get documents at once.
+	primary atomic.Bool
+	// holds is the version that the entry last said it has.
+	holds atomic.Uint64
+	// behindSince is since when the entry has lacked the newest document.
+	behindSince time.Time
+	sentKeepers int
 }
 
 // Attach serves one entry until its stream ends.
@@ -38,7 +45,6 @@
 	}
 	s := &subscriber{
 		nodeID: first.GetNodeId(), failureDomain: first.GetFailureDomain(), stream: stream, woken: make(chan struct{}, 1),
-		sentDocument: first.GetDocumentVersion(),
 	}
 	c.opts.Log.Info().Str("entry", s.nodeID).Uint64("document", first.GetDocumentVersion()).Msg("entry_attached")
 	c.reported(s, first)
@@ -65,6 +71,8 @@
 
 // reported takes in what an entry tells.
 func (c *Control) reported(s *subscriber, r *peerpb.EntryReport) {
+	s.primary.Store(r.GetPrimary())
+	s.holds.Store(r.GetDocumentVersion())
 	if r.GetConfirmToken() > 0 {
 		c.confirms.ask(s, r.GetConfirmToken())
 	}
@@ -112,11 +120,14 @@
 	defer c.mu.Unlock()
 	u := &peerpb.FleetUpdate{
 		Full: first, DocumentVersion: c.content.GetVersion(), ConfirmedToken: token,
-		Loads: c.loads.others(s.failureDomain, s.nodeID),
+		FailureDomain: c.opts.FailureDomain,
+	}
+	if s.primary.Load() {
+		u.Loads = c.loads.others(s.failureDomain, s.nodeID)
 	}
 	u.Upstreams, u.Forgotten = c.upstreamsChanged(s.sentVersion, boottime.Now())
 	s.sentVersion = c.changes.version
-	if c.content.GetVersion() > s.sentDocument {
+	if s.wantsDocument(boottime.Now(), c.content.GetVersion()) {
 		s.sentDocument, u.Document = c.content.GetVersion(), c.content.GetContent()
 	}
 	if len(members) != s.sentKeepers || first {
@@ -127,3 +138,22 @@
 	}
 	return u
 }
+
+// documentPatience is how long an entry may lack a document that another keeper should
+// have sent it.
+const documentPatience = 300 * time.Millisecond
+
+// wantsDocument reports whether an entry is to be sent the document of a version.
+func (s *subscriber) wantsDocument(now time.Time, version uint64) bool {
+	if version <= s.sentDocument || version <= s.holds.Load() {
+		s.behindSince = time.Time{}
+		return false
+	}
+	if s.primary.Load() {
+		return true
+	}
+	if s.behindSince.IsZero() {
+		s.behindSince = now
+	}
+	return now.Sub(s.behindSince) >= documentPatience
+}
--- a/pkg/control/control.go
+++ b/pkg/control/control.go
@@ -50,7 +50,8 @@
 	Machine *state.Machine
 	Dialer  *peers.Dialer
 	// Address is where other nodes reach this one.
-	Address string
+	Address       string
+	FailureDomain string
 	// Interval is the time between two announcements of an upstream.
 	Interval time.Duration
 	// Stall is the time after which a group without one of its members is broken.
@@ -59,7 +60,7 @@
 	FirstStart bool
 	Orderer    Orderer
 	// Decode turns a document's content into its meaning.
-	Decode  func(content []byte) (*document.Document, error)
+	Decode  document.Decoder
 	Metrics *telemetry.Registry
 	Log     zerolog.Logger
 }
@@ -166,7 +167,7 @@
 	if held.GetVersion() <= c.heldVersion() {
 		return
 	}
-	decoded, err := c.opts.Decode(held.GetContent())
+	decoded, err := c.opts.Decode.Packed(held.GetContent())
 	if err != nil {
 		c.opts.Log.Error().Err(err).Uint64("version", held.GetVersion()).Msg("document_not_decoded")
 		return
--- a/pkg/control/documents.go
+++ b/pkg/control/documents.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/masticmount/masticmount/pkg/document"
 	"github.com/masticmount/masticmount/pkg/fault"
 	"github.com/masticmount/masticmount/pkg/keeper"
 	"github.com/masticmount/masticmount/pkg/peerpb"
@@ -20,9 +21,13 @@
 		c.opts.Log.Info().Uint64("version", version).Uint64("held", c.heldVersion()).Msg("document_overtaken")
 		return nil
 	}
+	packed, err := document.Pack(content)
+	if err != nil {
+		return err
+	}
 	ctx, cancel := context.WithTimeout(ctx, replaceTimeout)
 	defer cancel()
-	change := &peerpb.DocumentChange{Version: version, Content: content}
+	change := &peerpb.DocumentChange{Version: version, Content: packed}
 	resp, err := c.opts.Keeper.Propose(ctx, &peerpb.ProposeRequest{
 		Command: &peerpb.Command{Body: &peerpb.Command_DocumentChange{DocumentChange: change}},
 	})
@@ -52,5 +57,5 @@
 	if held == nil {
 		return nil, fault.New(fault.NotReady, "send a document first", "there is no configuration document yet")
 	}
-	return held.GetContent(), nil
+	return document.Unpack(held.GetContent())
 }
--- a/pkg/document/document_test.go
+++ b/pkg/document/document_test.go
@@ -52,6 +52,17 @@
 	}
 }
 
+func TestContentIsReadBackByteForByte(t *testing.T) {
+	content := []byte(`{"version":7,"routes":[ ] }`)
+	packed, err := Pack(content)
+	require.NoError(t, err)
+	unpacked, err := Unpack(packed)
+	require.NoError(t, err)
+	assert.Equal(t, content, unpacked)
+	_, err = Unpack(packed[:len(packed)/2])
+	require.Error(t, err, "a torn document")
+}
+
 func TestServicesShareByWeight(t *testing.T) {
 	r := route("r", "/r/")
 	r.Services = []WeightedService{{"s", 90}, {"none", 0}, {"t", 10}}
--- a/pkg/fleetnode/entry.go
+++ b/pkg/fleetnode/entry.go
@@ -28,7 +28,7 @@
 	// Seeds returns the peer addresses of keepers that the settings name.
 	Seeds func() []string
 	// Decode turns a document's content into its meaning.
-	Decode   func(content []byte) (*document.Document, error)
+	Decode   document.Decoder
 	Wire     forward.Wire
 	Protocol dispatch.Protocol
 	// MaxAge is the age from which the configuration may have lost a revocation.
--- a/pkg/fleetnode/keeper.go
+++ b/pkg/fleetnode/keeper.go
@@ -26,7 +26,8 @@
 type KeeperOptions struct {
 	// Address is where other nodes reach this one; it is also its name, as the seeds
 	// are known by their addresses alone.
-	Address string
+	Address       string
+	FailureDomain string
 	// Seeds are the peer addresses that the settings name.
 	Seeds      []string
 	DataFolder string
@@ -38,7 +39,7 @@
 	Interval time.Duration
 	// Stall is the time after which a group without one of its members is broken.
 	Stall   time.Duration
-	Decode  func(content []byte) (*document.Document, error)
+	Decode  document.Decoder
 	Orderer control.Orderer
 	Metrics *telemetry.Registry
 	Log     zerolog.Logger
@@ -130,7 +131,7 @@
 func (s *service) provideControl(i do.Injector) (*control.Control, error) {
 	return control.New(control.Options{
 		Keeper: do.MustInvoke[*keeper.Keeper](i), Machine: do.MustInvoke[*state.Machine](i),
-		Dialer: do.MustInvoke[*peers.Dialer](i), Address: s.opts.Address, Interval: s.opts.Interval, Stall: s.opts.Stall,
+		Dialer: do.MustInvoke[*peers.Dialer](i), Address: s.opts.Address, FailureDomain: s.opts.FailureDomain, Interval: s.opts.Interval, Stall: s.opts.Stall,
 		FirstStart: s.freeLoads, Orderer: s.opts.Orderer, Decode: s.opts.Decode, Metrics: s.opts.Metrics, Log: s.opts.Log,
 	}), nil
 }
