Grouping: spares of the largest model stand by

Change: spares load the model of which a lost member leaves the most others idle and stand by in a group of their own, so that a join takes 0.2 s; an idle engine changes its model where that completes a group.

--- a/pkg/grouping/adopt.go
+++ b/pkg/grouping/adopt.go
@@ -59,7 +59,7 @@
 	modelName, size, ok := parseName(name)
 	first := members[0]
 	model := p.engines[first.Service].Model(modelName)
-	if !ok || model == nil {
+	if !ok || model == nil || isStandby(size, model) {
 		p.released[name] = now
 		return
 	}
--- a/pkg/grouping/place.go
+++ b/pkg/grouping/place.go
@@ -28,7 +28,7 @@
 			p.note(g, "forming", "")
 			orders = append(orders, p.advanceForming(now, g)...)
 		}
-		orders = append(orders, p.stage(now, engine, service, free)...)
+		orders = append(orders, p.prepare(now, engine, service, free)...)
 	}
 	return orders
 }
@@ -230,98 +230,6 @@
 	})
 }
 
-// stage has free engines load the weights of the group that their fabric domain can
-// complete first. Once loads count, engines that hold a model which has groups
-// enough change to one that is scarce.
-func (p *Planner) stage(now time.Time, engine *document.Engine, service string, free map[place][]fleet.Upstream) []Order {
-	var orders []Order
-	for _, at := range sortedPlaces(free) {
-		if at.service != service {
-			continue
-		}
-		engines := free[at]
-		held := p.heldModels(engines)
-		for _, u := range engines {
-			model := p.modelToStage(engine, service, held)
-			if !p.mayStage(u, model, engine) || !p.opts.FreeLoads && !p.loads.take(now, engine.LoadsPerSecond) {
-				continue
-			}
-			for _, m := range u.Staged {
-				held[m]--
-			}
-			held[model.Name]++
-			p.staging[run{u.ID, u.Born}] = staging{model.Name, now}
-			orders = append(orders, Order{Kind: Stage, Upstream: u.ID, Born: u.Born, Address: u.Address, Model: model.Name})
-		}
-	}
-	return orders
-}
-
-// heldModels counts the free engines that hold each model, or are loading it.
-func (p *Planner) heldModels(engines []fleet.Upstream) map[string]int {
-	held := map[string]int{}
-	for _, u := range engines {
-		if s, under := p.staging[run{u.ID, u.Born}]; under && !u.HasStaged(s.model) {
-			held[s.model]++
-			continue
-		}
-		for _, m := range u.Staged {
-			held[m]++
-		}
-	}
-	return held
-}
-
-// mayStage reports whether an engine should load a model.
-func (p *Planner) mayStage(u fleet.Upstream, model *document.Model, engine *document.Engine) bool {
-	if s, under := p.staging[run{u.ID, u.Born}]; under && !u.HasStaged(s.model) || u.HasStaged(model.Name) {
-		return false
-	}
-	if len(u.Staged) == 0 {
-		return true
-	}
-	if p.demand == nil || p.coverage(u.Service, model) >= scarceCoverage {
-		return false
-	}
-	return !lo.SomeBy(u.Staged, func(name string) bool {
-		m := engine.Model(name)
-		return m != nil && p.coverage(u.Service, m) < comfortableCoverage
-	})
-}
-
-// modelToStage chooses the model whose next group in a fabric domain is the least
-// incomplete; between equals the one with the least capacity for its demand.
-func (p *Planner) modelToStage(engine *document.Engine, service string, held map[string]int) *document.Model {
-	models := lo.Map(engine.Models, func(_ document.Model, i int) *document.Model { return &engine.Models[i] })
-	return slices.MinFunc(models, func(a, b *document.Model) int {
-		scarceA, scarceB := p.scarce(service, a), p.scarce(service, b)
-		begunA, begunB := held[a.Name]%a.GroupSize != 0, held[b.Name]%b.GroupSize != 0
-		return cmp.Or(
-			first(scarceA, scarceB),
-			// A spare of each model comes before a second one of any.
-			cmp.Compare(min(held[a.Name], 1), min(held[b.Name], 1)),
-			first(begunA, begunB),
-			cmp.Compare(p.coverage(service, a), p.coverage(service, b)),
-		)
-	})
-}
-
-func (p *Planner) scarce(service string, model *document.Model) bool {
-	return p.demand != nil && p.coverage(service, model) < scarceCoverage
-}
-
-// first orders what has a property before what has not.
-func first(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return -1
-	default:
-		return 1
-	}
-}
-
 func sortedPlaces(free map[place][]fleet.Upstream) []place {
 	places := lo.Keys(free)
 	slices.SortFunc(places, func(a, b place) int {
