Grouping: a spare of each model; scarce models first

Change: one spare of each model while loads are free; later an engine loads the scarce model, then the one that lacks one engine, then the least covered.

--- a/pkg/grouping/spares.go
+++ b/pkg/grouping/spares.go
@@ -99,8 +99,8 @@
 }
 
 // worthChanging reports whether a spare should load another model than it holds: one
-// that is scarce while its own has groups enough, or the one that engines of its
-// fabric domain lie idle for want of.
+// that is scarce while its own is not, or the one that engines of its fabric domain
+// lie idle for want of.
 func (p *Planner) worthChanging(engine *document.Engine, u fleet.Upstream, model *document.Model, held map[string]int) bool {
 	if p.opts.FreeLoads || p.demand == nil || u.HasStaged(model.Name) || p.comfortable(u.Service, model) {
 		return false
@@ -112,25 +112,32 @@
 	idle := held[model.Name] % model.GroupSize
 	missing := model.GroupSize - idle
 	completes := missing <= held[own.Name] && idle > held[own.Name]%own.GroupSize
-	scarce := p.coverage(u.Service, model) < scarceCoverage && p.coverage(u.Service, own) >= comfortableCoverage
+	scarce := p.scarce(u.Service, model) && !p.scarce(u.Service, own) && missing <= held[own.Name]
 	return completes || scarce
 }
 
-// modelToStage chooses the model for an engine of a fabric domain: one that is scarce
-// first, then the one whose next group is begun, then the one of which a lost member
-// leaves the most others idle.
+// modelToStage chooses the model for an engine of a fabric domain. While loads are
+// free it is the one without a spare, the largest first; later one that is scarce,
+// then the one whose next group it completes, then the one with the least coverage.
 func (p *Planner) modelToStage(engine *document.Engine, service string, held map[string]int) *document.Model {
 	models := lo.Map(engine.Models, func(_ document.Model, i int) *document.Model { return &engine.Models[i] })
 	return slices.MinFunc(models, func(a, b *document.Model) int {
-		begunA, begunB := held[a.Name]%a.GroupSize != 0, held[b.Name]%b.GroupSize != 0
+		if p.opts.FreeLoads {
+			return cmp.Or(cmp.Compare(held[a.Name], held[b.Name]), cmp.Compare(b.GroupSize, a.GroupSize))
+		}
 		return cmp.Or(
 			first(p.scarce(service, a), p.scarce(service, b)),
-			first(begunA, begunB),
-			cmp.Compare(b.GroupSize, a.GroupSize),
+			first(lacksOne(a, held), lacksOne(b, held)),
+			cmp.Compare(p.coverage(service, a), p.coverage(service, b)),
 		)
 	})
 }
 
+// lacksOne reports whether one more engine completes a model's next group.
+func lacksOne(m *document.Model, held map[string]int) bool {
+	return m.GroupSize > 1 && held[m.Name]%m.GroupSize == m.GroupSize-1
+}
+
 func (p *Planner) scarce(service string, model *document.Model) bool {
 	return p.demand != nil && p.coverage(service, model) < scarceCoverage
 }
