Grouping: the first groups wait until all engines were heard of; entries try doubtful targets one request at a time

(2) Requests went to silent heads as soon as the others were full, 250 ms each. Change: the settle time begins with the first announcement, and the first groups wait until no engine was new for 600 ms; a doubtful target gets work only while it answers or nothing else is there, one that failed gets one request until it answers.

--- a/pkg/forward/placer.go
+++ b/pkg/forward/placer.go
@@ -79,7 +79,8 @@
 	// suspectUntil keeps work away after a failure.
 	suspectUntil time.Time
 	answeredAt   time.Time
-	// failures counts those in a row.
+	// failures counts those in a row; until the next answer one request at a time is
+	// let through to find out.
 	failures int
 	// seen is the number of the view that last had the target.
 	seen uint64
@@ -243,6 +244,9 @@
 	if s.seen != p.views || s.target.Service != w.Service || s.target.Model != w.Model || now.Before(s.suspectUntil) {
 		return false
 	}
+	if s.failures > 0 && s.own > 0 || s.target.Doubtful && !s.answers(now) && p.clearTarget(now, w) {
+		return false
+	}
 	for _, id := range w.Excluded {
 		if id == s.target.ID {
 			return false
@@ -251,13 +255,27 @@
 	return true
 }
 
+// answers reports whether a target answered of late.
+func (s *slot) answers(now time.Time) bool { return now.Sub(s.answeredAt) <= answerMemory }
+
+// clearTarget reports whether a request has a target that nothing speaks against.
+func (p *Placer) clearTarget(now time.Time, w *Work) bool {
+	for _, s := range p.slots {
+		if s.seen == p.views && s.target.Service == w.Service && s.target.Model == w.Model &&
+			s.failures == 0 && (!s.target.Doubtful || s.answers(now)) {
+			return true
+		}
+	}
+	return false
+}
+
 // score is lower for a better target.
 func (p *Placer) score(now time.Time, s *slot) float64 {
 	score := float64(s.own+s.others)/float64(s.target.Slots) + jitterShare*p.rand.Float64()
 	if s.target.FailureDomain != p.failureDomain {
 		score += otherDomainPenalty
 	}
-	if s.target.Doubtful && now.Sub(s.answeredAt) > answerMemory {
+	if s.target.Doubtful && !s.answers(now) {
 		score += doubtPenalty
 	}
 	return score
--- a/pkg/grouping/planner.go
+++ b/pkg/grouping/planner.go
@@ -132,6 +132,9 @@
 type Planner struct {
 	opts      Options
 	startedAt time.Time
+	// known is the highest number of engines heard of, and knownAt when it rose.
+	known     int
+	knownAt   time.Time
 	upstreams map[string]fleet.Upstream
 	// heardAt is when any engine of a failure domain was heard of last.
 	heardAt map[string]time.Time
@@ -286,9 +289,9 @@
 		settle = firstSettleTime
 	}
 	if len(p.upstreams) == 0 {
-		p.startedAt = maxTime(p.startedAt, now.Add(-settle))
+		p.startedAt = now
 	}
-	if now.Sub(p.startedAt) < settle {
+	if now.Sub(p.startedAt) < settle || p.opts.FreeLoads && p.gathering(now) {
 		return nil
 	}
 	p.forget(now)
@@ -306,6 +309,23 @@
 	return orders
 }
 
+const (
+	// gatherQuiet without a new engine means that all have been heard of: half of an
+	// interval of announcements.
+	gatherQuiet = 600 * time.Millisecond
+	// gatherLimit bounds the wait for that.
+	gatherLimit = 3500 * time.Millisecond
+)
+
+// gathering reports whether engines are still coming in at the first start: out of a
+// part of them only small groups would be formed.
+func (p *Planner) gathering(now time.Time) bool {
+	if len(p.upstreams) > p.known {
+		p.known, p.knownAt = len(p.upstreams), now
+	}
+	return len(p.groups) == 0 && now.Sub(p.knownAt) < gatherQuiet && now.Sub(p.startedAt) < gatherLimit
+}
+
 // Events returns what changed since the last call.
 func (p *Planner) Events() []Event {
 	events := p.events
--- a/pkg/grouping/planner_test.go
+++ b/pkg/grouping/planner_test.go
@@ -256,6 +256,16 @@
 	assert.Equal(t, map[string]int{"big": 1, "small": 1}, spares)
 }
 
+// Engines announce themselves one after the other, within an interval.
+func TestTheFirstGroupsAreFormedOutOfAllEngines(t *testing.T) {
+	w := newWorld(t, firstStart())
+	for i := range engineCount {
+		w.lastReport[fmt.Sprintf("e%02d", i)] = w.now.Add(time.Duration(i)*interval/engineCount - interval)
+	}
+	w.run(5 * time.Second)
+	assert.Equal(t, formed, w.open())
+}
+
 func TestALostMemberIsReplacedByAStagedSpare(t *testing.T) {
 	w := newWorld(t, firstStart())
 	w.run(4 * time.Second)
