Grouping: well covered models leave engines to scarce ones

Change: a model covered 1.5 times leaves free engines to a scarcer one whose next group they complete. Conclusion: fabric domains without idle engines of the other model stay as they are.

--- a/pkg/grouping/place.go
+++ b/pkg/grouping/place.go
@@ -96,7 +96,7 @@
 			continue
 		}
 		for i := range engine.Models {
-			if p.comfortable(service, &engine.Models[i]) {
+			if p.comfortable(service, &engine.Models[i]) || p.yields(at, engine, &engine.Models[i], engines) {
 				continue
 			}
 			o := p.optionFor(at, &engine.Models[i], engines)
@@ -212,6 +212,23 @@
 	return p.demand != nil && p.coverage(service, model) >= comfortableCoverage
 }
 
+// yieldCoverage is the coverage from which a model leaves engines to a scarce one: its
+// groups bear the crest of a wave.
+const yieldCoverage = 1.5
+
+// yields reports whether free engines of a fabric domain that could form a group of a
+// model are better used to complete one of a scarcer model.
+func (p *Planner) yields(at place, engine *document.Engine, model *document.Model, free []fleet.Upstream) bool {
+	if p.demand == nil || p.coverage(at.service, model) < yieldCoverage {
+		return false
+	}
+	held := p.heldModels(free)
+	return lo.SomeBy(engine.Models, func(other document.Model) bool {
+		idle := held[other.Name] % other.GroupSize
+		return other.Name != model.Name && p.scarce(at.service, &other) && idle > 0 && other.GroupSize-idle <= held[model.Name]
+	})
+}
+
 // reserve is the number of engines of a fabric domain that are kept as spares while
 // groups are formed for the first time.
 func (p *Planner) reserve(at place) int {
