--- a/pkg/forward/placer.go
+++ b/pkg/forward/placer.go
@@ -24,6 +24,11 @@
 	maxSuspectFor = 8 * time.Second
 	// maxFailures bounds the count of failures in a row; the time is bounded before.
 	maxFailures = 8
+	// warmBonus favours a target that this entry sent a request to of late: a connection
+	// to it is likely open. It is a share of the target's slots.
+	warmBonus = 0.12
+	// warmFor is how long connections are taken to stay open.
+	warmFor = 2 * time.Second
 	// jitterShare of a slot breaks ties between targets.
 	jitterShare = 0.05
 )
@@ -79,6 +84,8 @@
 	// suspectUntil keeps work away after a failure.
 	suspectUntil time.Time
 	answeredAt   time.Time
+	// sentAt is when this entry last sent a request there.
+	sentAt time.Time
 	// failures counts those in a row; until the next answer one request at a time is
 	// let through to find out.
 	failures int
@@ -136,7 +143,7 @@
 	l := p.lane(w)
 	if len(l.waiting) == 0 || l.waiting[0].Rank > w.Rank {
 		if s := p.pick(now, &w); s != nil {
-			return Placement{Target: p.take(s, l, w.Hold)}
+			return Placement{Target: p.take(now, s, l, w.Hold)}
 		}
 	}
 	capacity := p.capacity(now, &w)
@@ -200,8 +207,9 @@
 }
 
 // take counts a request at a target.
-func (p *Placer) take(s *slot, l *lane, hold time.Duration) *attach.Target {
+func (p *Placer) take(now time.Time, s *slot, l *lane, hold time.Duration) *attach.Target {
 	s.own++
+	s.sentAt = now
 	l.served(hold)
 	t := s.target
 	return &t
@@ -218,7 +226,7 @@
 				break
 			}
 			l.waiting = l.waiting[1:]
-			grants = append(grants, Grant{ID: w.ID, Target: p.take(s, l, w.Hold)})
+			grants = append(grants, Grant{ID: w.ID, Target: p.take(now, s, l, w.Hold)})
 		}
 	}
 	return grants
@@ -275,6 +283,9 @@
 	if s.target.FailureDomain != p.failureDomain {
 		score += otherDomainPenalty
 	}
+	if now.Sub(s.sentAt) < warmFor {
+		score -= warmBonus
+	}
 	if s.target.Doubtful && !s.answers(now) {
 		score += doubtPenalty
 	}
