--- /dev/null
+++ b/pkg/attach/view_test.go
@@ -0,0 +1,147 @@
+package attach
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/masticmount/masticmount/pkg/document"
+	"github.com/masticmount/masticmount/pkg/fleet"
+	"github.com/masticmount/masticmount/pkg/peerpb"
+)
+
+var start = time.Unix(1000, 0)
+
+func upstream(id string, born, sequence uint64) fleet.Upstream {
+	return fleet.Upstream{ID: id, Born: born, Sequence: sequence, Service: "desk", Address: id + ":1", Slots: 6}
+}
+
+func sourceOf(attached bool, upstreams ...fleet.Upstream) *source {
+	s := &source{attached: attached, records: map[string]fleet.Upstream{}}
+	for _, u := range upstreams {
+		s.records[u.ID] = u
+	}
+	return s
+}
+
+func TestTheNewestRunOfAnUpstreamCounts(t *testing.T) {
+	draining := upstream("d1", 5, 9)
+	draining.Draining = true
+	merged := merge(map[string]*source{
+		"k1": sourceOf(true, upstream("d1", 5, 7), upstream("d2", 4, 100)),
+		"k2": sourceOf(true, draining, upstream("d2", 6, 1)),
+	})
+	assert.True(t, merged[0].Draining)
+	assert.EqualValues(t, 6, merged[1].Born)
+}
+
+func TestSilenceNeedsEveryAttachedKeeper(t *testing.T) {
+	silent, heard := upstream("d1", 5, 9), upstream("d1", 5, 8)
+	silent.Silent = true
+	assert.False(t, merge(map[string]*source{"k1": sourceOf(true, silent), "k2": sourceOf(true, heard)})[0].Silent)
+	assert.True(t, merge(map[string]*source{"k1": sourceOf(true, silent), "k2": sourceOf(false, heard)})[0].Silent, "a lost keeper's word is old")
+	assert.False(t, merge(map[string]*source{"k2": sourceOf(false, heard)})[0].Silent, "the last word of all keepers stays")
+}
+
+func TestAFarewellHeardByOneKeeperCounts(t *testing.T) {
+	gone := upstream("d1", 5, 8)
+	gone.Gone = true
+	assert.True(t, merge(map[string]*source{"k1": sourceOf(true, upstream("d1", 5, 9)), "k2": sourceOf(true, gone)})[0].Gone)
+}
+
+func member(id string, rank int, state fleet.GroupState) fleet.Upstream {
+	u := upstream(id, 1, 1)
+	u.Service = "pool"
+	u.Group = fleet.Membership{Group: "big.2.x", Epoch: 3, Rank: rank, State: state}
+	return u
+}
+
+func TestTargetsAreOpenHeadsAndPlainUpstreams(t *testing.T) {
+	doc := &document.Document{Services: map[string]*document.Service{
+		"desk": {Name: "desk"}, "pool": {Name: "pool", Engine: &document.Engine{Slots: 17}},
+	}}
+	leaving := upstream("d2", 1, 1)
+	leaving.Draining = true
+	silent := member("e2", 1, fleet.Ready)
+	silent.Silent = true
+	targets := targetsOf(doc, []fleet.Upstream{
+		upstream("d1", 1, 1), leaving, member("e1", 0, fleet.Open), member("e2", 1, fleet.Ready), member("e3", 0, fleet.Ready),
+		{ID: "x", Service: "unknown"},
+	})
+	assert.Len(t, targets, 2)
+	assert.Equal(t, "d1", targets[0].ID)
+	assert.Equal(t, Target{ID: "e1", Born: 1, Address: "e1:1", Service: "pool", Model: "big", Group: "big.2.x", Slots: 17}, targets[1])
+	targets = targetsOf(doc, []fleet.Upstream{member("e1", 0, fleet.Open), silent})
+	assert.True(t, targets[0].Doubtful, "a member is silent")
+	assert.Empty(t, targetsOf(nil, []fleet.Upstream{upstream("d1", 1, 1)}))
+}
+
+func TestASourceTakesFullAndLaterUpdates(t *testing.T) {
+	s := &source{}
+	one, two := upstream("d1", 1, 1), upstream("d2", 1, 1)
+	s.apply(&peerpb.FleetUpdate{Full: true, Upstreams: []*peerpb.UpstreamRecord{fleet.Encode(&one, start), fleet.Encode(&two, start)}}, start)
+	s.apply(&peerpb.FleetUpdate{Forgotten: []string{"d1"}}, start)
+	assert.Len(t, s.records, 1)
+	s.apply(&peerpb.FleetUpdate{Full: true}, start)
+	assert.Empty(t, s.records)
+}
+
+// The age counts from when the token was sent, not from when its answer came.
+func TestFreshnessCountsFromTheToken(t *testing.T) {
+	var f freshness
+	assert.Equal(t, neverConfirmed, f.age(start))
+	token := f.token(start)
+	f.confirm(token)
+	assert.Equal(t, 3*time.Second, f.age(start.Add(3*time.Second)))
+	f.confirm(f.token(start.Add(-time.Second)))
+	assert.Equal(t, 3*time.Second, f.age(start.Add(3*time.Second)), "an older answer changes nothing")
+}
+
+func TestLinksGoToTheKeepersThatAreKnown(t *testing.T) {
+	a := New(Options{NodeID: "n", FailureDomain: "fd-a", Seeds: func() []string { return []string{"s1", "s2"} }})
+	assert.ElementsMatch(t, []string{"s1", "s2"}, a.missing())
+	a.keepers = []string{"k1", "k2", "s1"}
+	assert.Len(t, a.missing(), maxLinks)
+	a.links["s1"], a.links["k1"], a.links["k2"] = &link{}, &link{}, &link{}
+	assert.Empty(t, a.missing())
+}
+
+func TestThePrimaryLinkIsOfTheOwnFailureDomain(t *testing.T) {
+	a := New(Options{NodeID: "n", FailureDomain: "fd-a"})
+	a.choosePrimary("far", "fd-b")
+	assert.True(t, a.isPrimary("far"), "any is better than none")
+	a.choosePrimary("near", "fd-a")
+	assert.True(t, a.isPrimary("near"))
+	a.choosePrimary("far", "fd-b")
+	assert.True(t, a.isPrimary("near"))
+	a.unlink(&link{address: "near"})
+	assert.False(t, a.isPrimary("near"))
+}
+
+func TestADocumentNeverGoesBackAndConfirmsOnlyItself(t *testing.T) {
+	decode := document.Decoder(func(content []byte) (*document.Document, error) {
+		return &document.Document{Version: uint64(content[0])}, nil
+	})
+	a := New(Options{NodeID: "n", Decode: decode})
+	update := func(version byte, content bool, token uint64) {
+		f := &peerpb.FleetUpdate{DocumentVersion: uint64(version), ConfirmedToken: token}
+		if content {
+			packed, err := document.Pack([]byte{version})
+			assert.NoError(t, err)
+			f.Document = packed
+		}
+		a.take(takenAt("k", f))
+	}
+	update(7, true, uint64(start.UnixNano()))
+	assert.EqualValues(t, 7, a.doc.VersionOrZero())
+	assert.Zero(t, a.fresh.age(start))
+	update(5, true, 0)
+	assert.EqualValues(t, 7, a.doc.VersionOrZero())
+	update(9, false, uint64(start.Add(time.Second).UnixNano()))
+	assert.Equal(t, time.Second, a.fresh.age(start.Add(time.Second)), "a version that is not here yet confirms nothing")
+}
+
+func takenAt(keeper string, f *peerpb.FleetUpdate) update {
+	return update{keeper: keeper, fleet: f, at: start}
+}
--- /dev/null
+++ b/pkg/control/control_test.go
@@ -0,0 +1,160 @@
+package control
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/masticmount/masticmount/pkg/document"
+	"github.com/masticmount/masticmount/pkg/fleet"
+	"github.com/masticmount/masticmount/pkg/grouping"
+	"github.com/masticmount/masticmount/pkg/keeper"
+	"github.com/masticmount/masticmount/pkg/peerpb"
+	"github.com/masticmount/masticmount/pkg/ring"
+	"github.com/masticmount/masticmount/pkg/state"
+)
+
+var start = time.Unix(1000, 0)
+
+// noOrders refuses every order.
+type noOrders struct{}
+
+func (noOrders) Order(_ context.Context, o grouping.Order) grouping.Result {
+	return grouping.Result{Order: o, Outcome: grouping.Rejected}
+}
+
+func newControl(t *testing.T) *Control {
+	machine := state.New()
+	k := keeper.New(keeper.Options{Machine: machine, OnApplied: func(uint64) {}, NodeID: "k", Folder: t.TempDir(), Log: zerolog.Nop()})
+	return New(Options{
+		Keeper: k, Machine: machine, Address: "k", Interval: time.Second, Stall: 4 * time.Second, Orderer: noOrders{}, Log: zerolog.Nop(),
+		Decode: func(content []byte) (*document.Document, error) {
+			return &document.Document{Version: uint64(content[0])}, nil
+		},
+	})
+}
+
+func engine(id string, sequence uint64) fleet.Upstream {
+	return fleet.Upstream{ID: id, Born: 1, Sequence: sequence, Service: "pool", Address: id + ":1", HeardAt: start}
+}
+
+func TestSubscribersAreToldOnlyWhatChanges(t *testing.T) {
+	c := newControl(t)
+	require.True(t, c.note(engine("e1", 1)))
+	version := c.changes.version
+	require.True(t, c.note(engine("e1", 2)))
+	assert.Equal(t, version, c.changes.version, "an announcement without news")
+	draining := engine("e1", 3)
+	draining.Draining = true
+	require.True(t, c.note(draining))
+	records, forgotten := c.upstreamsChanged(version, start)
+	require.Len(t, records, 1)
+	assert.True(t, records[0].GetDraining())
+	assert.Empty(t, forgotten)
+	assert.False(t, c.note(engine("e1", 2)), "late")
+	c.expire(start.Add(time.Minute))
+	_, forgotten = c.upstreamsChanged(version, start)
+	assert.Equal(t, []string{"e1"}, forgotten)
+}
+
+// A keeper without a leader takes no farewell: the other side of a cut would not
+// learn of it.
+func TestFarewellsNeedContact(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newControl(t)
+		leaving := engine("e1", 2)
+		leaving.Draining = true
+		require.NoError(t, c.Announce(engine("e1", 1)))
+		require.NoError(t, c.Announce(leaving))
+		<-time.After(2 * leaderlessLimit)
+		leaving.Sequence = 3
+		require.Error(t, c.Announce(leaving))
+		require.Error(t, c.Deregister("e1"))
+		require.NoError(t, c.Announce(engine("e1", 4)), "others hold")
+	})
+}
+
+func TestDocumentsGoToThePrimaryLinkAtOnce(t *testing.T) {
+	s := &subscriber{}
+	s.primary.Store(true)
+	assert.True(t, s.wantsDocument(start, 7))
+	s.holds.Store(7)
+	assert.False(t, s.wantsDocument(start, 7))
+	s.primary.Store(false)
+	assert.False(t, s.wantsDocument(start, 8), "another keeper sends it")
+	assert.False(t, s.wantsDocument(start.Add(documentPatience/2), 8))
+	assert.True(t, s.wantsDocument(start.Add(documentPatience), 8), "unless it does not")
+}
+
+func TestACommittedDocumentIsPutInForceOnce(t *testing.T) {
+	c := newControl(t)
+	packed, err := document.Pack([]byte{9})
+	require.NoError(t, err)
+	c.putInForce(&peerpb.DocumentChange{Version: 9, Content: packed})
+	assert.EqualValues(t, 9, c.heldVersion())
+	c.putInForce(&peerpb.DocumentChange{Version: 4, Content: packed})
+	assert.EqualValues(t, 9, c.heldVersion())
+	assert.NoError(t, c.Replace(context.Background(), 8, nil), "overtaken, so it changes nothing and is no fault")
+	c.putInForce(&peerpb.DocumentChange{Version: 11, Content: []byte("torn")})
+	assert.EqualValues(t, 9, c.heldVersion())
+}
+
+func TestConfirmationsServeTheEntriesThatAskedBefore(t *testing.T) {
+	var f confirms
+	f.init()
+	one, two := &subscriber{}, &subscriber{}
+	f.ask(one, 5)
+	pending := f.pending()
+	f.ask(one, 9)
+	f.ask(two, 3)
+	f.finish(pending)
+	assert.EqualValues(t, 5, f.confirmed(one), "not what was asked while the quorum answered")
+	assert.Zero(t, f.confirmed(two))
+	f.remove(one)
+	f.finish(map[*subscriber]uint64{one: 9})
+	assert.Zero(t, f.confirmed(one))
+}
+
+func TestLoadsAreSummedOverTheOtherEntries(t *testing.T) {
+	var l loadSums
+	l.init()
+	l.set("fd-a", "n1", []*peerpb.GroupLoad{{Group: "g", Outstanding: 3}})
+	l.set("fd-b", "n2", []*peerpb.GroupLoad{{Group: "g", Outstanding: 4}, {Group: "h", Outstanding: 1}})
+	others := l.others("fd-a", "n1")
+	require.Len(t, others, 2)
+	assert.EqualValues(t, 4, others[0].GetOutstanding())
+	l.set("fd-b", "n2", nil)
+	assert.Empty(t, l.others("fd-a", "n1"))
+	l.remove("fd-a", "n1")
+	assert.Empty(t, l.others("fd-b", "n2"))
+}
+
+// Half of a group's time asked for every second keeps half a group busy, from the
+// first seconds on.
+func TestDemandIsCountedInGroups(t *testing.T) {
+	var d demand
+	assert.Nil(t, d.groups(start))
+	for i := range 300 {
+		d.add(start.Add(time.Duration(i)*100*time.Millisecond), "m", 50*time.Millisecond)
+		if now := start.Add(time.Duration(i) * 100 * time.Millisecond); now.Sub(start) > demandKnownAfter {
+			assert.InDelta(t, 0.5, d.groups(now)["m"], 0.05)
+		}
+	}
+}
+
+func TestABatchCarriesWhatWaits(t *testing.T) {
+	link := &relayLink{batches: ring.New[*peerpb.RelayBatch](4, ring.DropOldest)}
+	for i := range 6 {
+		link.batches.Push(&peerpb.RelayBatch{Upstreams: []*peerpb.UpstreamRecord{{Sequence: uint64(i)}}})
+	}
+	first, ok := link.batches.Pop(context.Background())
+	require.True(t, ok)
+	batch := link.gather(first)
+	assert.Len(t, batch.GetUpstreams(), 4, "the oldest gave way")
+	assert.EqualValues(t, 2, batch.GetUpstreams()[0].GetSequence())
+}
--- /dev/null
+++ b/pkg/forward/entry_test.go
@@ -0,0 +1,366 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/masticmount/masticmount/pkg/attach"
+	"github.com/masticmount/masticmount/pkg/dispatch"
+	"github.com/masticmount/masticmount/pkg/document"
+	"github.com/masticmount/masticmount/pkg/hangup"
+)
+
+// script answers one request on a connection of an upstream; what it returns is
+// written, and the connection closed unless keep.
+type script func(req *http.Request, body string, conn net.Conn) (answer string, keep bool)
+
+// harness is an entry between callers and scripted upstreams.
+type harness struct {
+	t     *testing.T
+	entry *Entry
+	view  *attach.View
+	age   time.Duration
+	// upstreams by address.
+	upstreams map[string]script
+	// seen are the requests that reached upstreams, as "address method target".
+	seen chan string
+	// headers are those of the last request that reached an upstream.
+	headers chan http.Header
+}
+
+var testWire = Wire{
+	RequestID: "Test-Id", TimeLeft: "Test-Left", Key: "Test-Key", Account: "Test-Account", ExpectedUpstream: "Test-Expect",
+	Proof: "Test-Proof", LastEvent: "Last-Event-Id", Model: "Test-Model", Priority: "Test-Priority",
+	Tokens: func(func(string) []byte) (int, int) { return 100, 100 },
+}
+
+func testDocument(t *testing.T) *document.Document {
+	r := func(name, prefix string, kind document.Idempotency, stream bool) document.Route {
+		return document.Route{
+			Name: name, Host: "h", PathPrefix: prefix, Idempotency: kind, Stream: stream, Timeout: 5 * time.Second,
+			Objective: time.Second, MaxAttempts: 2, Services: []document.WeightedService{{Service: "desk", Weight: 1}},
+		}
+	}
+	public := r("public", "/public/", document.Repeatable, false)
+	public.Public = true
+	d := &document.Document{
+		Version: 1, Services: map[string]*document.Service{"desk": {Name: "desk"}},
+		Accounts: []document.Account{{Name: "school", Keys: []string{"secret"}}},
+		Routes: []document.Route{
+			public, r("once", "/once/", document.RunOnce, false), r("repeat", "/repeat/", document.Repeatable, false),
+			r("stream", "/stream/", document.Resumable, true),
+		},
+	}
+	require.NoError(t, d.Index())
+	return d
+}
+
+// inBubble runs a test on fake time with two upstreams, a and b.
+func inBubble(t *testing.T, upstreams map[string]script, run func(h *harness)) {
+	synctest.Test(t, func(t *testing.T) {
+		h := &harness{t: t, upstreams: upstreams, seen: make(chan string, 16), headers: make(chan http.Header, 16)}
+		h.view = &attach.View{Document: testDocument(t)}
+		for address := range upstreams {
+			h.view.Targets = append(h.view.Targets, attach.Target{ID: address, Born: 1, Address: address, Service: "desk", FailureDomain: "fd", Slots: 6})
+		}
+		h.entry = New(Options{
+			FailureDomain: "fd", View: func() *attach.View { return h.view }, Age: func() time.Duration { return h.age },
+			MaxAge: 4 * time.Second, Wire: testWire, Log: zerolog.Nop(),
+			Client: dispatch.NewClientWith(dispatch.Options{Dial: h.dial, Protocol: dispatch.Protocol{
+				RequestID: "Test-Id", Unframed: true,
+				Refused: func(_ int, peek func(string) []byte) bool { return len(peek("Test-Refused")) > 0 },
+			}}),
+		})
+		h.entry.OnView(h.view)
+		run(h)
+		h.entry.opts.Client.Close()
+		synctest.Wait()
+	})
+}
+
+func (h *harness) dial(_ context.Context, address string) (net.Conn, error) {
+	client, server := net.Pipe()
+	go h.serveUpstream(address, server)
+	return client, nil
+}
+
+func (h *harness) serveUpstream(address string, conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for {
+		req, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, _ := io.ReadAll(req.Body)
+		h.seen <- address + " " + req.Method + " " + req.RequestURI
+		h.headers <- req.Header
+		answer, keep := h.upstreams[address](req, string(body), conn)
+		if _, err := io.WriteString(conn, answer); err != nil || !keep {
+			return
+		}
+	}
+}
+
+// call sends a request and returns the answer with its body, and how reading it ended.
+func (h *harness) call(method, target, body string, headers ...string) (*http.Response, string, error) {
+	conn := h.open()
+	defer func() { _ = conn.Close() }()
+	h.send(conn, method, target, body, headers...)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(h.t, err)
+	read, err := io.ReadAll(resp.Body)
+	return resp, string(read), err
+}
+
+func (h *harness) open() net.Conn {
+	client, server := net.Pipe()
+	listener := &oneListener{conn: server}
+	accepted, err := hangup.Listen(listener).Accept()
+	require.NoError(h.t, err)
+	go func() { _ = h.entry.server.ServeConn(accepted) }()
+	return client
+}
+
+func (h *harness) send(conn net.Conn, method, target, body string, headers ...string) {
+	text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: h\r\nTest-Id: r1\r\nTest-Key: secret\r\nConnection: close\r\nContent-Length: %d\r\n", method, target, len(body))
+	for _, header := range headers {
+		text += header + "\r\n"
+	}
+	go func() { _, _ = io.WriteString(conn, text+"\r\n"+body) }()
+}
+
+type oneListener struct{ conn net.Conn }
+
+func (l *oneListener) Accept() (net.Conn, error) { return l.conn, nil }
+func (l *oneListener) Close() error              { return nil }
+func (l *oneListener) Addr() net.Addr            { return l.conn.LocalAddr() }
+
+func answer(status int, body string, headers ...string) string {
+	text := fmt.Sprintf("HTTP/1.1 %d X\r\nTest-Id: r1\r\nTest-Proof: p\r\nContent-Length: %d\r\n", status, len(body))
+	for _, h := range headers {
+		text += h + "\r\n"
+	}
+	return text + "\r\n" + body
+}
+
+func always(text string) script {
+	return func(*http.Request, string, net.Conn) (string, bool) { return text, true }
+}
+
+func TestRequestsGoOnUnchangedButForOurHeaders(t *testing.T) {
+	inBubble(t, map[string]script{"a:1": func(_ *http.Request, body string, _ net.Conn) (string, bool) {
+		return answer(200, "got "+body, "Other: kept"), true
+	}}, func(h *harness) {
+		resp, body, err := h.call("POST", "/repeat/%7Ex//y?q=%20a&b", "text", "Test-Account: forged", "Test-Expect: forged",
+			"Test-Priority: 0", "Test-Left: 2000", "Drop-Me: 1", "Connection: drop-me", "Keep-Me: 1")
+		require.NoError(t, err)
+		assert.Equal(t, 200, resp.StatusCode)
+		assert.Equal(t, "got text", body)
+		assert.Equal(t, "kept", resp.Header.Get("Other"))
+		assert.Equal(t, "p", resp.Header.Get("Test-Proof"))
+		assert.Equal(t, "a:1 POST /repeat/%7Ex//y?q=%20a&b", <-h.seen)
+		sent := <-h.headers
+		assert.Equal(t, []string{"school"}, sent["Test-Account"])
+		assert.Equal(t, []string{"a:1"}, sent["Test-Expect"])
+		assert.Equal(t, []string{"2000"}, sent["Test-Left"])
+		assert.Empty(t, sent["Test-Key"], "the key stays here")
+		assert.Empty(t, sent["Test-Priority"])
+		assert.Empty(t, sent["Drop-Me"])
+		assert.Equal(t, []string{"1"}, sent["Keep-Me"])
+	})
+}
+
+func TestRefusalsThatRestOnTheConfiguration(t *testing.T) {
+	inBubble(t, map[string]script{"a:1": always(answer(200, "ok"))}, func(h *harness) {
+		status := func(target string, headers ...string) int {
+			resp, _, err := h.call("GET", target, "", headers...)
+			require.NoError(t, err)
+			return resp.StatusCode
+		}
+		assert.Equal(t, 404, status("/nowhere/"))
+		assert.Equal(t, 200, status("/repeat/x"))
+		h.view.Document.Accounts[0].Keys = nil
+		d := *h.view.Document
+		require.NoError(t, d.Index())
+		h.view = &attach.View{Document: &d, Targets: h.view.Targets}
+		assert.Equal(t, 401, status("/repeat/x"), "a key that was taken away")
+		assert.Equal(t, 200, status("/public/x"))
+		h.age = 5 * time.Second
+		assert.Equal(t, 503, status("/repeat/x"), "what is unknown here may be known by now")
+		assert.Equal(t, 503, status("/nowhere/"))
+		assert.Equal(t, 200, status("/public/x"), "nothing can be revoked there")
+		h.view = &attach.View{}
+		resp, _, err := h.call("GET", "/public/x", "")
+		require.NoError(t, err)
+		assert.Equal(t, 503, resp.StatusCode)
+		assert.NotEmpty(t, resp.Header.Get("Retry-After"))
+	})
+}
+
+func TestAKeyIsNotAcceptedOnAnOldConfiguration(t *testing.T) {
+	inBubble(t, map[string]script{"a:1": always(answer(200, "ok"))}, func(h *harness) {
+		h.age = 5 * time.Second
+		resp, _, err := h.call("GET", "/repeat/x", "")
+		require.NoError(t, err)
+		assert.Equal(t, 503, resp.StatusCode)
+		assert.Empty(t, h.seen)
+	})
+}
+
+// failing fails the first request that reaches any upstream and answers the others.
+func failing(first string) map[string]script {
+	runs := 0
+	upstream := func(*http.Request, string, net.Conn) (string, bool) {
+		if runs++; runs == 1 {
+			return first, false
+		}
+		return answer(200, "second"), true
+	}
+	return map[string]script{"a:1": upstream, "b:1": upstream}
+}
+
+func TestLostAnswers(t *testing.T) {
+	for name, test := range map[string]struct {
+		first, target string
+		status, sends int
+	}{
+		"repeatable, closed":           {"", "/repeat/x", 200, 2},
+		"once, closed":                 {"", "/once/x", 502, 1},
+		"once, refused":                {answer(503, "", "Test-Refused: 1"), "/once/x", 200, 2},
+		"once, error":                  {answer(500, "broken"), "/once/x", 500, 1},
+		"repeatable, error":            {answer(500, "broken"), "/repeat/x", 200, 2},
+		"repeatable, cut short":        {strings.TrimSuffix(answer(200, "whole"), "le"), "/repeat/x", 200, 2},
+		"once, cut short":              {strings.TrimSuffix(answer(200, "whole"), "le"), "/once/x", 502, 1},
+		"repeatable, without proof":    {strings.Replace(answer(200, "x"), "Test-Proof: p\r\n", "", 1), "/repeat/x", 200, 2},
+		"repeatable, another's answer": {strings.Replace(answer(200, "x"), "r1", "r0", 1), "/repeat/x", 200, 2},
+		"repeatable, encoded":          {answer(200, "x", "Content-Encoding: gzip"), "/repeat/x", 200, 2},
+		"repeatable, no answer":        {"garbage\r\n\r\n", "/repeat/x", 200, 2},
+		"once, ends with its channel":  {"HTTP/1.1 200 X\r\nTest-Id: r1\r\nTest-Proof: p\r\n\r\nbody", "/once/x", 200, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, failing(test.first), func(h *harness) {
+				resp, _, err := h.call("POST", test.target, "grant")
+				require.NoError(t, err)
+				assert.Equal(t, test.status, resp.StatusCode)
+				assert.Len(t, h.seen, test.sends)
+			})
+		})
+	}
+}
+
+func TestRefusedEverywhereIsNotRun(t *testing.T) {
+	refuse := always(answer(503, "", "Test-Refused: 1"))
+	inBubble(t, map[string]script{"a:1": refuse, "b:1": refuse}, func(h *harness) {
+		resp, _, err := h.call("POST", "/once/x", "grant")
+		require.NoError(t, err)
+		assert.Equal(t, 503, resp.StatusCode)
+		assert.Equal(t, "not-run", resp.Header.Get("Masticmount-Outcome"))
+		assert.NotEmpty(t, resp.Header.Get("Retry-After"))
+		assert.Len(t, h.seen, 2)
+	})
+}
+
+const streamHead = "HTTP/1.1 200 X\r\nTest-Id: r1\r\nTest-Proof: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+
+func event(id int) string { return fmt.Sprintf("id: %d\ndata: t%d\n\n", id, id) }
+
+// resumedStream breaks the first stream with a function and goes on after the last
+// whole event in the second.
+func resumedStream(t *testing.T, breakOff func(conn net.Conn)) (seen []string, body string, proof string) {
+	runs := 0
+	upstream := func(req *http.Request, _ string, conn net.Conn) (string, bool) {
+		if runs++; runs == 1 {
+			_, _ = io.WriteString(conn, fmt.Sprintf(streamHead, "first")+chunk(event(1))+chunk(event(2)+"id: 3\nda"))
+			breakOff(conn)
+			return "", false
+		}
+		assert.Equal(t, "2", req.Header.Get("Last-Event-Id"))
+		return fmt.Sprintf(streamHead, "second") + chunk(event(3)) + chunk(event(4)) + "0\r\n\r\n", true
+	}
+	inBubble(t, map[string]script{"a:1": upstream, "b:1": upstream}, func(h *harness) {
+		resp, text, err := h.call("POST", "/stream/x", "prompt")
+		require.NoError(t, err)
+		body, proof = text, resp.Header.Get("Test-Proof")
+		seen = []string{<-h.seen, <-h.seen}
+	})
+	return seen, body, proof
+}
+
+func TestABrokenStreamGoesOnElsewhere(t *testing.T) {
+	for name, breakOff := range map[string]func(net.Conn){
+		"closed": func(conn net.Conn) { _ = conn.Close() },
+		"silent": func(conn net.Conn) { _, _ = conn.Read(make([]byte, 1)) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			seen, body, proof := resumedStream(t, breakOff)
+			assert.Equal(t, event(1)+event(2)+event(3)+event(4), body, "no piece twice, none missing")
+			assert.Equal(t, "first", proof, "the answer keeps the header that it began with")
+			assert.NotEqual(t, seen[0], seen[1])
+		})
+	}
+}
+
+func TestAStreamThatCannotGoOnDoesNotLookComplete(t *testing.T) {
+	broken := func(_ *http.Request, _ string, conn net.Conn) (string, bool) {
+		return fmt.Sprintf(streamHead, "p") + chunk(event(1)), false
+	}
+	inBubble(t, map[string]script{"a:1": broken}, func(h *harness) {
+		_, body, err := h.call("POST", "/stream/x", "prompt")
+		require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+		assert.Equal(t, event(1), body)
+	})
+}
+
+func TestACallerThatLeavesEndsTheWorkUpstream(t *testing.T) {
+	for _, target := range []string{"/repeat/x", "/stream/x"} {
+		ended := make(chan struct{})
+		hang := func(_ *http.Request, _ string, conn net.Conn) (string, bool) {
+			if target == "/stream/x" {
+				_, _ = io.WriteString(conn, fmt.Sprintf(streamHead, "p")+chunk(event(1)))
+			}
+			_, _ = conn.Read(make([]byte, 1))
+			close(ended)
+			return "", false
+		}
+		inBubble(t, map[string]script{"a:1": hang}, func(h *harness) {
+			conn := h.open()
+			h.send(conn, "POST", target, "prompt")
+			<-h.seen
+			if target == "/stream/x" {
+				_, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				require.NoError(t, err)
+			}
+			began := time.Now()
+			require.NoError(t, conn.Close())
+			<-ended
+			assert.Less(t, time.Since(began), 500*time.Millisecond)
+		})
+	}
+}
+
+func TestAStoppingEntryRefusesWhatWouldOutlastIt(t *testing.T) {
+	inBubble(t, map[string]script{"a:1": always(answer(200, "ok"))}, func(h *harness) {
+		h.entry.Stopping(time.Now().Add(stopReserve / 2))
+		resp, _, err := h.call("POST", "/once/x", "grant")
+		require.NoError(t, err)
+		assert.Equal(t, 503, resp.StatusCode)
+		assert.Empty(t, h.seen)
+		assert.True(t, resp.Close)
+		assert.Zero(t, h.entry.Drain(context.Background()))
+	})
+}
--- /dev/null
+++ b/pkg/forward/outcome_test.go
@@ -0,0 +1,92 @@
+package forward
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/masticmount/masticmount/pkg/dispatch"
+	"github.com/masticmount/masticmount/pkg/document"
+	"github.com/masticmount/masticmount/pkg/fault"
+)
+
+func TestWhatMayBeSentAgain(t *testing.T) {
+	unsent := &dispatch.CallError{Reason: dispatch.DialFailed}
+	refused := &dispatch.CallError{Reason: dispatch.Refused, Sent: true}
+	lost := &dispatch.CallError{Reason: dispatch.CutOff, Sent: true}
+	for name, test := range map[string]struct {
+		kind       document.Idempotency
+		failure    *dispatch.CallError
+		sends      int
+		firstEvent bool
+		left       time.Duration
+		want       bool
+	}{
+		"once, nothing left":              {document.RunOnce, unsent, 1, false, time.Second, true},
+		"once, refused":                   {document.RunOnce, refused, 1, false, time.Second, true},
+		"once, answer lost":               {document.RunOnce, lost, 1, false, time.Second, false},
+		"repeatable, answer lost":         {document.Repeatable, lost, 1, false, time.Second, true},
+		"repeatable, partly passed on":    {document.Repeatable, lost, 1, true, time.Second, false},
+		"resumable, partly passed on":     {document.Resumable, lost, 1, true, time.Second, true},
+		"no attempt left":                 {document.Repeatable, lost, 2, false, time.Second, false},
+		"no time left":                    {document.Repeatable, lost, 1, false, minTimeLeft / 2, false},
+		"refused, but no attempt is left": {document.RunOnce, refused, 2, false, time.Second, false},
+	} {
+		h := history{sends: test.sends, firstEvent: test.firstEvent}
+		h.note(test.failure)
+		assert.Equal(t, test.want, h.mayRepeat(test.kind, 2, test.left), name)
+	}
+}
+
+// Only what certainly never ran is refused as not run.
+func TestRefusalsTellWhetherTheRequestRan(t *testing.T) {
+	for name, test := range map[string]struct {
+		failures []*dispatch.CallError
+		status   int
+		outcome  fault.Outcome
+	}{
+		"refused twice":           {[]*dispatch.CallError{{Reason: dispatch.Refused, Sent: true}, {Reason: dispatch.Refused, Sent: true}}, 503, fault.NotRun},
+		"never connected":         {[]*dispatch.CallError{{Reason: dispatch.DialFailed}}, 503, fault.NotRun},
+		"lost, then refused":      {[]*dispatch.CallError{{Reason: dispatch.CutOff, Sent: true}, {Reason: dispatch.Refused, Sent: true}}, 502, fault.Unknown},
+		"no answer in time":       {[]*dispatch.CallError{{Reason: dispatch.TimedOut, Sent: true}}, 504, fault.Unknown},
+		"an answer without proof": {[]*dispatch.CallError{{Reason: dispatch.Malformed, Sent: true}}, 502, fault.Unknown},
+	} {
+		var h history
+		for _, f := range test.failures {
+			h.note(f)
+		}
+		refusal := h.refusal(test.failures[len(test.failures)-1].Reason, time.Second)
+		assert.Equal(t, test.status, refusal.Status(), name)
+		assert.Equal(t, test.outcome, refusal.Outcome, name)
+		assert.Equal(t, test.outcome == fault.NotRun, refusal.RetryAfter > 0, name)
+	}
+}
+
+func TestRepeatsStayWithinTheirShare(t *testing.T) {
+	r := newRepeats()
+	taken := 0
+	for range 1000 {
+		r.request()
+		if r.take() {
+			taken++
+		}
+	}
+	assert.LessOrEqual(t, taken, repeatBurst+int(1000*repeatRatio)+1)
+	assert.GreaterOrEqual(t, taken, int(1000*repeatRatio)-1)
+}
+
+func TestEventsArePassedOnWhole(t *testing.T) {
+	var s eventSplitter
+	assert.Empty(t, s.whole([]byte("id: 1\ndata: a\n")))
+	events := s.whole([]byte("\nid: 2\ndata: id: 9\n\nid: 3\nda"))
+	assert.Equal(t, "id: 1\ndata: a\n\nid: 2\ndata: id: 9\n\n", string(events))
+	s.pass(events)
+	assert.Equal(t, "2", s.lastID, "an identifier inside of data is none")
+	assert.True(t, s.partial())
+	s.reset()
+	assert.False(t, s.partial())
+	events = s.whole([]byte("id: 3\ndata: c\n\n"))
+	s.pass(events)
+	assert.Equal(t, "3", s.lastID)
+}
