--- a/cmd/mastic-platformd/main.go
+++ b/cmd/mastic-platformd/main.go
@@ -43,7 +43,9 @@
 		return err
 	}
 	debug.SetMemoryLimit(int64(s.Limits.MemoryMB) * megabyte * memoryShare / 100)
-	log, err := logging.New(os.Stdout, args.LogLevel, s.Node)
+	out := logging.NewBounded(os.Stdout)
+	defer out.Close()
+	log, err := logging.New(out, args.LogLevel, s.Node)
 	if err != nil {
 		return err
 	}
--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -52,6 +52,7 @@
 	Wait      *waitCommand      `arg:"subcommand:wait" help:"wait until a revision is in force"`
 	Claim     *claimCommand     `arg:"subcommand:claim" help:"look up or settle the claim of a non-idempotent request"`
 	Keepers   *keepersCommand   `arg:"subcommand:keepers" help:"show and change the keepers of the region log"`
+	Explain   *explainCommand   `arg:"subcommand:explain" help:"say from the nodes' logs what became of a request"`
 	Token     *tokenCommand     `arg:"subcommand:token" help:"make a token and print it with its digest"`
 	Settings  *settingsCommand  `arg:"subcommand:check-settings" help:"check a node's settings file"`
 	Server    string            `arg:"--server,env:MASTICMOUNT_SERVER" default:"http://127.0.0.1:8081" help:"administration address of a node"`
--- /dev/null
+++ b/pkg/cli/explain.go
@@ -0,0 +1,35 @@
+package cli
+
+import (
+	"os"
+
+	"github.com/masticmount/masticmount/pkg/explain"
+	"github.com/masticmount/masticmount/pkg/fault"
+)
+
+type explainCommand struct {
+	Request string   `arg:"positional,required" help:"identifier of the request"`
+	Files   []string `arg:"positional,required" help:"logs of the nodes"`
+}
+
+// run prints what the logs say of a request.
+func (c *explainCommand) run(s *session) error {
+	var lines []explain.Line
+	for _, path := range c.Files {
+		file, err := os.Open(path)
+		if err != nil {
+			return fault.New(fault.InvalidRequest, "name files that can be read", "%v", err)
+		}
+		read, err := explain.Read(file)
+		_ = file.Close()
+		if err != nil {
+			return fault.New(fault.InvalidRequest, "name log files", "%s: %v", path, err)
+		}
+		lines = append(lines, read...)
+	}
+	found := explain.Request(c.Request, lines)
+	if len(found) == 0 {
+		return fault.New(fault.NotFound, "add the logs of all entries; an ordinary answer is logged once in 64", "no line names request %s", c.Request)
+	}
+	return explain.Write(s.out, found)
+}
--- /dev/null
+++ b/pkg/explain/explain_test.go
@@ -0,0 +1,59 @@
+package explain
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const entryLog = `time=2026-08-16T17:18:34.100Z level=info event=send_failed node=edge-1 request_id=r1 after_ms=512.5 at_fault="" cause="i/o timeout" doubtful=false group=big.4.x reason=stalled sent=true target=i-1
+time=2026-08-16T17:18:34.200Z level=info event=stream_resumed node=edge-1 request_id=r1 last_event=12 target=i-9
+not a log line
+time=2026-08-16T17:18:35.000Z level=info event=request_answered node=edge-1 request_id=r1 account=a caller_left=false class=c first_ms=200 group=big.4.y outcome=whole queued_ms=0 sends=2 status=200 target=i-9 took_ms=1500
+time=2026-08-16T17:18:36.000Z level=info event=request_refused node=edge-2 request_id=r2 account=a caller_left=false class=c config_age_ms=300 detail="no place for the request: crowded" kind=overloaded may_have_run=false outcome=not-run queued_ms=0 retry_after_ms=700 sends=0 status=503
+time=2026-08-16T17:18:37.000Z level=info event=send_failed node=edge-2 request_id=r3 after_ms=20 at_fault="" cause="connection reset" doubtful=false group="" reason=cut-off sent=true target=i-5
+time=2026-08-16T17:18:37.010Z level=info event=request_refused node=edge-2 request_id=r3 account=a class=c config_age_ms=310 detail="the upstream's answer was lost (cut-off)" kind=upstream-failed may_have_run=true outcome=unknown queued_ms=0 retry_after_ms=0 sends=1 status=502
+`
+
+const keeperLog = `time=2026-08-16T17:18:34.050Z level=info event=group_suspected node=core-1 upstream=i-1
+time=2026-08-16T17:18:34.450Z level=info event=group_changed node=core-1 change=broken group=big.4.x members="[i-1 i-2]" reason="member does not answer" term=2
+time=2026-08-16T17:18:34.450Z level=info event=group_changed node=core-1 change=open group=small.2.z members="[i-7 i-8]" reason="" term=2
+time=2026-08-16T17:19:34.450Z level=info event=group_changed node=core-1 change=open group=big.4.x members="[i-1 i-2]" reason="" term=2
+`
+
+func explained(t *testing.T, id string, logs ...string) string {
+	var lines []Line
+	for _, log := range logs {
+		read, err := Read(strings.NewReader(log))
+		require.NoError(t, err)
+		lines = append(lines, read...)
+	}
+	var out strings.Builder
+	require.NoError(t, Write(&out, Request(id, lines)))
+	return out.String()
+}
+
+func TestAStreamOfALostMemberIsExplained(t *testing.T) {
+	assert.Equal(t, `17:18:34.050 core-1 an entry reports that the group of i-1 fell silent
+17:18:34.100 edge-1 a send to i-1 of group big.4.x failed after 512.5 ms: stalled
+17:18:34.200 edge-1 the stream went on at i-9 after event 12
+17:18:34.450 core-1 group big.4.x: broken (member does not answer)
+17:18:35.000 edge-1 answered with status 200 by i-9 of group big.4.y after 1500 ms, 2 sends, whole
+`, explained(t, "r1", keeperLog, entryLog))
+}
+
+func TestARefusalAtTheCrestIsExplained(t *testing.T) {
+	assert.Equal(t, "17:18:36.000 edge-2 refused with status 503 (overloaded): no place for the request: crowded; "+
+		"told to come back after 700 ms; it certainly did not run; configuration confirmed 300 ms before\n", explained(t, "r2", entryLog))
+}
+
+func TestALostAnswerIsExplained(t *testing.T) {
+	text := explained(t, "r3", entryLog)
+	assert.Contains(t, text, "a send to i-5 failed after 20 ms: cut-off\n")
+	assert.Contains(t, text, "it may have run")
+	without := strings.Replace(entryLog, "event=send_failed node=edge-2 request_id=r3", "event=send_failed node=edge-2 request_id=other", 1)
+	assert.NotContains(t, explained(t, "r3", without), "cut-off\n", "the cause stands in the line of the send alone")
+	assert.Empty(t, explained(t, "nobody", entryLog, keeperLog))
+}
