Grouping: a group that answers entries is left alone, and probed no more

Change: entries tell on each report to their primary keeper which groups answered, and how long ago; a group that answered after the last silence is neither probed nor broken. The new test fails before.

--- a/pkg/control/steward.go
+++ b/pkg/control/steward.go
@@ -12,7 +12,7 @@
 
 // Kinds of evidence that entries give of a group's head.
 const (
-	// EvidenceAlive says that the head answers although its announcements are missing.
+	// EvidenceAlive says that the group answers an entry.
 	EvidenceAlive = "alive"
 	// EvidenceStalled says that all streams of the group fell silent.
 	EvidenceStalled = "stalled"
@@ -42,12 +42,14 @@
 		return
 	}
 	for _, v := range e.evidence {
+		seen := now.Add(-time.Duration(v.GetAgeMs()) * time.Millisecond)
 		switch v.GetKind() {
 		case EvidenceAlive:
-			c.planner.Alive(now, v.GetUpstream())
+			c.planner.Alive(seen, v.GetUpstream())
 		case EvidenceStalled:
-			c.opts.Log.Info().Str("upstream", v.GetUpstream()).Msg("group_suspected")
-			c.planner.Suspect(now, v.GetUpstream())
+			if c.planner.Suspect(seen, v.GetUpstream()) {
+				c.opts.Log.Info().Str("upstream", v.GetUpstream()).Uint32("age_ms", v.GetAgeMs()).Msg("group_suspected")
+			}
 		}
 	}
 }
--- a/pkg/forward/entry.go
+++ b/pkg/forward/entry.go
@@ -181,7 +181,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	r.Loads = e.placer.loads()
-	r.Evidence = e.reports.takeEvidence(now, e.placer)
+	r.Evidence = e.reports.takeEvidence(now, primary, e.placer)
 	if primary {
 		r.Demand = e.reports.takeDemand()
 	}
--- a/pkg/forward/reports.go
+++ b/pkg/forward/reports.go
@@ -60,9 +60,12 @@
 	return demand
 }
 
-// takeEvidence returns the targets that fell silent, and the doubtful ones that are
-// seen to answer.
-func (r *reports) takeEvidence(now time.Time, p *Placer) []*peerpb.UpstreamEvidence {
+// progressMemory is how old an answer may be to be reported: a report's interval twice.
+const progressMemory = 400 * time.Millisecond
+
+// takeEvidence returns the groups that fell silent, and on the primary link those that
+// answer: nothing of a group moves without one of its members.
+func (r *reports) takeEvidence(now time.Time, primary bool, p *Placer) []*peerpb.UpstreamEvidence {
 	var evidence []*peerpb.UpstreamEvidence
 	for _, id := range slices.Sorted(maps.Keys(r.stalled)) {
 		s := r.stalled[id]
@@ -70,12 +73,19 @@
 			delete(r.stalled, id)
 			continue
 		}
-		evidence = append(evidence, &peerpb.UpstreamEvidence{Upstream: id, BornMs: s.born, Kind: evidenceStalled})
+		evidence = append(evidence, &peerpb.UpstreamEvidence{
+			Upstream: id, BornMs: s.born, Kind: evidenceStalled, AgeMs: uint32(now.Sub(s.at).Milliseconds()),
+		})
+	}
+	if !primary {
+		return evidence
 	}
 	for _, key := range slices.Sorted(maps.Keys(p.slots)) {
 		s := p.slots[key]
-		if s.target.Doubtful && now.Sub(s.answeredAt) < answerMemory {
-			evidence = append(evidence, &peerpb.UpstreamEvidence{Upstream: s.target.ID, BornMs: s.target.Born, Kind: evidenceAlive})
+		if age := now.Sub(s.answeredAt); s.target.Group != "" && age < progressMemory {
+			evidence = append(evidence, &peerpb.UpstreamEvidence{
+				Upstream: s.target.ID, BornMs: s.target.Born, Kind: evidenceAlive, AgeMs: uint32(age.Milliseconds()),
+			})
 		}
 	}
 	return evidence
--- a/pkg/grouping/advance.go
+++ b/pkg/grouping/advance.go
@@ -100,7 +100,7 @@
 
 // probe asks the members of a group that fell silent whether they answer.
 func (p *Planner) probe(now time.Time, g *group) []Order {
-	if g.suspectedAt.IsZero() || now.Sub(g.suspectedAt) > 2*probeInterval || now.Sub(g.probedAt) < probeInterval {
+	if now.Sub(g.suspectedAt) > suspicionMemory || now.Sub(g.probedAt) < probeInterval || p.answersEntries(now, g) {
 		return nil
 	}
 	g.probedAt = now
--- a/pkg/grouping/group.go
+++ b/pkg/grouping/group.go
@@ -188,9 +188,12 @@
 	return u.Silent && p.heardAt[u.FailureDomain].Sub(since) > alone
 }
 
-// answersEntries reports whether an entry saw the group answer of late.
+// answersEntries reports whether a group answered an entry of late, and after any
+// entry found it silent: then each of its members works, also one that this node does
+// not reach.
 func (p *Planner) answersEntries(now time.Time, g *group) bool {
-	return now.Sub(p.aliveAt[g.members[0].id]) <= aliveFor
+	at := p.aliveAt[g.members[0].id]
+	return now.Sub(at) <= aliveFor && at.After(g.suspectedAt)
 }
 
 // lostReason tells why a group cannot go on as it is. Where no member at all can be
--- a/pkg/grouping/planner.go
+++ b/pkg/grouping/planner.go
@@ -114,6 +114,8 @@
 	drainTimeout = 1800 * time.Millisecond
 	// aliveFor is how long an entry's word that a group answers counts.
 	aliveFor = 1500 * time.Millisecond
+	// suspicionMemory is how long a group's silence at entries counts.
+	suspicionMemory = time.Second
 	// probeInterval is the shortest time between two probes of a group's members.
 	probeInterval = 200 * time.Millisecond
 	// probesToDeath is the number of unanswered probes in a row that make a member lost.
@@ -234,16 +236,24 @@
 // is not known.
 func (p *Planner) Demand(groups map[string]float64) { p.demand = groups }
 
-// Alive notes that a group's head answers an entry.
-func (p *Planner) Alive(now time.Time, head string) { p.aliveAt[head] = now }
+// Alive notes that a group answered an entry at a time.
+func (p *Planner) Alive(at time.Time, head string) {
+	if at.After(p.aliveAt[head]) {
+		p.aliveAt[head] = at
+	}
+}
 
-// Suspect notes that a group whose head is named fell silent at an entry.
-func (p *Planner) Suspect(now time.Time, head string) {
+// Suspect notes that a group whose head is named fell silent at an entry, and reports
+// whether that is news.
+func (p *Planner) Suspect(at time.Time, head string) bool {
 	for _, g := range p.groups {
-		if g.members[0].id == head {
-			g.suspectedAt = now
+		if g.members[0].id == head && g.phase == open && at.After(g.suspectedAt) {
+			news := at.Sub(g.suspectedAt) > suspicionMemory
+			g.suspectedAt = at
+			return news
 		}
 	}
+	return false
 }
 
 // Done takes in what became of an order.
--- a/pkg/grouping/planner_test.go
+++ b/pkg/grouping/planner_test.go
@@ -415,3 +415,29 @@
 		assert.NotEmpty(t, w.open(), "seed %d", seed)
 	}
 }
+
+// A member that is cut off from the steward alone works on: its group answers entries.
+func TestAGroupThatAnswersEntriesIsLeftAlone(t *testing.T) {
+	w := newWorld(t, firstStart())
+	w.run(4 * time.Second)
+	w.planner.TrafficBegan()
+	head := w.head("big")
+	for _, id := range w.members(head.Group.Group) {
+		if id != head.ID {
+			w.cut[id] = true
+			break
+		}
+	}
+	before := head.Group
+	for range 60 {
+		w.planner.Suspect(w.now.Add(-150*time.Millisecond), head.ID)
+		w.planner.Alive(w.now.Add(-100*time.Millisecond), head.ID)
+		w.run(tick)
+	}
+	assert.Equal(t, before, w.engines[head.ID].Group)
+	for range 10 {
+		w.planner.Suspect(w.now, head.ID)
+		w.run(tick)
+	}
+	assert.NotEqual(t, before, w.engines[head.ID].Group, "once it answers nobody it is lost")
+}
