Grouping: no more loads at once than the store bears; spares change only to complete a group

Change: a spare changes its model only to complete a group of which more engines lie idle; an engine loads the model whose next group gains the most for each engine it lacks; loads beyond the store's full speed wait, the one that gains the most goes first.

--- a/pkg/grouping/spares.go
+++ b/pkg/grouping/spares.go
@@ -11,50 +11,72 @@
 	"github.com/masticmount/masticmount/pkg/fleet"
 )
 
+// candidate is a free engine that could load a model.
+type candidate struct {
+	engine fleet.Upstream
+	model  *document.Model
+	gain   float64
+}
+
 // prepare readies the free engines of a service for the next loss: they load the
-// weights that their fabric domain lacks first, and then stand by.
+// weights that gain the most, and those that hold some stand by.
 func (p *Planner) prepare(now time.Time, engine *document.Engine, service string, free map[place][]fleet.Upstream) []Order {
 	var orders []Order
+	var candidates []candidate
+	held := map[place]map[string]int{}
 	for _, at := range sortedPlaces(free) {
 		if at.service != service {
 			continue
 		}
-		held := p.heldModels(free[at])
+		held[at] = p.heldModels(free[at])
 		for _, u := range free[at] {
-			if o := p.prepareOne(now, engine, u, held); o != nil {
+			if p.loading(u) {
+				continue
+			}
+			model := p.modelToStage(engine, service, held[at])
+			if len(u.Staged) == 0 || p.worthChanging(engine, u, model, held[at]) {
+				candidates = append(candidates, candidate{u, model, p.gain(service, model, held[at])})
+				continue
+			}
+			if o := p.standby(engine, u); o != nil {
 				orders = append(orders, *o)
 			}
 		}
 	}
-	return orders
+	slices.SortStableFunc(candidates, func(a, b candidate) int { return cmp.Compare(b.gain, a.gain) })
+	return append(orders, p.stage(now, engine, service, candidates, held)...)
 }
 
-func (p *Planner) prepareOne(now time.Time, engine *document.Engine, u fleet.Upstream, held map[string]int) *Order {
-	if s, under := p.staging[run{u.ID, u.Born}]; under && !u.HasStaged(s.model) {
-		return nil
-	}
-	model := p.modelToStage(engine, u.Service, held)
-	switch {
-	case len(u.Staged) == 0:
-		return p.stageOrder(now, engine, u, model, held)
-	case p.worthChanging(engine, u, model, held):
-		return p.stageOrder(now, engine, u, model, held)
-	default:
-		return p.standby(engine, u)
-	}
+// loading reports whether an engine was told to load a model that it does not hold yet.
+func (p *Planner) loading(u fleet.Upstream) bool {
+	s, under := p.staging[run{u.ID, u.Born}]
+	return under && !u.HasStaged(s.model)
 }
 
-// stageOrder has an engine load a model, as far as the weight store's budget goes.
-func (p *Planner) stageOrder(now time.Time, engine *document.Engine, u fleet.Upstream, model *document.Model, held map[string]int) *Order {
-	if !p.opts.FreeLoads && !p.loads.take(now, engine.LoadsPerSecond) {
-		return nil
-	}
-	for _, m := range u.Staged {
-		held[m]--
+// stage has engines load, the one that gains the most first. No more load at once than
+// the weight store bears at full speed: others would only slow the first ones down.
+func (p *Planner) stage(now time.Time, engine *document.Engine, service string, candidates []candidate, held map[place]map[string]int) []Order {
+	var orders []Order
+	loading := lo.CountBy(lo.Values(p.upstreams), func(u fleet.Upstream) bool { return p.loading(u) && !u.Silent })
+	for _, c := range candidates {
+		u := c.engine
+		if !p.opts.FreeLoads && (loading >= max(engine.LoadsAtOnce, 1) || !p.loads.take(now, engine.LoadsPerSecond)) {
+			break
+		}
+		holds := held[place{u.Service, u.FailureDomain, u.FabricDomain}]
+		model := p.modelToStage(engine, service, holds)
+		if len(u.Staged) > 0 && !p.worthChanging(engine, u, model, holds) {
+			continue
+		}
+		for _, m := range u.Staged {
+			holds[m]--
+		}
+		holds[model.Name]++
+		loading++
+		p.staging[run{u.ID, u.Born}] = staging{model.Name, now}
+		orders = append(orders, Order{Kind: Stage, Upstream: u.ID, Born: u.Born, Address: u.Address, Model: model.Name})
 	}
-	held[model.Name]++
-	p.staging[run{u.ID, u.Born}] = staging{model.Name, now}
-	return &Order{Kind: Stage, Upstream: u.ID, Born: u.Born, Address: u.Address, Model: model.Name}
+	return orders
 }
 
 // standbySize is the size in the name of a group in which a spare stands by: an engine
@@ -98,9 +120,8 @@
 	return held
 }
 
-// worthChanging reports whether a spare should load another model than it holds: one
-// that is scarce while its own is not, or the one that engines of its fabric domain
-// lie idle for want of.
+// worthChanging reports whether a spare should load another model than it holds: the
+// one that more engines of its fabric domain lie idle for want of.
 func (p *Planner) worthChanging(engine *document.Engine, u fleet.Upstream, model *document.Model, held map[string]int) bool {
 	if p.opts.FreeLoads || p.demand == nil || u.HasStaged(model.Name) || p.comfortable(u.Service, model) {
 		return false
@@ -111,45 +132,37 @@
 	}
 	idle := held[model.Name] % model.GroupSize
 	missing := model.GroupSize - idle
-	completes := missing <= held[own.Name] && idle > held[own.Name]%own.GroupSize
-	scarce := p.scarce(u.Service, model) && !p.scarce(u.Service, own) && missing <= held[own.Name]
-	return completes || scarce
+	return missing <= held[own.Name] && idle > held[own.Name]%own.GroupSize
 }
 
 // modelToStage chooses the model for an engine of a fabric domain. While loads are
-// free it is the one without a spare, the largest first; later one that is scarce,
-// then the one whose next group it completes, then the one with the least coverage.
+// free it is the one without a spare, the largest first; later the one whose next
+// group gains the most for each engine that it lacks.
 func (p *Planner) modelToStage(engine *document.Engine, service string, held map[string]int) *document.Model {
 	models := lo.Map(engine.Models, func(_ document.Model, i int) *document.Model { return &engine.Models[i] })
 	return slices.MinFunc(models, func(a, b *document.Model) int {
 		if p.opts.FreeLoads {
 			return cmp.Or(cmp.Compare(held[a.Name], held[b.Name]), cmp.Compare(b.GroupSize, a.GroupSize))
 		}
-		return cmp.Or(
-			first(p.scarce(service, a), p.scarce(service, b)),
-			first(lacksOne(a, held), lacksOne(b, held)),
-			cmp.Compare(p.coverage(service, a), p.coverage(service, b)),
-		)
+		return cmp.Compare(p.gain(service, b, held), p.gain(service, a, held))
 	})
 }
 
-// lacksOne reports whether one more engine completes a model's next group.
-func lacksOne(m *document.Model, held map[string]int) bool {
-	return m.GroupSize > 1 && held[m.Name]%m.GroupSize == m.GroupSize-1
+// minCoverage keeps the gain of a model without any group finite.
+const minCoverage = 0.1
+
+// gain is what one more engine with a model's weights brings: the part of the demand
+// that its next group serves, the more the less is covered, for each engine that the
+// group lacks.
+func (p *Planner) gain(service string, m *document.Model, held map[string]int) float64 {
+	needed := m.Share * m.Pace
+	if p.demand != nil {
+		needed = p.demand[m.Name]
+	}
+	missing := m.GroupSize - held[m.Name]%m.GroupSize
+	return 1 / (max(needed, minDemand) * max(p.coverage(service, m), minCoverage) * float64(missing))
 }
 
 func (p *Planner) scarce(service string, model *document.Model) bool {
 	return p.demand != nil && p.coverage(service, model) < scarceCoverage
 }
-
-// first orders what has a property before what has not.
-func first(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return -1
-	default:
-		return 1
-	}
-}
