--- a/pkg/control/control_test.go
+++ b/pkg/control/control_test.go
@@ -39,24 +39,24 @@
 	})
 }
 
-func engine(id string, sequence uint64) fleet.Upstream {
-	return fleet.Upstream{ID: id, Born: 1, Sequence: sequence, Service: "pool", Address: id + ":1", HeardAt: start}
+func engine(sequence uint64) fleet.Upstream {
+	return fleet.Upstream{ID: "e1", Born: 1, Sequence: sequence, Service: "pool", Address: "e1:1", HeardAt: start}
 }
 
 func TestSubscribersAreToldOnlyWhatChanges(t *testing.T) {
 	c := newControl(t)
-	require.True(t, c.note(engine("e1", 1)))
+	require.True(t, c.note(engine(1)))
 	version := c.changes.version
-	require.True(t, c.note(engine("e1", 2)))
+	require.True(t, c.note(engine(2)))
 	assert.Equal(t, version, c.changes.version, "an announcement without news")
-	draining := engine("e1", 3)
+	draining := engine(3)
 	draining.Draining = true
 	require.True(t, c.note(draining))
 	records, forgotten := c.upstreamsChanged(version, start)
 	require.Len(t, records, 1)
 	assert.True(t, records[0].GetDraining())
 	assert.Empty(t, forgotten)
-	assert.False(t, c.note(engine("e1", 2)), "late")
+	assert.False(t, c.note(engine(2)), "late")
 	c.expire(start.Add(time.Minute))
 	_, forgotten = c.upstreamsChanged(version, start)
 	assert.Equal(t, []string{"e1"}, forgotten)
@@ -67,15 +67,15 @@
 func TestFarewellsNeedContact(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newControl(t)
-		leaving := engine("e1", 2)
+		leaving := engine(2)
 		leaving.Draining = true
-		require.NoError(t, c.Announce(engine("e1", 1)))
+		require.NoError(t, c.Announce(engine(1)))
 		require.NoError(t, c.Announce(leaving))
 		<-time.After(2 * leaderlessLimit)
 		leaving.Sequence = 3
 		require.Error(t, c.Announce(leaving))
 		require.Error(t, c.Deregister("e1"))
-		require.NoError(t, c.Announce(engine("e1", 4)), "others hold")
+		require.NoError(t, c.Announce(engine(4)), "others hold")
 	})
 }
 
--- a/pkg/forward/entry_test.go
+++ b/pkg/forward/entry_test.go
@@ -114,15 +114,28 @@
 	}
 }
 
+// reply is an answer as a caller got it.
+type reply struct {
+	StatusCode int
+	Header     http.Header
+	Close      bool
+}
+
 // call sends a request and returns the answer with its body, and how reading it ended.
-func (h *harness) call(method, target, body string, headers ...string) (*http.Response, string, error) {
+func (h *harness) call(method, target, body string, headers ...string) (reply, string, error) {
 	conn := h.open()
 	defer func() { _ = conn.Close() }()
 	h.send(conn, method, target, body, headers...)
+	return h.receive(conn)
+}
+
+// receive reads one answer.
+func (h *harness) receive(conn net.Conn) (reply, string, error) {
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	require.NoError(h.t, err)
+	defer func() { _ = resp.Body.Close() }()
 	read, err := io.ReadAll(resp.Body)
-	return resp, string(read), err
+	return reply{resp.StatusCode, resp.Header, resp.Close}, string(read), err
 }
 
 func (h *harness) open() net.Conn {
@@ -342,7 +355,7 @@
 			h.send(conn, "POST", target, "prompt")
 			<-h.seen
 			if target == "/stream/x" {
-				_, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				_, err := bufio.NewReader(conn).ReadString('\n')
 				require.NoError(t, err)
 			}
 			began := time.Now()
