Forward: slow targets get work when others are full

Ruled out: missing groups (11 and 5 open), restarts of entries (over by 15 s), the queue. Change: a target whose streams pause 2.2 times the median of its model comes behind all others with room, until 2 s without an event from it have passed. The new test fails before.

--- a/pkg/forward/placer.go
+++ b/pkg/forward/placer.go
@@ -84,6 +84,9 @@
 	// suspectUntil keeps work away after a failure.
 	suspectUntil time.Time
 	answeredAt   time.Time
+	// gap is the mean pause between events of its streams, as of gapAt.
+	gap   time.Duration
+	gapAt time.Time
 	// sentAt is when this entry last sent a request there.
 	sentAt time.Time
 	// failures counts those in a row; until the next answer one request at a time is
@@ -283,6 +286,9 @@
 	if s.target.FailureDomain != p.failureDomain {
 		score += otherDomainPenalty
 	}
+	if p.slow(now, s) {
+		score += slowPenalty
+	}
 	if now.Sub(s.sentAt) < warmFor {
 		score -= warmBonus
 	}
--- a/pkg/forward/placer_test.go
+++ b/pkg/forward/placer_test.go
@@ -150,6 +150,24 @@
 	assert.Equal(t, "doubtful", p.Arrive(start, work(51, 0)).Target.ID)
 }
 
+func TestSlowTargetsGetWorkWhenOthersAreFull(t *testing.T) {
+	p := placerWith(groupTarget("slow", "fd-a"), groupTarget("one", "fd-b"), groupTarget("two", "fd-b"))
+	for key, gap := range map[string]time.Duration{"slow": 250, "one": 50, "two": 60} {
+		target := p.slots["g-"+key].target
+		p.Paused(start, &target, gap*time.Millisecond)
+	}
+	for id := range uint64(2 * full) {
+		assert.NotEqual(t, "slow", arrive(t, p, id).ID)
+	}
+	assert.Equal(t, "slow", arrive(t, p, 99).ID)
+	p = placerWith(groupTarget("slow", "fd-a"), groupTarget("one", "fd-b"))
+	for key, gap := range map[string]time.Duration{"slow": 250, "one": 50} {
+		target := p.slots["g-"+key].target
+		p.Paused(start, &target, gap*time.Millisecond)
+	}
+	assert.Equal(t, "slow", p.Arrive(start.Add(2*slowMemory), work(1, 0)).Target.ID, "it may have recovered")
+}
+
 func TestExcludedTargetsAndLostOnesGetNoWork(t *testing.T) {
 	p := placerWith(groupTarget("one", "fd-a"), groupTarget("two", "fd-a"))
 	w := work(1, 0)
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -29,6 +29,8 @@
 	ready []byte
 	buf   []byte
 	ended bool
+	// eventAt is when the last events came; zero before the first of a target.
+	eventAt time.Time
 	// outcome is how the stream ended, for the log.
 	outcome string
 }
@@ -103,12 +105,25 @@
 		case len(s.events.held) > maxEventBytes:
 			return s.resp.Abort(dispatch.Malformed, errEventSize)
 		case len(st.ready) > 0:
-			s.answered()
+			st.progressed(time.Now())
 			return nil
 		}
 	}
 }
 
+// progressed notes that the target answers, and how long it paused.
+func (st *stream) progressed(now time.Time) {
+	e, s := st.s.e, st.s
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	at := boottime.Now()
+	e.placer.Answered(at, s.target)
+	if !st.eventAt.IsZero() {
+		e.placer.Paused(at, s.target, now.Sub(st.eventAt))
+	}
+	st.eventAt = now
+}
+
 func (st *stream) endOfBody() error {
 	s := st.s
 	if s.events.partial() {
@@ -133,6 +148,7 @@
 			return errNotResumed
 		}
 		s.events.reset()
+		st.eventAt = time.Time{}
 		if err = s.send(); err != nil {
 			continue
 		}
