--- a/pkg/dispatch/response.go
+++ b/pkg/dispatch/response.go
@@ -15,7 +15,9 @@
 	body io.Reader
 	// silence bounds how long one read may wait; 0 means as long as the deadline.
 	silence time.Duration
-	ended   bool
+	// leave decides what becomes of a response that was silent for that long.
+	leave func() bool
+	ended bool
 }
 
 // Begin sends a call and returns once the header of the answer is there, or a
@@ -49,32 +51,49 @@
 	return lines
 }
 
-// BoundSilence sets how long one read may wait for bytes; 0 means as long as the
-// deadline.
-func (r *Response) BoundSilence(d time.Duration) { r.silence = d }
+// BoundSilence has leave asked whenever no byte came for d: true ends the response with
+// a failure, false waits on. With 0 only the deadline ends it.
+func (r *Response) BoundSilence(d time.Duration, leave func() bool) { r.silence, r.leave = d, leave }
 
 // Read reads the body. Its errors are io.EOF after the whole body, or a *CallError.
 func (r *Response) Read(p []byte) (int, error) {
 	if r.body == nil {
 		return 0, io.EOF
 	}
-	waiting := r.silence > 0 && r.x.conn.reader.Buffered() == 0
-	if waiting {
-		until := time.Now().Add(r.silence)
-		if until.After(r.x.call.Deadline) {
-			until = r.x.call.Deadline
-		}
-		_ = r.x.conn.SetReadDeadline(until)
+	if err := r.await(); err != nil {
+		return 0, err
 	}
 	n, err := r.body.Read(p)
 	if err == nil || errors.Is(err, io.EOF) {
 		return n, err
 	}
-	reason := reasonOf(r.x.ctx, err, CutOff)
-	if reason == TimedOut && r.silence > 0 && time.Now().Before(r.x.call.Deadline) {
-		reason = Stalled
+	return n, r.abort(reasonOf(r.x.ctx, err, CutOff), err)
+}
+
+// await waits for the next byte without taking it, so that a silence that is borne
+// leaves the body as it was.
+func (r *Response) await() error {
+	if r.silence == 0 || r.x.conn.reader.Buffered() > 0 {
+		return nil
+	}
+	deadline := r.x.call.Deadline
+	for {
+		until := time.Now().Add(r.silence)
+		if !until.Before(deadline) {
+			break
+		}
+		_ = r.x.conn.SetReadDeadline(until)
+		_, err := r.x.conn.reader.Peek(1)
+		if !isTimeout(err) || r.x.ctx.Err() != nil {
+			// Whatever it is, the read that follows meets it.
+			break
+		}
+		if r.leave() {
+			return r.abort(Stalled, err)
+		}
 	}
-	return n, r.abort(reason, err)
+	_ = r.x.conn.SetReadDeadline(deadline)
+	return nil
 }
 
 // ReadAll reads the whole body and ends the response.
--- a/pkg/forward/entry_test.go
+++ b/pkg/forward/entry_test.go
@@ -328,6 +328,21 @@
 	}
 }
 
+// A pause is no loss: without another target the stream waits for its own.
+func TestASilentStreamWithoutAnotherTargetIsKept(t *testing.T) {
+	pausing := func(_ *http.Request, _ string, conn net.Conn) (string, bool) {
+		_, _ = io.WriteString(conn, fmt.Sprintf(streamHead, "p")+chunk(event(1)))
+		<-time.After(4 * eventSilence)
+		return chunk(event(2)) + "0\r\n\r\n", true
+	}
+	inBubble(t, map[string]script{"a:1": pausing}, func(h *harness) {
+		_, body, err := h.call("POST", "/stream/x", "prompt")
+		require.NoError(t, err)
+		assert.Equal(t, event(1)+event(2), body)
+		assert.Len(t, h.seen, 1)
+	})
+}
+
 func TestAStreamThatCannotGoOnDoesNotLookComplete(t *testing.T) {
 	broken := func(_ *http.Request, _ string, conn net.Conn) (string, bool) {
 		return fmt.Sprintf(streamHead, "p") + chunk(event(1)), false
--- a/pkg/forward/placer.go
+++ b/pkg/forward/placer.go
@@ -160,6 +160,9 @@
 	return Placement{Waiting: true}
 }
 
+// HasRoom reports whether a request would be placed at once.
+func (p *Placer) HasRoom(now time.Time, w Work) bool { return p.pick(now, &w) != nil }
+
 // GiveUp takes a waiting request out; false when it was granted already.
 func (p *Placer) GiveUp(w Work) (Placement, bool) {
 	l := p.lane(w)
--- a/pkg/forward/respond.go
+++ b/pkg/forward/respond.go
@@ -63,8 +63,8 @@
 	line := e.opts.Log.Info().Str("request_id", s.r.id).Int("status", status).Str("outcome", outcome).
 		Str("class", s.r.class()).Str("account", s.r.accountName()).Int("sends", s.history.sends).
 		Dur("queued_ms", s.queued).Dur("first_ms", s.first).Dur("took_ms", time.Since(s.r.arrivedAt)).Bool("caller_left", s.ctx.Err() != nil)
-	if s.target != nil {
-		line = line.Str("target", s.target.ID).Str("group", s.target.Group)
+	if s.last != nil {
+		line = line.Str("target", s.last.ID).Str("group", s.last.Group)
 	}
 	line.Msg("request_answered")
 }
--- a/pkg/forward/session.go
+++ b/pkg/forward/session.go
@@ -50,6 +50,8 @@
 	// excluded are the targets that failed.
 	excluded []string
 	target   *attach.Target
+	// last is the target that the request was sent to last.
+	last *attach.Target
 	resp     *dispatch.Response
 	// status and header are those of the first answer: a stream keeps them when it
 	// goes on elsewhere.
@@ -260,6 +262,7 @@
 // send sends the request to the target and waits for the header of its answer.
 func (s *session) send() *dispatch.CallError {
 	s.history.sends++
+	s.last = s.target
 	resp, err := s.e.opts.Client.Begin(s.ctx, s.call())
 	if err != nil {
 		return callError(err)
@@ -329,7 +332,13 @@
 func (s *session) mayRepeatNow() bool {
 	s.e.mu.Lock()
 	defer s.e.mu.Unlock()
-	return s.history.mayRepeat(s.r.route.Idempotency, s.r.route.MaxAttempts, time.Until(s.r.deadline)) && s.e.repeats.left >= 1
+	return s.mayRepeat() && s.e.repeats.left >= 1
+}
+
+// mayRepeat reports whether the route, the time left and what became of the sends so
+// far allow another one.
+func (s *session) mayRepeat() bool {
+	return s.history.mayRepeat(s.r.route.Idempotency, s.r.route.MaxAttempts, time.Until(s.r.deadline))
 }
 
 // answered notes that the target answers.
@@ -351,9 +360,7 @@
 	if err.Reason != dispatch.Canceled && err.Reason != dispatch.Failed {
 		s.suspect(now, err)
 	}
-	again := s.ctx.Err() == nil &&
-		s.history.mayRepeat(s.r.route.Idempotency, s.r.route.MaxAttempts, time.Until(s.r.deadline)) &&
-		(!err.Sent || e.repeats.take())
+	again := s.ctx.Err() == nil && s.mayRepeat() && (!err.Sent || e.repeats.take())
 	e.mu.Unlock()
 	s.release()
 	return again
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -53,13 +53,28 @@
 	return true, nil
 }
 
-// boundSilence limits the pauses of a stream that could go on elsewhere.
+// boundSilence looks for a way out whenever a stream that may go on elsewhere pauses.
 func (s *session) boundSilence(d time.Duration) {
-	if s.r.route.Idempotency == document.Resumable && s.mayRepeatNow() {
-		s.resp.BoundSilence(d)
+	if s.r.route.Idempotency != document.Resumable {
+		s.resp.BoundSilence(0, nil)
 		return
 	}
-	s.resp.BoundSilence(0)
+	s.resp.BoundSilence(d, s.leaveSilent)
+}
+
+// leaveSilent reports whether a silent stream is to be left: only where another target
+// has room and the budget bears it. A stream that stays may still go on.
+func (s *session) leaveSilent() bool {
+	w := s.work()
+	w.Excluded = append(append([]string(nil), s.excluded...), s.target.ID)
+	now := boottime.Now()
+	e := s.e
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.placer.AnsweredSince(s.target, now.Add(-eventSilence/2)) {
+		e.reports.stall(now, s.target)
+	}
+	return s.mayRepeat() && e.repeats.left >= 1 && e.placer.HasRoom(now, w)
 }
 
 // Read implements io.Reader. It goes on at another target when one breaks.
