Keeper: voters spread over failure domains

Cause: with more than three keepers the order of joining decided which became voters; a failure domain could hold a majority. Change: members say where they are; a learner of the failure domain with the fewest voters goes first.

--- a/pkg/fleetnode/keeper.go
+++ b/pkg/fleetnode/keeper.go
@@ -119,7 +119,7 @@
 	return keeper.New(keeper.Options{
 		Machine:   do.MustInvoke[*state.Machine](i),
 		OnApplied: func(uint64) { s.control().DocumentApplied() },
-		NodeID:    s.opts.Address, Address: s.opts.Address, Folder: s.opts.DataFolder,
+		NodeID:    s.opts.Address, Address: s.opts.Address, FailureDomain: s.opts.FailureDomain, Folder: s.opts.DataFolder,
 		Keepers:  lo.Map(s.opts.Seeds, func(a string, _ int) keeper.Peer { return keeper.Peer{NodeID: a, Address: a} }),
 		OnlyJoin: !s.opts.FirstStart || !lo.Contains(s.opts.Seeds, s.opts.Address),
 		Grow:     2*s.opts.Losses + 1,
--- a/pkg/forward/session.go
+++ b/pkg/forward/session.go
@@ -52,7 +52,7 @@
 	target   *attach.Target
 	// last is the target that the request was sent to last.
 	last *attach.Target
-	resp     *dispatch.Response
+	resp *dispatch.Response
 	// status and header are those of the first answer: a stream keeps them when it
 	// goes on elsewhere.
 	status   int
--- a/pkg/keeper/formation.go
+++ b/pkg/keeper/formation.go
@@ -55,7 +55,9 @@
 			k.join(ctx, p.Address, answer)
 			return
 		}
-		answers = append(answers, &peerpb.Member{Identity: answer.GetIdentity(), NodeId: p.NodeID, Address: p.Address})
+		answers = append(answers, &peerpb.Member{
+			Identity: answer.GetIdentity(), NodeId: p.NodeID, Address: p.Address, FailureDomain: answer.GetFailureDomain(),
+		})
 	}
 	if len(k.opts.Keepers) == 0 || k.opts.OnlyJoin {
 		return
@@ -85,7 +87,9 @@
 
 // form starts the log with this keeper and the others as voters.
 func (k *Keeper) form(others []*peerpb.Member) {
-	self := &peerpb.Member{Identity: k.store.Identity(), NodeId: k.opts.NodeID, Address: k.opts.Address}
+	self := &peerpb.Member{
+		Identity: k.store.Identity(), NodeId: k.opts.NodeID, Address: k.opts.Address, FailureDomain: k.opts.FailureDomain,
+	}
 	var data []byte
 	var err error
 	k.Read(func() { data, err = k.opts.Machine.Snapshot() })
@@ -115,7 +119,7 @@
 	}
 	_, err = peerpb.NewRegionLogClient(conn).ChangeMembership(ctx, &peerpb.MembershipChange{
 		Action: peerpb.MembershipChange_ACTION_ADD_LEARNER, NodeId: k.opts.NodeID,
-		Address: k.opts.Address, Identity: k.store.Identity(),
+		Address: k.opts.Address, Identity: k.store.Identity(), FailureDomain: k.opts.FailureDomain,
 	})
 	k.opts.Log.Info().Uint64("identity", k.store.Identity()).AnErr("refused", err).Msg("keeper_rejoins_as_learner")
 }
@@ -147,6 +151,6 @@
 	v := k.view.get()
 	return &peerpb.IntroduceResponse{
 		NodeId: k.opts.NodeID, Identity: k.store.Identity(), Formed: v.formed(),
-		Membership: v.status.Membership, Leader: v.status.Leader,
+		Membership: v.status.Membership, Leader: v.status.Leader, FailureDomain: k.opts.FailureDomain,
 	}, nil
 }
--- a/pkg/keeper/growth.go
+++ b/pkg/keeper/growth.go
@@ -25,12 +25,13 @@
 		return nil
 	}
 	g.observe(tick, s)
-	ready, ok := lo.Find(s.Membership.GetMembers(), func(m *peerpb.Member) bool {
+	candidates := lo.Filter(s.Membership.GetMembers(), func(m *peerpb.Member, _ int) bool {
 		return m.GetLearner() && !m.GetReplacing() && s.Active[m.GetIdentity()] && s.Match[m.GetIdentity()] >= s.Commit
 	})
-	if !ok {
+	if len(candidates) == 0 {
 		return nil
 	}
+	ready := leastVoters(s.Membership, candidates)
 	if len(regionlog.Voters(s.Membership)) < wanted {
 		return &peerpb.MembershipChange{Action: peerpb.MembershipChange_ACTION_PROMOTE, Identity: ready.GetIdentity()}
 	}
@@ -53,3 +54,13 @@
 		}
 	}
 }
+
+// leastVoters returns the candidate in the failure domain with the fewest voters, so
+// that the loss of one domain leaves a majority wherever that can be.
+func leastVoters(membership *peerpb.Membership, candidates []*peerpb.Member) *peerpb.Member {
+	voters := lo.CountValuesBy(lo.Filter(membership.GetMembers(), func(m *peerpb.Member, _ int) bool { return !m.GetLearner() }),
+		func(m *peerpb.Member) string { return m.GetFailureDomain() })
+	return lo.MinBy(candidates, func(a, b *peerpb.Member) bool {
+		return voters[a.GetFailureDomain()] < voters[b.GetFailureDomain()]
+	})
+}
--- a/pkg/keeper/growth_test.go
+++ b/pkg/keeper/growth_test.go
@@ -49,3 +49,15 @@
 	require.Nil(t, g.next(0, growthStatus(members[:3], 1, 2), 3))
 	require.Nil(t, g.next(2*absentTicks, growthStatus(members[:3], 1, 2), 3), "without a successor it keeps its vote")
 }
+
+func TestVotersSpreadOverFailureDomains(t *testing.T) {
+	members := []*peerpb.Member{
+		{Identity: 1, FailureDomain: "a"}, {Identity: 2, FailureDomain: "b"}, {Identity: 3, FailureDomain: "b"},
+		{Identity: 4, FailureDomain: "b", Learner: true}, {Identity: 5, FailureDomain: "c", Learner: true},
+		{Identity: 6, FailureDomain: "a", Learner: true},
+	}
+	var g growth
+	require.EqualValues(t, 5, g.next(0, growthStatus(members, 1, 2, 3, 4, 5, 6), 5).GetIdentity())
+	members[4].Learner = false
+	require.EqualValues(t, 6, g.next(1, growthStatus(members, 1, 2, 3, 4, 5, 6), 5).GetIdentity())
+}
--- a/pkg/keeper/keeper.go
+++ b/pkg/keeper/keeper.go
@@ -81,6 +81,8 @@
 	// NodeID and Address are this node's.
 	NodeID  string
 	Address string
+	// FailureDomain is where this node is; empty when that does not count.
+	FailureDomain string
 	// Folder holds the keeper's files.
 	Folder string
 	// Keepers form the first membership. Later the log's own counts alone.
--- a/pkg/regionlog/membership.go
+++ b/pkg/regionlog/membership.go
@@ -74,7 +74,7 @@
 	})
 	next.Members = append(next.Members, &peerpb.Member{
 		Identity: change.GetIdentity(), NodeId: change.GetNodeId(), Address: change.GetAddress(),
-		Learner: true, Replacing: replacing,
+		Learner: true, Replacing: replacing, FailureDomain: change.GetFailureDomain(),
 	})
 	return next, nil
 }
