--- a/pkg/grouping/planner.go
+++ b/pkg/grouping/planner.go
@@ -161,10 +161,12 @@
 	verified map[run]verification
 	// staging are the loads ordered that no report shows yet.
 	staging map[run]staging
-	demand  map[string]float64
-	loads   loadBudget
-	epoch   uint64
-	events  []Event
+	// standbyAt is when a spare was last told to stand by.
+	standbyAt map[run]time.Time
+	demand    map[string]float64
+	loads     loadBudget
+	epoch     uint64
+	events    []Event
 }
 
 // run is one run of an engine.
@@ -190,7 +192,7 @@
 	return &Planner{
 		opts: opts, startedAt: now, upstreams: map[string]fleet.Upstream{}, heardAt: map[string]time.Time{}, heardSince: map[string]time.Time{}, engines: map[string]*document.Engine{},
 		groups: map[string]*group{}, released: map[string]time.Time{}, heldUntil: map[string]time.Time{},
-		staging: map[run]staging{}, verified: map[run]verification{}, dead: map[run]time.Time{}, missed: map[run]int{}, aliveAt: map[string]time.Time{}, busy: map[string]Order{},
+		staging: map[run]staging{}, standbyAt: map[run]time.Time{}, verified: map[run]verification{}, dead: map[run]time.Time{}, missed: map[run]int{}, aliveAt: map[string]time.Time{}, busy: map[string]Order{},
 		epoch: opts.Term << termShift, loads: loadBudget{at: now},
 	}
 }
@@ -351,6 +353,7 @@
 	maps.DeleteFunc(p.released, func(_ string, at time.Time) bool { return now.Sub(at) > releasedFor })
 	maps.DeleteFunc(p.heldUntil, func(_ string, until time.Time) bool { return now.After(until) })
 	maps.DeleteFunc(p.verified, func(r run, _ verification) bool { _, current := p.member(r); return !current })
+	maps.DeleteFunc(p.standbyAt, func(_ run, at time.Time) bool { return now.Sub(at) > releasedFor })
 	maps.DeleteFunc(p.staging, func(_ run, s staging) bool { return now.Sub(s.at) > stagingTimeout })
 	maps.DeleteFunc(p.dead, func(_ run, at time.Time) bool { return now.Sub(at) > releasedFor })
 }
--- a/pkg/grouping/planner_test.go
+++ b/pkg/grouping/planner_test.go
@@ -37,6 +37,8 @@
 	lastReport map[string]time.Time
 	// missing is since when an open head has lacked a member.
 	missing map[string]time.Time
+	// mute engines obey and report at their next announcement only.
+	mute bool
 	// everReady are the members that were ready, by group.
 	everReady map[string]map[string]bool
 	orders    []Order
@@ -139,7 +141,9 @@
 			w.begun[run{e.ID, e.Born}]++
 		}
 		w.planner.Done(w.now, Result{o, outcome, Report{e.Group, w.begun[run{e.ID, e.Born}]}})
-		w.tell(e)
+		if !w.mute {
+			w.tell(e)
+		}
 	}
 }
 
@@ -441,3 +445,20 @@
 	}
 	assert.NotEqual(t, before, w.engines[head.ID].Group, "once it answers nobody it is lost")
 }
+
+// The report of an order may come later than its answer.
+func TestASpareIsToldOnceToStandBy(t *testing.T) {
+	w := newWorld(t, firstStart())
+	w.mute = true
+	w.run(8 * time.Second)
+	told := map[string]int{}
+	for _, o := range w.orders {
+		if _, size, _ := GroupModel(o.Group); o.Kind == Join && size == standbySize {
+			told[o.Upstream]++
+		}
+	}
+	for id, n := range told {
+		assert.Equal(t, 1, n, id)
+	}
+	assert.NotEmpty(t, told)
+}
--- a/pkg/grouping/spares.go
+++ b/pkg/grouping/spares.go
@@ -38,7 +38,7 @@
 				candidates = append(candidates, candidate{u, model, p.gain(service, model, held[at])})
 				continue
 			}
-			if o := p.standby(engine, u); o != nil {
+			if o := p.standby(now, engine, u); o != nil {
 				orders = append(orders, *o)
 			}
 		}
@@ -84,8 +84,16 @@
 // Such a group is never opened.
 const standbySize = 1
 
+// standbyRetry is the shortest time between two orders to one spare to stand by: its
+// report of the first one comes with the next announcement at the latest.
+const standbyRetry = 3 * time.Second
+
 // standby has a spare join a group of its own, unless its last one had its model.
-func (p *Planner) standby(engine *document.Engine, u fleet.Upstream) *Order {
+func (p *Planner) standby(now time.Time, engine *document.Engine, u fleet.Upstream) *Order {
+	r := run{u.ID, u.Born}
+	if at, ordered := p.standbyAt[r]; ordered && now.Sub(at) < standbyRetry {
+		return nil
+	}
 	model := engine.Model(u.Staged[len(u.Staged)-1])
 	if model == nil || model.GroupSize == standbySize {
 		return nil
@@ -93,6 +101,7 @@
 	if last, _, ok := parseName(u.Group.Group); ok && last == model.Name {
 		return nil
 	}
+	p.standbyAt[r] = now
 	epoch := p.nextEpoch()
 	return &Order{
 		Kind: Join, Upstream: u.ID, Born: u.Born, Address: u.Address, Epoch: epoch, Model: model.Name,
