--- a/pkg/keeper/growth_test.go
+++ b/pkg/keeper/growth_test.go
@@ -52,8 +52,11 @@
 
 func TestVotersSpreadOverFailureDomains(t *testing.T) {
 	members := []*peerpb.Member{
-		{Identity: 1, FailureDomain: "a"}, {Identity: 2, FailureDomain: "b"}, {Identity: 3, FailureDomain: "b"},
-		{Identity: 4, FailureDomain: "b", Learner: true}, {Identity: 5, FailureDomain: "c", Learner: true},
+		{Identity: 1, FailureDomain: "a"},
+		{Identity: 2, FailureDomain: "b"},
+		{Identity: 3, FailureDomain: "b"},
+		{Identity: 4, FailureDomain: "b", Learner: true},
+		{Identity: 5, FailureDomain: "c", Learner: true},
 		{Identity: 6, FailureDomain: "a", Learner: true},
 	}
 	var g growth
