Loads of idle entries are cleared; gauges of groups; smaller files

Cause: read as a newcomer. A report without loads did not clear the entry's earlier ones, as an empty list does not travel (new test, failed first). The steward's groups, stranded engines and loads under way were in no metric. Session and planner had grown past one job; evidence had two copies of its names; one word of the users' pages stood in the code. Change: each report sets the entry's loads; gauges; files split; unused parameters gone.

--- a/pkg/attach/attach.go
+++ b/pkg/attach/attach.go
@@ -63,7 +63,6 @@
 
 	sources map[string]*source
 	loads   map[string]int
-	loadsAt time.Time
 	doc     *document.Document
 }
 
@@ -214,7 +213,7 @@
 		a.mu.Unlock()
 	}
 	if a.isPrimary(u.keeper) {
-		a.takeLoads(f, u.at)
+		a.takeLoads(f)
 		changed = true
 	}
 	changed = a.takeDocument(u.keeper, f) || changed
@@ -225,8 +224,8 @@
 	return changed
 }
 
-func (a *Attachment) takeLoads(f *peerpb.FleetUpdate, at time.Time) {
-	a.loads, a.loadsAt = map[string]int{}, at
+func (a *Attachment) takeLoads(f *peerpb.FleetUpdate) {
+	a.loads = map[string]int{}
 	for _, g := range f.GetLoads() {
 		a.loads[g.GetGroup()] = int(g.GetOutstanding())
 	}
@@ -247,7 +246,7 @@
 }
 
 func (a *Attachment) publish() {
-	v := &View{Document: a.doc, Targets: targetsOf(a.doc, merge(a.sources)), Loads: a.loads, LoadsAt: a.loadsAt}
+	v := &View{Document: a.doc, Targets: targetsOf(a.doc, merge(a.sources)), Loads: a.loads}
 	a.view.Store(v)
 	a.onView(v)
 }
--- a/pkg/attach/view.go
+++ b/pkg/attach/view.go
@@ -35,10 +35,6 @@
 	Targets  []Target
 	// Loads are the requests that other entries have at each target.
 	Loads map[string]int
-	// LoadsAt is when Loads came.
-	LoadsAt time.Time
-	// Entries is the number of entries attached to the same keeper, this one included.
-	Entries int
 }
 
 // source is what one keeper told.
--- a/pkg/control/attach.go
+++ b/pkg/control/attach.go
@@ -22,9 +22,9 @@
 
 // subscriber is one entry's stream.
 type subscriber struct {
-	nodeID, failureDomain string
-	stream                grpc.BidiStreamingServer[peerpb.EntryReport, peerpb.FleetUpdate]
-	woken                 chan struct{}
+	nodeID string
+	stream grpc.BidiStreamingServer[peerpb.EntryReport, peerpb.FleetUpdate]
+	woken  chan struct{}
 
 	sentVersion  uint64
 	sentDocument uint64
@@ -44,7 +44,7 @@
 		return err
 	}
 	s := &subscriber{
-		nodeID: first.GetNodeId(), failureDomain: first.GetFailureDomain(), stream: stream, woken: make(chan struct{}, 1),
+		nodeID: first.GetNodeId(), stream: stream, woken: make(chan struct{}, 1),
 	}
 	c.opts.Log.Info().Str("entry", s.nodeID).Uint64("document", first.GetDocumentVersion()).Msg("entry_attached")
 	c.reported(s, first)
@@ -52,7 +52,7 @@
 	go func() { ended <- c.receive(s) }()
 	err = c.update(s, ended)
 	c.mu.Lock()
-	c.loads.remove(s.failureDomain, s.nodeID)
+	c.loads.remove(s.nodeID)
 	c.mu.Unlock()
 	c.confirms.remove(s)
 	c.opts.Log.Info().Str("entry", s.nodeID).AnErr("reason", err).Msg("entry_detached")
@@ -76,11 +76,9 @@
 	if r.GetConfirmToken() > 0 {
 		c.confirms.ask(s, r.GetConfirmToken())
 	}
-	if r.GetLoads() != nil {
-		c.mu.Lock()
-		c.loads.set(s.failureDomain, s.nodeID, r.GetLoads())
-		c.mu.Unlock()
-	}
+	c.mu.Lock()
+	c.loads.set(s.nodeID, r.GetLoads())
+	c.mu.Unlock()
 	if len(r.GetEvidence()) == 0 && len(r.GetDemand()) == 0 {
 		return
 	}
@@ -123,7 +121,7 @@
 		FailureDomain: c.opts.FailureDomain,
 	}
 	if s.primary.Load() {
-		u.Loads = c.loads.others(s.failureDomain, s.nodeID)
+		u.Loads = c.loads.others(s.nodeID)
 	}
 	u.Upstreams, u.Forgotten = c.upstreamsChanged(s.sentVersion, boottime.Now())
 	s.sentVersion = c.changes.version
--- a/pkg/control/control.go
+++ b/pkg/control/control.go
@@ -90,6 +90,7 @@
 	trafficBegan bool
 	demand       demand
 	lastPlan     time.Time
+	measuredAt   time.Time
 	// pausedUntil keeps a keeper that was paused from planning.
 	pausedUntil time.Time
 }
--- a/pkg/control/control_test.go
+++ b/pkg/control/control_test.go
@@ -123,15 +123,15 @@
 func TestLoadsAreSummedOverTheOtherEntries(t *testing.T) {
 	var l loadSums
 	l.init()
-	l.set("fd-a", "n1", []*peerpb.GroupLoad{{Group: "g", Outstanding: 3}})
-	l.set("fd-b", "n2", []*peerpb.GroupLoad{{Group: "g", Outstanding: 4}, {Group: "h", Outstanding: 1}})
-	others := l.others("fd-a", "n1")
+	l.set("n1", []*peerpb.GroupLoad{{Group: "g", Outstanding: 3}})
+	l.set("n2", []*peerpb.GroupLoad{{Group: "g", Outstanding: 4}, {Group: "h", Outstanding: 1}})
+	others := l.others("n1")
 	require.Len(t, others, 2)
 	assert.EqualValues(t, 4, others[0].GetOutstanding())
-	l.set("fd-b", "n2", nil)
-	assert.Empty(t, l.others("fd-a", "n1"))
-	l.remove("fd-a", "n1")
-	assert.Empty(t, l.others("fd-b", "n2"))
+	l.set("n2", nil)
+	assert.Empty(t, l.others("n1"))
+	l.remove("n1")
+	assert.Empty(t, l.others("n2"))
 }
 
 // Half of a group's time asked for every second keeps half a group busy, from the
@@ -158,3 +158,13 @@
 	assert.Len(t, batch.GetUpstreams(), 4, "the oldest gave way")
 	assert.EqualValues(t, 2, batch.GetUpstreams()[0].GetSequence())
 }
+
+// A report without loads says that the entry has none left.
+func TestAnIdleEntryHasNoLoad(t *testing.T) {
+	c := newControl(t)
+	busy, other := &subscriber{nodeID: "n1"}, &subscriber{nodeID: "n2"}
+	c.reported(busy, &peerpb.EntryReport{Loads: []*peerpb.GroupLoad{{Group: "g", Outstanding: 3}}})
+	require.Len(t, c.loads.others(other.nodeID), 1)
+	c.reported(busy, &peerpb.EntryReport{})
+	assert.Empty(t, c.loads.others(other.nodeID))
+}
--- a/pkg/control/loads.go
+++ b/pkg/control/loads.go
@@ -7,42 +7,27 @@
 	"github.com/masticmount/masticmount/pkg/peerpb"
 )
 
-// loadSums adds up the requests that the entries of a failure domain have at each
-// group.
+// loadSums adds up the requests that the entries attached here have at each group.
 type loadSums struct {
-	// byDomain holds each entry's counts, by failure domain and node.
-	byDomain map[string]map[string]map[string]uint32
+	// byNode holds each entry's counts.
+	byNode map[string][]*peerpb.GroupLoad
 }
 
-func (l *loadSums) init() { l.byDomain = map[string]map[string]map[string]uint32{} }
+func (l *loadSums) init() { l.byNode = map[string][]*peerpb.GroupLoad{} }
 
-func (l *loadSums) set(failureDomain, node string, loads []*peerpb.GroupLoad) {
-	entries := l.byDomain[failureDomain]
-	if entries == nil {
-		entries = map[string]map[string]uint32{}
-		l.byDomain[failureDomain] = entries
-	}
-	counts := make(map[string]uint32, len(loads))
-	for _, g := range loads {
-		counts[g.GetGroup()] = g.GetOutstanding()
-	}
-	entries[node] = counts
-}
+func (l *loadSums) set(node string, loads []*peerpb.GroupLoad) { l.byNode[node] = loads }
 
-func (l *loadSums) remove(failureDomain, node string) { delete(l.byDomain[failureDomain], node) }
+func (l *loadSums) remove(node string) { delete(l.byNode, node) }
 
-// others returns the sums over all entries but one, of all failure domains that
-// report here.
-func (l *loadSums) others(_, node string) []*peerpb.GroupLoad {
+// others returns the sums over all entries but one, ordered by group.
+func (l *loadSums) others(node string) []*peerpb.GroupLoad {
 	sums := map[string]uint32{}
-	for _, entries := range l.byDomain {
-		for other, counts := range entries {
-			if other == node {
-				continue
-			}
-			for g, n := range counts {
-				sums[g] += n
-			}
+	for other, counts := range l.byNode {
+		if other == node {
+			continue
+		}
+		for _, g := range counts {
+			sums[g.GetGroup()] += g.GetOutstanding()
 		}
 	}
 	loads := make([]*peerpb.GroupLoad, 0, len(sums))
--- a/pkg/control/steward.go
+++ b/pkg/control/steward.go
@@ -5,19 +5,12 @@
 	"time"
 
 	"github.com/masticmount/masticmount/pkg/boottime"
+	"github.com/masticmount/masticmount/pkg/fleet"
 	"github.com/masticmount/masticmount/pkg/grouping"
 	"github.com/masticmount/masticmount/pkg/peerpb"
 	"github.com/masticmount/masticmount/pkg/regionlog"
 )
 
-// Kinds of evidence that entries give of a group's head.
-const (
-	// EvidenceAlive says that the group answers an entry.
-	EvidenceAlive = "alive"
-	// EvidenceStalled says that all streams of the group fell silent.
-	EvidenceStalled = "stalled"
-)
-
 const (
 	// pauseLimit is the gap between two plans from which this process counts as having
 	// been paused: its leadership and its directory may be old.
@@ -44,9 +37,9 @@
 	for _, v := range e.evidence {
 		seen := now.Add(-time.Duration(v.GetAgeMs()) * time.Millisecond)
 		switch v.GetKind() {
-		case EvidenceAlive:
+		case fleet.EvidenceAlive:
 			c.planner.Alive(seen, v.GetUpstream())
-		case EvidenceStalled:
+		case fleet.EvidenceStalled:
 			if c.planner.Suspect(seen, v.GetUpstream()) {
 				c.opts.Log.Info().Str("upstream", v.GetUpstream()).Uint32("age_ms", v.GetAgeMs()).Msg("group_suspected")
 			}
@@ -93,12 +86,28 @@
 			c.planner.Done(now, grouping.Result{Order: o, Outcome: grouping.Rejected})
 		}
 	}
+	c.measure(now)
 	for _, e := range c.planner.Events() {
 		c.opts.Log.Info().Str("group", e.Group).Str("change", e.Change).Str("reason", e.Reason).
 			Strs("members", e.Members).Uint64("term", c.leadsTerm).Msg("group_changed")
 	}
 }
 
+// gaugeInterval is the time between two updates of the steward's gauges.
+const gaugeInterval = time.Second
+
+// measure sets the steward's gauges.
+func (c *Control) measure(now time.Time) {
+	if now.Sub(c.measuredAt) < gaugeInterval {
+		return
+	}
+	c.measuredAt = now
+	for name, n := range c.planner.Stats() {
+		c.opts.Metrics.Set(name, n)
+	}
+	c.opts.Metrics.Set("document.version", int64(c.heldVersion()))
+}
+
 // followLeadership starts and ends the planner with this keeper's leadership.
 func (c *Control) followLeadership(now time.Time) {
 	status := c.opts.Keeper.Status()
--- a/pkg/forward/entry_test.go
+++ b/pkg/forward/entry_test.go
@@ -42,7 +42,7 @@
 
 var testWire = Wire{
 	RequestID: "Test-Id", TimeLeft: "Test-Left", Key: "Test-Key", Account: "Test-Account", ExpectedUpstream: "Test-Expect",
-	Proof: "Test-Proof", LastEvent: "Last-Event-Id", Model: "Test-Model", Priority: "Test-Priority",
+	Signature: "Test-Signature", LastEvent: "Last-Event-Id", Model: "Test-Model", Priority: "Test-Priority",
 	Tokens: func(func(string) []byte) (int, int) { return 100, 100 },
 }
 
@@ -162,7 +162,7 @@
 func (l *oneListener) Addr() net.Addr            { return l.conn.LocalAddr() }
 
 func answer(status int, body string, headers ...string) string {
-	text := fmt.Sprintf("HTTP/1.1 %d X\r\nTest-Id: r1\r\nTest-Proof: p\r\nContent-Length: %d\r\n", status, len(body))
+	text := fmt.Sprintf("HTTP/1.1 %d X\r\nTest-Id: r1\r\nTest-Signature: p\r\nContent-Length: %d\r\n", status, len(body))
 	for _, h := range headers {
 		text += h + "\r\n"
 	}
@@ -183,7 +183,7 @@
 		assert.Equal(t, 200, resp.StatusCode)
 		assert.Equal(t, "got text", body)
 		assert.Equal(t, "kept", resp.Header.Get("Other"))
-		assert.Equal(t, "p", resp.Header.Get("Test-Proof"))
+		assert.Equal(t, "p", resp.Header.Get("Test-Signature"))
 		assert.Equal(t, "a:1 POST /repeat/%7Ex//y?q=%20a&b", <-h.seen)
 		sent := <-h.headers
 		assert.Equal(t, []string{"school"}, sent["Test-Account"])
@@ -250,18 +250,18 @@
 		first, target string
 		status, sends int
 	}{
-		"repeatable, closed":           {"", "/repeat/x", 200, 2},
-		"once, closed":                 {"", "/once/x", 502, 1},
-		"once, refused":                {answer(503, "", "Test-Refused: 1"), "/once/x", 200, 2},
-		"once, error":                  {answer(500, "broken"), "/once/x", 500, 1},
-		"repeatable, error":            {answer(500, "broken"), "/repeat/x", 200, 2},
-		"repeatable, cut short":        {strings.TrimSuffix(answer(200, "whole"), "le"), "/repeat/x", 200, 2},
-		"once, cut short":              {strings.TrimSuffix(answer(200, "whole"), "le"), "/once/x", 502, 1},
-		"repeatable, without proof":    {strings.Replace(answer(200, "x"), "Test-Proof: p\r\n", "", 1), "/repeat/x", 200, 2},
-		"repeatable, another's answer": {strings.Replace(answer(200, "x"), "r1", "r0", 1), "/repeat/x", 200, 2},
-		"repeatable, encoded":          {answer(200, "x", "Content-Encoding: gzip"), "/repeat/x", 200, 2},
-		"repeatable, no answer":        {"garbage\r\n\r\n", "/repeat/x", 200, 2},
-		"once, ends with its channel":  {"HTTP/1.1 200 X\r\nTest-Id: r1\r\nTest-Proof: p\r\n\r\nbody", "/once/x", 200, 1},
+		"repeatable, closed":            {"", "/repeat/x", 200, 2},
+		"once, closed":                  {"", "/once/x", 502, 1},
+		"once, refused":                 {answer(503, "", "Test-Refused: 1"), "/once/x", 200, 2},
+		"once, error":                   {answer(500, "broken"), "/once/x", 500, 1},
+		"repeatable, error":             {answer(500, "broken"), "/repeat/x", 200, 2},
+		"repeatable, cut short":         {strings.TrimSuffix(answer(200, "whole"), "le"), "/repeat/x", 200, 2},
+		"once, cut short":               {strings.TrimSuffix(answer(200, "whole"), "le"), "/once/x", 502, 1},
+		"repeatable, without signature": {strings.Replace(answer(200, "x"), "Test-Signature: p\r\n", "", 1), "/repeat/x", 200, 2},
+		"repeatable, another's answer":  {strings.Replace(answer(200, "x"), "r1", "r0", 1), "/repeat/x", 200, 2},
+		"repeatable, encoded":           {answer(200, "x", "Content-Encoding: gzip"), "/repeat/x", 200, 2},
+		"repeatable, no answer":         {"garbage\r\n\r\n", "/repeat/x", 200, 2},
+		"once, ends with its channel":   {"HTTP/1.1 200 X\r\nTest-Id: r1\r\nTest-Signature: p\r\n\r\nbody", "/once/x", 200, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			inBubble(t, failing(test.first), func(h *harness) {
@@ -286,7 +286,7 @@
 	})
 }
 
-const streamHead = "HTTP/1.1 200 X\r\nTest-Id: r1\r\nTest-Proof: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+const streamHead = "HTTP/1.1 200 X\r\nTest-Id: r1\r\nTest-Signature: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
 
@@ -294,7 +294,7 @@
 
 // resumedStream breaks the first stream with a function and goes on after the last
 // whole event in the second.
-func resumedStream(t *testing.T, breakOff func(conn net.Conn)) (seen []string, body string, proof string) {
+func resumedStream(t *testing.T, breakOff func(conn net.Conn)) (seen []string, body, signature string) {
 	runs := 0
 	upstream := func(req *http.Request, _ string, conn net.Conn) (string, bool) {
 		if runs++; runs == 1 {
@@ -308,10 +308,10 @@
 	inBubble(t, map[string]script{"a:1": upstream, "b:1": upstream}, func(h *harness) {
 		resp, text, err := h.call("POST", "/stream/x", "prompt")
 		require.NoError(t, err)
-		body, proof = text, resp.Header.Get("Test-Proof")
+		body, signature = text, resp.Header.Get("Test-Signature")
 		seen = []string{<-h.seen, <-h.seen}
 	})
-	return seen, body, proof
+	return seen, body, signature
 }
 
 func TestABrokenStreamGoesOnElsewhere(t *testing.T) {
@@ -320,9 +320,9 @@
 		"silent": func(conn net.Conn) { _, _ = conn.Read(make([]byte, 1)) },
 	} {
 		t.Run(name, func(t *testing.T) {
-			seen, body, proof := resumedStream(t, breakOff)
+			seen, body, signature := resumedStream(t, breakOff)
 			assert.Equal(t, event(1)+event(2)+event(3)+event(4), body, "no piece twice, none missing")
-			assert.Equal(t, "first", proof, "the answer keeps the header that it began with")
+			assert.Equal(t, "first", signature, "the answer keeps the header that it began with")
 			assert.NotEqual(t, seen[0], seen[1])
 		})
 	}
--- a/pkg/forward/lane.go
+++ b/pkg/forward/lane.go
@@ -26,15 +26,13 @@
 	waiting []Work
 	// hold is the mean time that a request holds its slot.
 	hold time.Duration
-	// ownShare is the part of the capacity that this entry gets.
-	ownShare float64
 }
 
 func (p *Placer) lane(w Work) *lane {
 	key := laneKey{w.Service, w.Model}
 	l := p.lanes[key]
 	if l == nil {
-		l = &lane{hold: w.Hold, ownShare: 1}
+		l = &lane{hold: w.Hold}
 		p.lanes[key] = l
 	}
 	return l
@@ -65,7 +63,8 @@
 }
 
 // expectedWait is the time until the requests before one have got their places, at
-// the rate at which the capacity becomes free for this entry.
+// the rate at which the capacity becomes free. Other entries take a part of it, so
+// it is at least that long.
 func (l *lane) expectedWait(w *Work, capacity int) time.Duration {
 	ahead := 1
 	for _, other := range l.waiting {
@@ -73,11 +72,11 @@
 			ahead++
 		}
 	}
-	perPlace := float64(l.hold) / (float64(capacity) * l.ownShare)
+	perPlace := float64(l.hold) / float64(capacity)
 	return time.Duration(float64(ahead) * perPlace)
 }
 
 // retryAfter spreads the return of refused callers.
-func (l *lane) retryAfter(random *rand.Rand, _ int) time.Duration {
+func retryAfter(random *rand.Rand) time.Duration {
 	return minRetryAfter + time.Duration(random.Float64()*float64(retryAfterSpread))
 }
--- a/pkg/forward/placer.go
+++ b/pkg/forward/placer.go
@@ -152,9 +152,9 @@
 	capacity := p.capacity(now, &w)
 	switch {
 	case capacity == 0:
-		return Placement{Reason: NoTarget, RetryAfter: l.retryAfter(p.rand, 0)}
+		return Placement{Reason: NoTarget, RetryAfter: retryAfter(p.rand)}
 	case now.Add(l.expectedWait(&w, capacity)).After(w.GiveUpAt):
-		return Placement{Reason: Crowded, RetryAfter: l.retryAfter(p.rand, capacity)}
+		return Placement{Reason: Crowded, RetryAfter: retryAfter(p.rand)}
 	}
 	l.insert(w)
 	return Placement{Waiting: true}
@@ -169,7 +169,7 @@
 	if !l.remove(w.ID) {
 		return Placement{}, false
 	}
-	return Placement{Reason: Outlived, RetryAfter: l.retryAfter(p.rand, 1)}, true
+	return Placement{Reason: Outlived, RetryAfter: retryAfter(p.rand)}, true
 }
 
 // Release frees a request's place at its target.
--- a/pkg/forward/reports.go
+++ b/pkg/forward/reports.go
@@ -6,15 +6,10 @@
 	"time"
 
 	"github.com/masticmount/masticmount/pkg/attach"
+	"github.com/masticmount/masticmount/pkg/fleet"
 	"github.com/masticmount/masticmount/pkg/peerpb"
 )
 
-// Kinds of evidence; keepers know them by these names.
-const (
-	evidenceAlive   = "alive"
-	evidenceStalled = "stalled"
-)
-
 // stallMemory is how long a stalled target is reported: to each keeper at least once.
 const stallMemory = 450 * time.Millisecond
 
@@ -74,7 +69,7 @@
 			continue
 		}
 		evidence = append(evidence, &peerpb.UpstreamEvidence{
-			Upstream: id, BornMs: s.born, Kind: evidenceStalled, AgeMs: uint32(now.Sub(s.at).Milliseconds()),
+			Upstream: id, BornMs: s.born, Kind: fleet.EvidenceStalled, AgeMs: uint32(now.Sub(s.at).Milliseconds()),
 		})
 	}
 	if !primary {
@@ -84,7 +79,7 @@
 		s := p.slots[key]
 		if age := now.Sub(s.answeredAt); s.target.Group != "" && age < progressMemory {
 			evidence = append(evidence, &peerpb.UpstreamEvidence{
-				Upstream: s.target.ID, BornMs: s.target.Born, Kind: evidenceAlive, AgeMs: uint32(age.Milliseconds()),
+				Upstream: s.target.ID, BornMs: s.target.Born, Kind: fleet.EvidenceAlive, AgeMs: uint32(age.Milliseconds()),
 			})
 		}
 	}
--- a/pkg/forward/session.go
+++ b/pkg/forward/session.go
@@ -19,17 +19,11 @@
 
 var (
 	errCallerGone = errors.New("the caller left")
-	errNoProof    = errors.New("the answer does not bear an upstream's proof")
+	errUnsigned   = errors.New("the answer does not bear an upstream's signature")
 	errEncoded    = errors.New("the answer is encoded, which nobody asked for")
 )
 
 const (
-	// waitShare of the objective is the longest wait for a target: the rest is needed
-	// to read the prompt and to make the first event.
-	waitShare = 0.5
-	// returningWait is the longest wait of a caller that was refused before; it is late
-	// already and would not come back again.
-	returningWait = 1200 * time.Millisecond
 	// firstEventSilence is how long a stream that can go elsewhere may take to begin.
 	firstEventSilence = 1500 * time.Millisecond
 	// eventSilence is how long such a stream may pause: several passes of an engine, with
@@ -106,7 +100,7 @@
 			return
 		}
 		if !s.failed(err) {
-			s.end(ctx, s.history.refusal(err.Reason, s.retryAfter(err)))
+			s.end(ctx, s.history.refusal(err.Reason, s.retryAfter()))
 			return
 		}
 	}
@@ -140,99 +134,6 @@
 	s.target = nil
 }
 
-// work describes the request to the placer.
-func (s *session) work() Work {
-	r := s.r
-	patience := time.Duration(waitShare * float64(r.route.Objective))
-	if r.returning {
-		patience = returningWait
-	}
-	priority := r.route.Priority
-	if r.account != nil && r.account.HasPriority {
-		priority = r.account.Priority
-	}
-	now := boottime.Now()
-	giveUp := now.Add(patience - time.Since(r.arrivedAt))
-	if s.history.sends > 0 {
-		giveUp = now.Add(patience)
-	}
-	w := Work{
-		Service: r.service.Name, GiveUpAt: giveUp, Excluded: s.excluded, Hold: r.hold,
-		Rank: rank(priority, r.hold, r.returning || s.history.sends > 0),
-	}
-	if r.service.Engine != nil {
-		w.Model = r.modelName
-	}
-	return w
-}
-
-// rankOfPriority separates priorities by more than any hold time in seconds.
-const rankOfPriority = 1000
-
-// rank puts urgent requests first, then those that were sent or refused before, then
-// short ones: they gain the most of their objective for each slot.
-func rank(priority int, hold time.Duration, again bool) float64 {
-	rank := float64(priority)*rankOfPriority + hold.Seconds()
-	if again {
-		rank -= rankOfPriority / 2
-	}
-	return rank
-}
-
-// acquire gets a place at a target.
-func (s *session) acquire() *fault.Error {
-	e, w := s.e, s.work()
-	e.mu.Lock()
-	e.lastWork++
-	w.ID = e.lastWork
-	p := e.placer.Arrive(boottime.Now(), w)
-	var granted chan *attach.Target
-	if p.Waiting {
-		granted = make(chan *attach.Target, 1)
-		e.waiters[w.ID] = granted
-	}
-	e.mu.Unlock()
-	if p.Target != nil {
-		s.target = p.Target
-		return nil
-	}
-	if !p.Waiting {
-		return s.crowded(p)
-	}
-	return s.wait(w, granted)
-}
-
-// wait waits for a place until its caller's patience ends.
-func (s *session) wait(w Work, granted chan *attach.Target) *fault.Error {
-	began := time.Now()
-	patience := time.NewTimer(min(w.GiveUpAt.Sub(boottime.Now()), time.Until(s.r.deadline)))
-	defer patience.Stop()
-	defer func() { s.queued += time.Since(began) }()
-	select {
-	case s.target = <-granted:
-		return nil
-	case <-patience.C:
-	case <-s.ctx.Done():
-	}
-	e := s.e
-	e.mu.Lock()
-	p, waiting := e.placer.GiveUp(w)
-	delete(e.waiters, w.ID)
-	e.mu.Unlock()
-	if !waiting {
-		s.target = <-granted
-		return nil
-	}
-	return s.crowded(p)
-}
-
-func (s *session) crowded(p Placement) *fault.Error {
-	if s.lastFail != nil {
-		return s.history.refusal(s.lastFail.Reason, p.RetryAfter)
-	}
-	return fault.New(fault.Overloaded, "come back after the time in Retry-After", "no place for the request: %s", p.Reason).After(p.RetryAfter)
-}
-
 // attempt sends the request to the target. It returns true once the caller is being
 // answered.
 func (s *session) attempt(ctx *fasthttp.RequestCtx) (done bool, failure *dispatch.CallError) {
@@ -314,10 +215,10 @@
 // check refuses answers that are not the upstream's own.
 func (s *session) check(resp *dispatch.Response) *dispatch.CallError {
 	status := resp.Status()
-	proven := len(resp.Header(s.e.opts.Wire.Proof)) > 0
+	signed := len(resp.Header(s.e.opts.Wire.Signature)) > 0
 	switch {
-	case !proven:
-		return resp.Abort(dispatch.Malformed, errNoProof)
+	case !signed:
+		return resp.Abort(dispatch.Malformed, errUnsigned)
 	case len(resp.Header("Content-Encoding")) > 0:
 		return resp.Abort(dispatch.Malformed, errEncoded)
 	case status >= http.StatusInternalServerError && s.r.route.Idempotency != document.RunOnce && s.mayRepeatNow():
@@ -385,10 +286,10 @@
 }
 
 // retryAfter is when a refused caller should come back.
-func (s *session) retryAfter(*dispatch.CallError) time.Duration {
+func (s *session) retryAfter() time.Duration {
 	s.e.mu.Lock()
 	defer s.e.mu.Unlock()
-	return s.e.placer.lane(s.work()).retryAfter(s.e.random, 1)
+	return retryAfter(s.e.random)
 }
 
 func callError(err error) *dispatch.CallError {
--- a/pkg/forward/wire.go
+++ b/pkg/forward/wire.go
@@ -14,8 +14,8 @@
 	Account string
 	// ExpectedUpstream has any other upstream refuse the request.
 	ExpectedUpstream string
-	// Proof marks the answers that an upstream made.
-	Proof string
+	// Signature marks the answers that an upstream made.
+	Signature string
 	// LastEvent is the identifier after which a stream goes on.
 	LastEvent string
 	Model     string
--- a/pkg/grouping/planner_test.go
+++ b/pkg/grouping/planner_test.go
@@ -258,6 +258,10 @@
 		}
 	}
 	assert.Equal(t, map[string]int{"big": 1, "small": 1}, spares)
+	stats := w.planner.Stats()
+	assert.EqualValues(t, 1, stats["groups.big.open"])
+	assert.EqualValues(t, 2, stats["groups.small.open"])
+	assert.EqualValues(t, 2, stats["engines.stranded"])
 }
 
 // Engines announce themselves one after the other, within an interval.
--- /dev/null
+++ b/pkg/grouping/stats.go
@@ -0,0 +1,31 @@
+package grouping
+
+import (
+	"github.com/samber/lo"
+
+	"github.com/masticmount/masticmount/pkg/fleet"
+)
+
+var phaseNames = [...]string{"forming", "opening", "open", "draining", "closing", "leaving"}
+
+// Stats counts groups by model and phase, and the engines that serve in no open group.
+func (p *Planner) Stats() map[string]int64 {
+	stats := map[string]int64{}
+	for _, engine := range p.engines {
+		for _, m := range engine.Models {
+			for _, phase := range phaseNames {
+				stats["groups."+m.Name+"."+phase] = 0
+			}
+		}
+	}
+	serving := map[string]bool{}
+	for _, g := range p.groups {
+		stats["groups."+g.model.Name+"."+phaseNames[g.phase]]++
+		for _, r := range g.members {
+			serving[r.id] = serving[r.id] || g.phase == open
+		}
+	}
+	stats["engines.stranded"] = int64(lo.CountBy(lo.Values(p.upstreams), func(u fleet.Upstream) bool { return !u.Silent && !serving[u.ID] }))
+	stats["engines.loading"] = int64(lo.CountBy(lo.Values(p.upstreams), p.loading))
+	return stats
+}
