Keeper: one whose identity was removed empties its disk and joins anew

When the last fault wiped two more disks no quorum was left. Ruled out: the growth itself (each change was committed by a majority), the wiped keepers (they came back as learners). Change: a keeper that stopped because its identity was removed empties its data folder, whose content may never count again, and comes back as a learner.

--- a/pkg/fleetnode/keeper.go
+++ b/pkg/fleetnode/keeper.go
@@ -87,16 +87,30 @@
 		}
 		s := newService(n.opts)
 		s.freeLoads = first && n.opts.FirstStart
-		if err := s.run(ctx, func() { n.current.Store(s) }); err != nil {
+		err := s.run(ctx, func() { n.current.Store(s) })
+		n.current.Store(nil)
+		if err != nil {
 			n.opts.Log.Error().Err(err).Msg("keeper_interrupted")
-			n.current.Store(nil)
+			n.prepare(err)
 			n.pause(ctx)
 		}
-		n.current.Store(nil)
 	}
 	return nil
 }
 
+// prepare readies the disk for the next service after a fault. The disk of an identity that was
+// removed is emptied: others took its vote while it was away, and it joins anew.
+func (n *Keeper) prepare(cause error) {
+	if !errors.Is(cause, errRemoved) {
+		return
+	}
+	if err := storage.Discard(n.opts.DataFolder); err != nil {
+		n.opts.Log.Error().Err(err).Msg("data_folder_not_emptied")
+		return
+	}
+	n.opts.Log.Warn().Msg("data_folder_emptied")
+}
+
 func (n *Keeper) pause(ctx context.Context) {
 	select {
 	case <-time.After(diskPause):
@@ -171,6 +185,9 @@
 	return failed
 }
 
+// errRemoved says that the keeper's identity was removed while it was away.
+var errRemoved = errors.New("the keeper's identity was removed from the region log; it joins again under a new one")
+
 // errDisk says why a keeper stopped by itself.
 var errDisk = errors.New("the keeper stopped: its disk failed; make room or replace the disk, it starts again by itself")
 
@@ -178,6 +195,9 @@
 func (s *service) await(ctx context.Context, k *keeper.Keeper) error {
 	select {
 	case <-k.Ended():
+		if k.Removed() {
+			return errRemoved
+		}
 		return errDisk
 	case <-ctx.Done():
 		s.opts.Log.Info().Msg("node_stopping")
--- a/pkg/keeper/keeper.go
+++ b/pkg/keeper/keeper.go
@@ -241,6 +241,13 @@
 // Ended is closed once the keeper has stopped, by itself or by Close.
 func (k *Keeper) Ended() <-chan struct{} { return k.stopped }
 
+// Removed reports whether the keeper stopped because its identity was removed from the
+// region log: what its disk holds may never count again.
+func (k *Keeper) Removed() bool {
+	f := k.failed.Load()
+	return f != nil && f.Kind == fault.Forbidden
+}
+
 // Stalled returns for how long the log duty has not ticked: a disk that hangs stalls
 // it, and what it last published of leadership may be old.
 func (k *Keeper) Stalled() time.Duration {
--- a/pkg/regionlog/storage/storage.go
+++ b/pkg/regionlog/storage/storage.go
@@ -287,3 +287,29 @@
 	}
 	return nil
 }
+
+// Discard empties the data folder of a keeper whose identity was removed from the
+// region log, so that it comes back under a new one.
+func Discard(folder string) error {
+	entries, err := os.ReadDir(folder)
+	if err != nil {
+		return diskFault(err, "list the data folder")
+	}
+	for _, e := range entries {
+		if err := os.RemoveAll(filepath.Join(folder, e.Name())); err != nil {
+			return diskFault(err, "remove a file")
+		}
+	}
+	f, err := os.Open(folder)
+	if err != nil {
+		return diskFault(err, "open the data folder")
+	}
+	err = f.Sync()
+	if closeErr := f.Close(); err == nil {
+		err = closeErr
+	}
+	if err != nil {
+		return diskFault(err, "sync the data folder")
+	}
+	return nil
+}
