Grouping: the hold of a lost head's members is checked

The test's last assertion was always true since and the world forgets a member's old group once it leaves, so nothing saw whether the hold is kept. Change: each join of a member that left a lost head comes at least the stall time after its leave.

--- a/pkg/grouping/planner_test.go
+++ b/pkg/grouping/planner_test.go
@@ -42,6 +42,8 @@
 	// everReady are the members that were ready, by group.
 	everReady map[string]map[string]bool
 	orders    []Order
+	// sentAt is when each of the orders was sent.
+	sentAt []time.Time
 	// begun counts the orders that each run began.
 	begun map[run]uint64
 }
@@ -126,7 +128,7 @@
 
 func (w *world) carryOut(orders []Order) {
 	for _, o := range orders {
-		w.orders = append(w.orders, o)
+		w.orders, w.sentAt = append(w.orders, o), append(w.sentAt, w.now)
 		e := w.engines[o.Upstream]
 		if e == nil || w.cut[o.Upstream] || w.deaf[o.Upstream] {
 			outcome := Unanswered
@@ -296,15 +298,23 @@
 	w.planner.TrafficBegan()
 	head := w.head("big")
 	w.cut[head.ID] = true
-	gone := w.now
 	w.run(14 * time.Second)
-	require.Equal(t, formed, w.open(), "the other member serves again")
-	for _, o := range w.orders {
-		if o.Kind == Leave && o.Group == head.Group.Group {
+	require.Equal(t, formed, w.open(), "the other members serve again")
+	left := map[string]time.Time{}
+	rejoined := 0
+	for i, o := range w.orders {
+		at, has := left[o.Upstream]
+		switch {
+		case o.Kind == Leave && o.Group == head.Group.Group:
 			assert.NotEqual(t, head.ID, o.Upstream)
+			left[o.Upstream] = w.sentAt[i]
+		case o.Kind == Join && has:
+			rejoined++
+			assert.GreaterOrEqual(t, w.sentAt[i].Sub(at), stall, "%s joined before its old head was surely broken", o.Upstream)
 		}
 	}
-	assert.Greater(t, w.now.Sub(gone), stall)
+	assert.Len(t, left, 3)
+	assert.Positive(t, rejoined)
 }
 
 // A failure domain that is cut off from the steward looks like groups without any
