Fakes: an answer counts as finished before its last event goes out

The stand-in counted after it had written [DONE], so that the caller could look before. Change: the stand-in counts before the last event and takes it back when that cannot be written; the check is as it was.

--- a/pkg/fakes/stream.go
+++ b/pkg/fakes/stream.go
@@ -26,11 +26,9 @@
 			return
 		}
 		out := &eventWriter{w: w, conn: conn, doubled: req.faults.Doubled}
-		if e.generate(ctx, out, req) {
-			e.finished.Add(1)
-			return
+		if !e.generate(ctx, out, req) {
+			e.canceled.Add(1)
 		}
-		e.canceled.Add(1)
 	})
 }
 
@@ -63,7 +61,12 @@
 	if req.faults.CutAtEnd {
 		return false
 	}
+	// Counted before the last event: once the caller has that, it may look.
+	e.finished.Add(1)
 	out.event("", "[DONE]")
+	if out.err != nil {
+		e.finished.Add(-1)
+	}
 	return out.err == nil
 }
 
