Forward: entries draw among the targets that unseen requests would fill

Cause: 90 entries know each other's loads by a picture of 200 to 600 ms ago and all took its best target. Ruled out: queueing in the entries (0 ms for 99 in 100), slow engines, too few groups. Change: each entry estimates the requests that the others sent since the picture (as many as ended) and draws among the targets below the level that these fill. The same seed draws the same targets: slots are gone through by key.

--- a/pkg/attach/attach.go
+++ b/pkg/attach/attach.go
@@ -63,6 +63,7 @@
 
 	sources map[string]*source
 	loads   map[string]int
+	loadsAt time.Time
 	doc     *document.Document
 }
 
@@ -213,7 +214,7 @@
 		a.mu.Unlock()
 	}
 	if a.isPrimary(u.keeper) {
-		a.takeLoads(f)
+		a.takeLoads(f, u.at)
 		changed = true
 	}
 	changed = a.takeDocument(u.keeper, f) || changed
@@ -224,8 +225,8 @@
 	return changed
 }
 
-func (a *Attachment) takeLoads(f *peerpb.FleetUpdate) {
-	a.loads = map[string]int{}
+func (a *Attachment) takeLoads(f *peerpb.FleetUpdate, now time.Time) {
+	a.loads, a.loadsAt = map[string]int{}, now
 	for _, g := range f.GetLoads() {
 		a.loads[g.GetGroup()] = int(g.GetOutstanding())
 	}
@@ -246,7 +247,7 @@
 }
 
 func (a *Attachment) publish() {
-	v := &View{Document: a.doc, Targets: targetsOf(a.doc, merge(a.sources)), Loads: a.loads}
+	v := &View{Document: a.doc, Targets: targetsOf(a.doc, merge(a.sources)), Loads: a.loads, LoadsAt: a.loadsAt}
 	a.view.Store(v)
 	a.onView(v)
 }
--- a/pkg/attach/view.go
+++ b/pkg/attach/view.go
@@ -35,6 +35,8 @@
 	Targets  []Target
 	// Loads are the requests that other entries have at each target.
 	Loads map[string]int
+	// LoadsAt is when these were told, by boot time.
+	LoadsAt time.Time
 }
 
 // source is what one keeper told.
--- a/pkg/forward/placer.go
+++ b/pkg/forward/placer.go
@@ -1,7 +1,9 @@
 package forward
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/masticmount/masticmount/pkg/attach"
@@ -102,8 +104,12 @@
 	failureDomain string
 	rand          *rand.Rand
 	slots         map[string]*slot
-	lanes         map[laneKey]*lane
-	views         uint64
+	// keys of slots in order, so that the same seed draws the same targets.
+	keys  []string
+	lanes map[laneKey]*lane
+	views uint64
+	// loadsAt is when the other entries' loads were last told.
+	loadsAt time.Time
 }
 
 // NewPlacer returns a placer of an entry in a failure domain.
@@ -125,11 +131,8 @@
 		}
 		s.target, s.seen, s.others = t, p.views, v.Loads[key]
 	}
-	for key, s := range p.slots {
-		if s.seen != p.views && s.own == 0 {
-			delete(p.slots, key)
-		}
-	}
+	maps.DeleteFunc(p.slots, func(_ string, s *slot) bool { return s.seen != p.views && s.own == 0 })
+	p.keys, p.loadsAt = slices.Sorted(maps.Keys(p.slots)), v.LoadsAt
 	return p.grant(now)
 }
 
@@ -238,21 +241,6 @@
 	return grants
 }
 
-// pick returns the best target with room; nil when there is none.
-func (p *Placer) pick(now time.Time, w *Work) *slot {
-	var best *slot
-	bestScore := 0.0
-	for _, s := range p.slots {
-		if !p.admits(now, s, w) || s.own+s.others >= s.limit() {
-			continue
-		}
-		if score := p.score(now, s); best == nil || score < bestScore {
-			best, bestScore = s, score
-		}
-	}
-	return best
-}
-
 // admits reports whether a request may go to a target at all.
 func (p *Placer) admits(now time.Time, s *slot, w *Work) bool {
 	if s.seen != p.views || s.target.Service != w.Service || s.target.Model != w.Model || now.Before(s.suspectUntil) {
@@ -283,7 +271,7 @@
 	return false
 }
 
-// score is lower for a better target.
+// score is lower for a better target; it is in shares of the target's slots.
 func (p *Placer) score(now time.Time, s *slot) float64 {
 	score := float64(s.own+s.others)/float64(s.target.Slots) + jitterShare*p.rand.Float64()
 	if s.target.FailureDomain != p.failureDomain {
--- /dev/null
+++ b/pkg/forward/spread.go
@@ -0,0 +1,92 @@
+package forward
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// reportLag is the mean age of an entry's own counts when its keeper sums them up: half
+// of the interval of reports.
+const reportLag = 100 * time.Millisecond
+
+// candidate is a target with room for a request.
+type candidate struct {
+	slot *slot
+	// score is lower for a better target, in shares of its slots.
+	score float64
+}
+
+// pick draws a target among those with room; nil when there is none. Entries that all
+// took the best one by the same old counts would send it a crowd, so each draws among
+// the targets below the level to which the requests that are unseen yet fill the best.
+func (p *Placer) pick(now time.Time, w *Work) *slot {
+	var found []candidate
+	for _, key := range p.keys {
+		s := p.slots[key]
+		if p.admits(now, s, w) && s.own+s.others < s.limit() {
+			found = append(found, candidate{s, p.score(now, s)})
+		}
+	}
+	if len(found) == 0 {
+		return nil
+	}
+	slices.SortStableFunc(found, func(a, b candidate) int { return cmp.Compare(a.score, b.score) })
+	return p.draw(found, p.unseen(now, w))
+}
+
+// unseen estimates the requests that other entries of the failure domain sent to the
+// targets of a request since their loads were told: as many as ended in that time.
+func (p *Placer) unseen(now time.Time, w *Work) float64 {
+	loads := 0
+	for _, s := range p.slots {
+		if s.target.Service == w.Service && s.target.Model == w.Model && s.target.FailureDomain == p.failureDomain {
+			loads += s.others
+		}
+	}
+	hold := p.lane(*w).hold
+	if loads == 0 || hold <= 0 {
+		return 0
+	}
+	return float64(loads) * min(1, float64(now.Sub(p.loadsAt)+reportLag)/float64(hold))
+}
+
+// draw takes one of the candidates, which are ordered by score.
+func (p *Placer) draw(found []candidate, unseen float64) *slot {
+	level := fillLevel(found, unseen)
+	total := 0.0
+	for _, c := range found {
+		total += c.share(level)
+	}
+	at := p.rand.Float64() * total
+	for _, c := range found {
+		if at -= c.share(level); at < 0 {
+			return c.slot
+		}
+	}
+	return found[0].slot
+}
+
+// share is a target's weight while the best targets are filled up to a level: those
+// below it rise together.
+func (c *candidate) share(level float64) float64 {
+	if c.score > level {
+		return 0
+	}
+	return float64(c.slot.target.Slots)
+}
+
+// fillLevel is the score up to which a number of requests fills the best candidates.
+func fillLevel(found []candidate, requests float64) float64 {
+	level, slots := found[0].score, 0.0
+	for i := range found {
+		slots += float64(found[i].slot.target.Slots)
+		next := level + requests/slots
+		if i+1 == len(found) || next <= found[i+1].score {
+			return next
+		}
+		requests -= (found[i+1].score - level) * slots
+		level = found[i+1].score
+	}
+	return level
+}
