Control: keepers tell each other the loads of their entries

Cause: an entry knew the loads only of the entries attached to its primary keeper. Ruled out: reports by each entry to all keepers; they cross failure domains five times a second. Change: an entry's loads count at the keeper of its primary link; keepers tell each other the sums each 200 ms, and primary links are told at the same pace (400 ms before). Sums of a silent keeper count for 1.5 s.

--- a/pkg/control/attach.go
+++ b/pkg/control/attach.go
@@ -77,7 +77,7 @@
 		c.confirms.ask(s, r.GetConfirmToken())
 	}
 	c.mu.Lock()
-	c.loads.set(s.nodeID, r.GetLoads())
+	c.loads.set(s.nodeID, r.GetPrimary(), r.GetLoads())
 	c.mu.Unlock()
 	if len(r.GetEvidence()) == 0 && len(r.GetDemand()) == 0 {
 		return
@@ -88,20 +88,36 @@
 
 // update is the duty that tells an entry what changes.
 func (c *Control) update(s *subscriber, ended <-chan error) error {
-	tick := time.NewTicker(updateInterval)
+	tick := time.NewTicker(loadInterval)
 	defer tick.Stop()
 	for first := true; ; first = false {
+		sentAt := boottime.Now()
 		c.mu.Lock()
 		signal := c.changes.signal
 		c.mu.Unlock()
 		if err := s.stream.Send(c.updateFor(s, first)); err != nil {
 			return err
 		}
+		if err := s.await(signal, tick.C, sentAt, ended); err != nil {
+			return err
+		}
+	}
+}
+
+// await returns when the entry is to be told something. Only on its primary link are
+// that loads, at each tick.
+func (s *subscriber) await(signal <-chan struct{}, tick <-chan time.Time, sentAt time.Time, ended <-chan error) error {
+	for {
 		select {
 		case <-signal:
 			time.Sleep(gatherTime)
+			return nil
 		case <-s.woken:
-		case <-tick.C:
+			return nil
+		case <-tick:
+			if s.primary.Load() || boottime.Now().Sub(sentAt) >= updateInterval {
+				return nil
+			}
 		case err := <-ended:
 			return err
 		case <-s.stream.Context().Done():
@@ -121,7 +137,7 @@
 		FailureDomain: c.opts.FailureDomain,
 	}
 	if s.primary.Load() {
-		u.Loads = c.loads.others(s.nodeID)
+		u.Loads = c.loads.others(boottime.Now(), s.nodeID)
 	}
 	u.Upstreams, u.Forgotten = c.upstreamsChanged(s.sentVersion, boottime.Now())
 	s.sentVersion = c.changes.version
@@ -131,7 +147,7 @@
 	if len(members) != s.sentKeepers || first {
 		s.sentKeepers = len(members)
 		u.Keepers = lo.Map(members, func(m *peerpb.Member, _ int) *peerpb.KeeperAddress {
-			return &peerpb.KeeperAddress{Address: m.GetAddress()}
+			return &peerpb.KeeperAddress{Address: m.GetAddress(), FailureDomain: m.GetFailureDomain()}
 		})
 	}
 	return u
--- a/pkg/control/control_test.go
+++ b/pkg/control/control_test.go
@@ -123,15 +123,32 @@
 func TestLoadsAreSummedOverTheOtherEntries(t *testing.T) {
 	var l loadSums
 	l.init()
-	l.set("n1", []*peerpb.GroupLoad{{Group: "g", Outstanding: 3}})
-	l.set("n2", []*peerpb.GroupLoad{{Group: "g", Outstanding: 4}, {Group: "h", Outstanding: 1}})
-	others := l.others("n1")
+	l.set("n1", true, []*peerpb.GroupLoad{{Group: "g", Outstanding: 3}})
+	l.set("n2", true, []*peerpb.GroupLoad{{Group: "g", Outstanding: 4}, {Group: "h", Outstanding: 1}})
+	others := l.others(start, "n1")
 	require.Len(t, others, 2)
 	assert.EqualValues(t, 4, others[0].GetOutstanding())
-	l.set("n2", nil)
-	assert.Empty(t, l.others("n1"))
+	l.set("n2", true, nil)
+	assert.Empty(t, l.others(start, "n1"))
 	l.remove("n1")
-	assert.Empty(t, l.others("n2"))
+	assert.Empty(t, l.others(start, "n2"))
+}
+
+// An entry's requests count once: at the keeper of its primary link, which tells the
+// other keepers.
+func TestLoadsOfOtherKeepersCountUntilTheyAreOld(t *testing.T) {
+	var l loadSums
+	l.init()
+	l.set("n1", true, []*peerpb.GroupLoad{{Group: "g", Outstanding: 3}})
+	l.set("n2", false, nil)
+	l.told(start, "stream", []*peerpb.GroupLoad{{Group: "g", Outstanding: 4}})
+	assert.EqualValues(t, 7, l.others(start, "n2")[0].GetOutstanding())
+	assert.EqualValues(t, 3, l.own()[0].GetOutstanding(), "what others told is not told on")
+	assert.EqualValues(t, 3, l.others(start.Add(loadMemory+1), "n2")[0].GetOutstanding())
+	l.ended("stream")
+	assert.EqualValues(t, 3, l.others(start, "n2")[0].GetOutstanding())
+	l.set("n1", false, nil)
+	assert.Empty(t, l.own(), "its primary link is elsewhere now")
 }
 
 // Half of a group's time asked for every second keeps half a group busy, from the
@@ -163,8 +180,8 @@
 func TestAnIdleEntryHasNoLoad(t *testing.T) {
 	c := newControl(t)
 	busy, other := &subscriber{nodeID: "n1"}, &subscriber{nodeID: "n2"}
-	c.reported(busy, &peerpb.EntryReport{Loads: []*peerpb.GroupLoad{{Group: "g", Outstanding: 3}}})
-	require.Len(t, c.loads.others(other.nodeID), 1)
-	c.reported(busy, &peerpb.EntryReport{})
-	assert.Empty(t, c.loads.others(other.nodeID))
+	c.reported(busy, &peerpb.EntryReport{Primary: true, Loads: []*peerpb.GroupLoad{{Group: "g", Outstanding: 3}}})
+	require.Len(t, c.loads.others(start, other.nodeID), 1)
+	c.reported(busy, &peerpb.EntryReport{Primary: true})
+	assert.Empty(t, c.loads.others(start, other.nodeID))
 }
--- a/pkg/control/relay.go
+++ b/pkg/control/relay.go
@@ -32,7 +32,9 @@
 	c     *Control
 	mu    sync.Mutex
 	links map[string]*relayLink
-	duty  sync.WaitGroup
+	// toldLoads is true when the loads told last were not none.
+	toldLoads bool
+	duty      sync.WaitGroup
 }
 
 type relayLink struct {
@@ -48,16 +50,33 @@
 	defer r.duty.Wait()
 	look := time.NewTicker(relayLook)
 	defer look.Stop()
+	loads := time.NewTicker(loadInterval)
+	defer loads.Stop()
+	r.follow(ctx)
 	for {
-		r.follow(ctx)
 		select {
 		case <-look.C:
+			r.follow(ctx)
+		case <-loads.C:
+			r.tellLoads()
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// tellLoads tells the other keepers what this one's entries have under way, and once
+// that it is nothing.
+func (r *relays) tellLoads() {
+	r.c.mu.Lock()
+	sums := r.c.loads.own()
+	r.c.mu.Unlock()
+	if len(sums) > 0 || r.toldLoads {
+		r.push(&peerpb.RelayBatch{Loads: &peerpb.LoadSums{Loads: sums}})
+	}
+	r.toldLoads = len(sums) > 0
+}
+
 func (r *relays) follow(ctx context.Context) {
 	wanted := map[string]bool{}
 	for _, m := range r.c.opts.Keeper.Status().Membership.GetMembers() {
@@ -144,6 +163,9 @@
 		all.Upstreams = append(all.Upstreams, b.GetUpstreams()...)
 		all.Evidence = append(all.Evidence, b.GetEvidence()...)
 		all.Demand = append(all.Demand, b.GetDemand()...)
+		if b.GetLoads() != nil {
+			all.Loads = b.GetLoads()
+		}
 		select {
 		case b = <-l.batches.Chan():
 		default:
@@ -154,6 +176,11 @@
 
 // Relay takes in what another keeper passes on.
 func (c *Control) Relay(stream grpc.ClientStreamingServer[peerpb.RelayBatch, peerpb.RelayClosed]) error {
+	defer func() {
+		c.mu.Lock()
+		c.loads.ended(stream)
+		c.mu.Unlock()
+	}()
 	for {
 		b, err := stream.Recv()
 		if errors.Is(err, io.EOF) {
@@ -166,6 +193,11 @@
 		for _, r := range b.GetUpstreams() {
 			c.note(fleet.Decode(r, now))
 		}
+		if b.GetLoads() != nil {
+			c.mu.Lock()
+			c.loads.told(now, stream, b.GetLoads().GetLoads())
+			c.mu.Unlock()
+		}
 		if len(b.GetEvidence()) > 0 || len(b.GetDemand()) > 0 {
 			c.inbox.Push(entryReport{b.GetEvidence(), b.GetDemand()})
 		}
--- a/pkg/forward/entry.go
+++ b/pkg/forward/entry.go
@@ -180,9 +180,8 @@
 func (e *Entry) Report(now time.Time, primary bool, r *peerpb.EntryReport) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	r.Loads = e.placer.loads()
 	r.Evidence = e.reports.takeEvidence(now, primary, e.placer)
 	if primary {
-		r.Demand = e.reports.takeDemand()
+		r.Loads, r.Demand = e.placer.loads(), e.reports.takeDemand()
 	}
 }
