Attach: links go to keepers of the own failure domain first

Cause: entries chose three keepers by hash alone. With six keepers one entry in five had none in its own failure domain, and with two near ones the primary link changed with each update. Change: keepers' failure domains are told; two links stay in the own domain where there are as many keepers, the third leaves it; a keeper that failed of late comes last; surplus links end once the best are attached. The primary link changes only for a nearer one. Links that are not primary carry a report only when it holds something. Tests: TestKeepersOfTheOwnFailureDomainArePreferred, TestSurplusLinksEndOnceTheBestAreAttached and the added lines of TestThePrimaryLinkIsOfTheOwnFailureDomain, written with the code; the latter fails without it. TestLinksGoToTheKeepersThatAreKnown now also asserts the first link.

--- a/pkg/attach/attach.go
+++ b/pkg/attach/attach.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -20,9 +21,6 @@
 )
 
 const (
-	// maxLinks is the number of keepers that an entry is attached to: one may be lost
-	// and one cut off.
-	maxLinks = 3
 	// lookInterval is the time between two looks at which keepers to attach to.
 	lookInterval = 500 * time.Millisecond
 	// updatesSize bounds the updates that wait; a link that cannot queue one is ended,
@@ -56,10 +54,14 @@
 	wake    chan struct{}
 
 	mu      sync.Mutex
-	keepers []string
+	keepers []keeperAt
 	links   map[string]*link
-	// primary is the link that carries loads and demand.
-	primary string
+	// failedAt is when a link to a keeper last failed.
+	failedAt map[string]time.Time
+	// primary is the link that carries loads and demand, and primaryNear is true when it
+	// goes to a keeper of the own failure domain.
+	primary     string
+	primaryNear bool
 
 	sources map[string]*source
 	loads   map[string]int
@@ -78,7 +80,7 @@
 // New returns an attachment that is not running yet.
 func New(opts Options) *Attachment {
 	a := &Attachment{
-		opts: opts, updates: ring.New[update](updatesSize, ring.Refuse), links: map[string]*link{},
+		opts: opts, updates: ring.New[update](updatesSize, ring.Refuse), links: map[string]*link{}, failedAt: map[string]time.Time{},
 		sources: map[string]*source{}, loads: map[string]int{}, wake: make(chan struct{}, 1),
 	}
 	a.view.Store(&View{})
@@ -107,16 +109,18 @@
 	look := time.NewTicker(lookInterval)
 	defer look.Stop()
 	for {
-		for _, address := range a.missing() {
-			l := &link{a: a, address: address}
+		for _, address := range a.missing(boottime.Now()) {
+			running, stop := context.WithCancel(ctx)
+			l := &link{a: a, address: address, stop: stop}
 			a.mu.Lock()
 			a.links[address] = l
 			a.mu.Unlock()
 			duties.Go(func() {
-				l.run(ctx)
+				l.run(running)
 				a.unlink(l)
 			})
 		}
+		a.endSurplus()
 		select {
 		case <-look.C:
 		case <-ctx.Done():
@@ -125,34 +129,60 @@
 	}
 }
 
-// missing returns the keepers to attach to. Each entry goes through them in another
-// order, so that the entries spread.
-func (a *Attachment) missing() []string {
+// preferred returns the keepers that are known, the best first; the caller holds the lock.
+func (a *Attachment) preferred(now time.Time) []string {
+	known := slices.Clone(a.keepers)
+	for _, seed := range a.opts.Seeds() {
+		if !slices.ContainsFunc(known, func(k keeperAt) bool { return k.address == seed }) {
+			known = append(known, keeperAt{address: seed})
+		}
+	}
+	return prefer(a.opts.NodeID, a.opts.FailureDomain, known, a.failedAt, now)
+}
+
+// missing returns the keepers to attach to: of the best ones those without a link.
+func (a *Attachment) missing(now time.Time) []string {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	known := lo.Uniq(append(slices.Clone(a.keepers), a.opts.Seeds()...))
-	slices.SortFunc(known, func(x, y string) int { return order(a.opts.NodeID, x, y) })
-	var missing []string
-	for _, address := range known {
-		if len(a.links)+len(missing) >= maxLinks {
-			break
-		}
-		if a.links[address] == nil {
-			missing = append(missing, address)
+	preferred := a.preferred(now)
+	return lo.Filter(preferred[:min(maxLinks, len(preferred))], func(address string, _ int) bool { return a.links[address] == nil })
+}
+
+// endSurplus ends links to other keepers than the best once those are all attached.
+func (a *Attachment) endSurplus() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	preferred := a.preferred(boottime.Now())
+	best := preferred[:min(maxLinks, len(preferred))]
+	if len(best) == 0 || !lo.EveryBy(best, func(address string) bool { l := a.links[address]; return l != nil && l.attached.Load() }) {
+		return
+	}
+	for address, l := range a.links {
+		if !slices.Contains(best, address) {
+			a.opts.Log.Info().Str("keeper", address).Strs("attached", best).Msg("keeper_left")
+			l.stop()
 		}
 	}
-	return missing
 }
 
 func (a *Attachment) unlink(l *link) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	l.stop()
 	delete(a.links, l.address)
 	if a.primary == l.address {
-		a.primary = ""
+		a.primary, a.primaryNear = "", false
 	}
 }
 
+// failed notes that a link to a keeper broke.
+func (a *Attachment) failed(address string, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	maps.DeleteFunc(a.failedAt, func(_ string, at time.Time) bool { return now.Sub(at) >= failedFor })
+	a.failedAt[address] = now
+}
+
 // isPrimary reports whether a link carries loads, demand and documents. A keeper of
 // the entry's own failure domain goes first.
 func (a *Attachment) isPrimary(address string) bool {
@@ -161,12 +191,14 @@
 	return a.primary == address
 }
 
-// choosePrimary takes in that a keeper of a failure domain sent an update.
+// choosePrimary takes in that a keeper of a failure domain sent an update. The primary
+// one changes only for a nearer one: loads are summed up where they are reported.
 func (a *Attachment) choosePrimary(address, failureDomain string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.primary == "" || failureDomain == a.opts.FailureDomain {
-		a.primary = address
+	near := failureDomain == a.opts.FailureDomain
+	if a.primary == "" || near && !a.primaryNear {
+		a.primary, a.primaryNear = address, near
 	}
 }
 
@@ -210,7 +242,9 @@
 	changed := f.GetFull() || len(f.GetUpstreams())+len(f.GetForgotten()) > 0
 	if len(f.GetKeepers()) > 0 {
 		a.mu.Lock()
-		a.keepers = lo.Map(f.GetKeepers(), func(k *peerpb.KeeperAddress, _ int) string { return k.GetAddress() })
+		a.keepers = lo.Map(f.GetKeepers(), func(k *peerpb.KeeperAddress, _ int) keeperAt {
+			return keeperAt{k.GetAddress(), k.GetFailureDomain()}
+		})
 		a.mu.Unlock()
 	}
 	if a.isPrimary(u.keeper) {
--- a/pkg/attach/link.go
+++ b/pkg/attach/link.go
@@ -5,7 +5,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"google.golang.org/grpc"
 
 	"github.com/masticmount/masticmount/pkg/boottime"
@@ -28,31 +27,20 @@
 type link struct {
 	a       *Attachment
 	address string
-	// heardAt is when the last update came, in nanoseconds of boot time.
-	heardAt atomic.Int64
-}
-
-// order sorts keepers by a hash of both ends.
-func order(node, x, y string) int {
-	hx, hy := xxhash.Sum64String(node+x), xxhash.Sum64String(node+y)
-	switch {
-	case hx < hy:
-		return -1
-	case hx > hy:
-		return 1
-	default:
-		return 0
-	}
+	// attached is true once the keeper has sent an update.
+	attached atomic.Bool
+	stop     context.CancelFunc
 }
 
 // run keeps the stream for as long as it works.
 func (l *link) run(ctx context.Context) {
 	err := l.stream(ctx)
+	l.a.updates.Push(update{keeper: l.address, lost: true})
 	if ctx.Err() != nil {
 		return
 	}
 	l.a.opts.Log.Warn().AnErr("reason", err).Str("keeper", l.address).Msg("keeper_lost")
-	l.a.updates.Push(update{keeper: l.address, lost: true})
+	l.a.failed(l.address, boottime.Now())
 	// The next stream takes a new connection: this one may be silent for good.
 	l.a.opts.Dialer.Reset(l.address)
 	select {
@@ -68,8 +56,6 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	now := boottime.Now()
-	l.heardAt.Store(now.UnixNano())
 	watch := time.AfterFunc(silenceLimit, func() { cancel(errSilent) })
 	defer watch.Stop()
 	stream, err := peerpb.NewFleetClient(conn).Attach(ctx)
@@ -86,6 +72,7 @@
 			return err
 		}
 		watch.Reset(silenceLimit)
+		l.attached.Store(true)
 		if first {
 			l.a.opts.Log.Info().Str("keeper", l.address).Uint64("document", f.GetDocumentVersion()).Msg("keeper_attached")
 		}
@@ -110,9 +97,11 @@
 			confirmAt, r.ConfirmToken = now, l.a.fresh.token(now)
 		}
 		l.a.report(now, r.GetPrimary(), r)
-		if err := stream.Send(r); err != nil {
-			cancel(err)
-			return
+		if first || r.GetPrimary() || r.GetConfirmToken() > 0 || len(r.GetEvidence()) > 0 {
+			if err := stream.Send(r); err != nil {
+				cancel(err)
+				return
+			}
 		}
 		select {
 		case <-tick.C:
--- a/pkg/attach/view_test.go
+++ b/pkg/attach/view_test.go
@@ -1,10 +1,13 @@
 package attach
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
+	"github.com/samber/lo"
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/masticmount/masticmount/pkg/document"
 	"github.com/masticmount/masticmount/pkg/fleet"
@@ -100,11 +103,56 @@
 
 func TestLinksGoToTheKeepersThatAreKnown(t *testing.T) {
 	a := New(Options{NodeID: "n", FailureDomain: "fd-a", Seeds: func() []string { return []string{"s1", "s2"} }})
-	assert.ElementsMatch(t, []string{"s1", "s2"}, a.missing())
-	a.keepers = []string{"k1", "k2", "s1"}
-	assert.Len(t, a.missing(), maxLinks)
-	a.links["s1"], a.links["k1"], a.links["k2"] = &link{}, &link{}, &link{}
-	assert.Empty(t, a.missing())
+	assert.ElementsMatch(t, []string{"s1", "s2"}, a.missing(start))
+	a.keepers = []keeperAt{{"k1", "fd-a"}, {"k2", "fd-b"}, {"s1", "fd-c"}}
+	missing := a.missing(start)
+	assert.Len(t, missing, maxLinks)
+	assert.Equal(t, "k1", missing[0], "that of the own failure domain")
+	for _, address := range missing {
+		a.links[address] = &link{}
+	}
+	assert.Empty(t, a.missing(start))
+}
+
+func TestKeepersOfTheOwnFailureDomainArePreferred(t *testing.T) {
+	keepers := []keeperAt{{"a1", "fd-a"}, {"a2", "fd-a"}, {"a3", "fd-a"}, {"b1", "fd-b"}, {"c1", "fd-c"}, {"seed", ""}}
+	near := []string{"a1", "a2", "a3"}
+	firstFar := map[string]bool{}
+	for node := range 40 {
+		order := prefer(fmt.Sprint(node), "fd-a", keepers, nil, start)
+		require.Len(t, order, len(keepers))
+		assert.Contains(t, near, order[0])
+		assert.Contains(t, near, order[1])
+		assert.NotContains(t, near, order[2], "one link leaves the failure domain")
+		assert.Contains(t, near, order[5])
+		firstFar[order[2]] = true
+	}
+	assert.Len(t, firstFar, 3, "entries spread over the others")
+	failed := map[string]time.Time{"a1": start, "a2": start}
+	order := prefer("n", "fd-a", keepers, failed, start.Add(time.Second))
+	assert.Equal(t, "a3", order[0])
+	assert.ElementsMatch(t, []string{"a1", "a2"}, order[4:], "what failed of late comes last")
+	assert.Contains(t, []string{"a1", "a2"}, prefer("n", "fd-a", keepers[:2], failed, start.Add(time.Second))[0])
+	assert.Equal(t, prefer("n", "fd-a", keepers, nil, start), prefer("n", "fd-a", keepers, failed, start.Add(failedFor)))
+}
+
+// Links beyond the best ones end only when those are attached.
+func TestSurplusLinksEndOnceTheBestAreAttached(t *testing.T) {
+	a := New(Options{NodeID: "n", FailureDomain: "fd-a", Seeds: func() []string { return nil }})
+	a.keepers = []keeperAt{{"a1", "fd-a"}, {"a2", "fd-a"}, {"b1", "fd-b"}, {"old", "fd-a"}}
+	ended := map[string]bool{}
+	for _, address := range []string{"a1", "a2", "b1", "old"} {
+		a.links[address] = &link{address: address, stop: func() { ended[address] = true }}
+	}
+	best := a.preferred(start)[:maxLinks]
+	a.links[best[0]].attached.Store(true)
+	a.links[best[1]].attached.Store(true)
+	a.endSurplus()
+	assert.Empty(t, ended)
+	a.links[best[2]].attached.Store(true)
+	a.endSurplus()
+	assert.Len(t, ended, 1)
+	assert.NotContains(t, best, lo.Keys(ended)[0])
 }
 
 func TestThePrimaryLinkIsOfTheOwnFailureDomain(t *testing.T) {
@@ -115,7 +163,9 @@
 	assert.True(t, a.isPrimary("near"))
 	a.choosePrimary("far", "fd-b")
 	assert.True(t, a.isPrimary("near"))
-	a.unlink(&link{address: "near"})
+	a.choosePrimary("near-too", "fd-a")
+	assert.True(t, a.isPrimary("near"), "it does not change between two near ones")
+	a.unlink(&link{address: "near", stop: func() {}})
 	assert.False(t, a.isPrimary("near"))
 }
 
