Peers: streams of records and loads are compressed

Streams between nodes repeat the same records and names. Change: gzip (grpc-go's own) on Attach and Relay.

--- a/pkg/attach/link.go
+++ b/pkg/attach/link.go
@@ -9,6 +9,7 @@
 
 	"github.com/masticmount/masticmount/pkg/boottime"
 	"github.com/masticmount/masticmount/pkg/peerpb"
+	"github.com/masticmount/masticmount/pkg/peers"
 )
 
 const (
@@ -58,7 +59,7 @@
 	defer cancel(nil)
 	watch := time.AfterFunc(silenceLimit, func() { cancel(errSilent) })
 	defer watch.Stop()
-	stream, err := peerpb.NewFleetClient(conn).Attach(ctx)
+	stream, err := peerpb.NewFleetClient(conn).Attach(ctx, peers.Compressed())
 	if err != nil {
 		return err
 	}
--- a/pkg/control/relay.go
+++ b/pkg/control/relay.go
@@ -12,6 +12,7 @@
 	"github.com/masticmount/masticmount/pkg/boottime"
 	"github.com/masticmount/masticmount/pkg/fleet"
 	"github.com/masticmount/masticmount/pkg/peerpb"
+	"github.com/masticmount/masticmount/pkg/peers"
 	"github.com/masticmount/masticmount/pkg/ring"
 )
 
@@ -137,7 +138,7 @@
 	if err != nil {
 		return err
 	}
-	stream, err := peerpb.NewFleetClient(conn).Relay(ctx)
+	stream, err := peerpb.NewFleetClient(conn).Relay(ctx, peers.Compressed())
 	if err != nil {
 		return err
 	}
