Forward: one budget of repeats for each service, shared by all entries

Cause: each entry had its own 15% and 8 saved repeats for all services together. Change: entries count requests and repeats by service, keepers sum them over 10 s with the loads; an entry earns 10% of its own requests and takes its part of what all left of 15% once a second; saved repeats are 60 for the region. TestRepeatsStayWithinTheirShare now checks the own 10%.

--- a/pkg/attach/attach.go
+++ b/pkg/attach/attach.go
@@ -66,6 +66,8 @@
 	sources map[string]*source
 	loads   map[string]int
 	loadsAt time.Time
+	entries int
+	repeats []*peerpb.RepeatCount
 	doc     *document.Document
 }
 
@@ -261,6 +263,7 @@
 
 func (a *Attachment) takeLoads(f *peerpb.FleetUpdate, now time.Time) {
 	a.loads, a.loadsAt = map[string]int{}, now
+	a.entries, a.repeats = int(f.GetEntries()), f.GetRepeats()
 	for _, g := range f.GetLoads() {
 		a.loads[g.GetGroup()] = int(g.GetOutstanding())
 	}
@@ -281,7 +284,10 @@
 }
 
 func (a *Attachment) publish() {
-	v := &View{Document: a.doc, Targets: targetsOf(a.doc, merge(a.sources)), Loads: a.loads, LoadsAt: a.loadsAt}
+	v := &View{
+		Document: a.doc, Targets: targetsOf(a.doc, merge(a.sources)), Loads: a.loads, LoadsAt: a.loadsAt,
+		Entries: a.entries, Repeats: a.repeats,
+	}
 	a.view.Store(v)
 	a.onView(v)
 }
--- a/pkg/attach/view.go
+++ b/pkg/attach/view.go
@@ -35,6 +35,10 @@
 	Targets  []Target
 	// Loads are the requests that other entries have at each target.
 	Loads map[string]int
+	// Entries is the number of entries of the region, 0 while that is not known, and
+	// Repeats what all of them counted in the window of the budget of repeats.
+	Entries int
+	Repeats []*peerpb.RepeatCount
 	// LoadsAt is when these were told, by boot time.
 	LoadsAt time.Time
 }
--- a/pkg/control/attach.go
+++ b/pkg/control/attach.go
@@ -77,7 +77,7 @@
 		c.confirms.ask(s, r.GetConfirmToken())
 	}
 	c.mu.Lock()
-	c.loads.set(s.nodeID, r.GetPrimary(), r.GetLoads())
+	c.loads.set(boottime.Now(), s.nodeID, r)
 	c.mu.Unlock()
 	if len(r.GetEvidence()) == 0 && len(r.GetDemand()) == 0 {
 		return
@@ -137,7 +137,8 @@
 		FailureDomain: c.opts.FailureDomain,
 	}
 	if s.primary.Load() {
-		u.Loads = c.loads.others(boottime.Now(), s.nodeID)
+		sums := c.loads.all(boottime.Now(), s.nodeID)
+		u.Loads, u.Entries, u.Repeats = sums.GetLoads(), sums.GetEntries(), sums.GetRepeats()
 	}
 	u.Upstreams, u.Forgotten = c.upstreamsChanged(s.sentVersion, boottime.Now())
 	s.sentVersion = c.changes.version
--- a/pkg/control/control_test.go
+++ b/pkg/control/control_test.go
@@ -120,18 +120,22 @@
 	assert.Zero(t, f.confirmed(one))
 }
 
+func groupLoads(group string, outstanding uint32) *peerpb.EntryReport {
+	return &peerpb.EntryReport{Primary: true, Loads: []*peerpb.GroupLoad{{Group: group, Outstanding: outstanding}}}
+}
+
 func TestLoadsAreSummedOverTheOtherEntries(t *testing.T) {
 	var l loadSums
 	l.init()
-	l.set("n1", true, []*peerpb.GroupLoad{{Group: "g", Outstanding: 3}})
-	l.set("n2", true, []*peerpb.GroupLoad{{Group: "g", Outstanding: 4}, {Group: "h", Outstanding: 1}})
-	others := l.others(start, "n1")
+	l.set(start, "n1", groupLoads("g", 3))
+	l.set(start, "n2", &peerpb.EntryReport{Primary: true, Loads: []*peerpb.GroupLoad{{Group: "g", Outstanding: 4}, {Group: "h", Outstanding: 1}}})
+	others := l.all(start, "n1").GetLoads()
 	require.Len(t, others, 2)
 	assert.EqualValues(t, 4, others[0].GetOutstanding())
-	l.set("n2", true, nil)
-	assert.Empty(t, l.others(start, "n1"))
+	l.set(start, "n2", &peerpb.EntryReport{Primary: true})
+	assert.Empty(t, l.all(start, "n1").GetLoads())
 	l.remove("n1")
-	assert.Empty(t, l.others(start, "n2"))
+	assert.Empty(t, l.all(start, "n2").GetLoads())
 }
 
 // An entry's requests count once: at the keeper of its primary link, which tells the
@@ -139,16 +143,30 @@
 func TestLoadsOfOtherKeepersCountUntilTheyAreOld(t *testing.T) {
 	var l loadSums
 	l.init()
-	l.set("n1", true, []*peerpb.GroupLoad{{Group: "g", Outstanding: 3}})
-	l.set("n2", false, nil)
-	l.told(start, "stream", []*peerpb.GroupLoad{{Group: "g", Outstanding: 4}})
-	assert.EqualValues(t, 7, l.others(start, "n2")[0].GetOutstanding())
-	assert.EqualValues(t, 3, l.own()[0].GetOutstanding(), "what others told is not told on")
-	assert.EqualValues(t, 3, l.others(start.Add(loadMemory+1), "n2")[0].GetOutstanding())
+	l.set(start, "n1", groupLoads("g", 3))
+	l.set(start, "n2", &peerpb.EntryReport{})
+	l.told(start, "stream", &peerpb.LoadSums{Entries: 2, Loads: groupLoads("g", 4).GetLoads()})
+	sum := func(now time.Time) uint32 { return l.all(now, "n2").GetLoads()[0].GetOutstanding() }
+	assert.EqualValues(t, 7, sum(start))
+	assert.EqualValues(t, 3, l.all(start, "n2").GetEntries(), "every primary link counts")
+	assert.EqualValues(t, 3, l.own(start).GetLoads()[0].GetOutstanding(), "what others told is not told on")
+	assert.EqualValues(t, 3, sum(start.Add(loadMemory+1)))
 	l.ended("stream")
-	assert.EqualValues(t, 3, l.others(start, "n2")[0].GetOutstanding())
-	l.set("n1", false, nil)
-	assert.Empty(t, l.own(), "its primary link is elsewhere now")
+	assert.EqualValues(t, 3, sum(start))
+	l.set(start, "n1", &peerpb.EntryReport{})
+	assert.Empty(t, l.own(start).GetLoads(), "its primary link is elsewhere now")
+}
+
+func TestRepeatsAreCountedOverTheWindow(t *testing.T) {
+	var u repeatUsage
+	count := func(requests, repeats uint32) []*peerpb.RepeatCount {
+		return []*peerpb.RepeatCount{{Service: "pool", Requests: requests, Repeats: repeats}}
+	}
+	u.add(start, count(10, 1))
+	u.add(start.Add(5*time.Second), count(20, 2))
+	assert.EqualValues(t, 30, u.sum(start.Add(5 * time.Second))["pool"].GetRequests())
+	assert.EqualValues(t, 20, u.sum(start.Add(repeatWindow))["pool"].GetRequests())
+	assert.Empty(t, u.sum(start.Add(time.Minute)))
 }
 
 // Half of a group's time asked for every second keeps half a group busy, from the
@@ -181,7 +199,7 @@
 	c := newControl(t)
 	busy, other := &subscriber{nodeID: "n1"}, &subscriber{nodeID: "n2"}
 	c.reported(busy, &peerpb.EntryReport{Primary: true, Loads: []*peerpb.GroupLoad{{Group: "g", Outstanding: 3}}})
-	require.Len(t, c.loads.others(start, other.nodeID), 1)
+	require.Len(t, c.loads.all(start, other.nodeID).GetLoads(), 1)
 	c.reported(busy, &peerpb.EntryReport{Primary: true})
-	assert.Empty(t, c.loads.others(start, other.nodeID))
+	assert.Empty(t, c.loads.all(start, other.nodeID).GetLoads())
 }
--- a/pkg/control/relay.go
+++ b/pkg/control/relay.go
@@ -70,12 +70,13 @@
 // that it is nothing.
 func (r *relays) tellLoads() {
 	r.c.mu.Lock()
-	sums := r.c.loads.own()
+	sums := r.c.loads.own(boottime.Now())
 	r.c.mu.Unlock()
-	if len(sums) > 0 || r.toldLoads {
-		r.push(&peerpb.RelayBatch{Loads: &peerpb.LoadSums{Loads: sums}})
+	some := sums.GetEntries() > 0 || len(sums.GetRepeats()) > 0
+	if some || r.toldLoads {
+		r.push(&peerpb.RelayBatch{Loads: sums})
 	}
-	r.toldLoads = len(sums) > 0
+	r.toldLoads = some
 }
 
 func (r *relays) follow(ctx context.Context) {
@@ -196,7 +197,7 @@
 		}
 		if b.GetLoads() != nil {
 			c.mu.Lock()
-			c.loads.told(now, stream, b.GetLoads().GetLoads())
+			c.loads.told(now, stream, b.GetLoads())
 			c.mu.Unlock()
 		}
 		if len(b.GetEvidence()) > 0 || len(b.GetDemand()) > 0 {
--- a/pkg/forward/entry.go
+++ b/pkg/forward/entry.go
@@ -108,7 +108,9 @@
 func (e *Entry) OnView(v *attach.View) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.deliver(e.placer.Update(boottime.Now(), v))
+	now := boottime.Now()
+	e.repeats.told(now, v)
+	e.deliver(e.placer.Update(now, v))
 }
 
 // deliver hands granted targets to those who wait; the caller holds the lock.
@@ -182,6 +184,6 @@
 	defer e.mu.Unlock()
 	r.Evidence = e.reports.takeEvidence(now, primary, e.placer)
 	if primary {
-		r.Loads, r.Demand = e.placer.loads(), e.reports.takeDemand()
+		r.Loads, r.Demand, r.Repeats = e.placer.loads(), e.reports.takeDemand(), e.repeats.counts()
 	}
 }
--- a/pkg/forward/outcome_test.go
+++ b/pkg/forward/outcome_test.go
@@ -67,13 +67,13 @@
 	r := newRepeats()
 	taken := 0
 	for range 1000 {
-		r.request()
-		if r.take() {
+		r.request("pool")
+		if r.take("pool") {
 			taken++
 		}
 	}
-	assert.LessOrEqual(t, taken, repeatBurst+int(1000*repeatRatio)+1)
-	assert.GreaterOrEqual(t, taken, int(1000*repeatRatio)-1)
+	assert.LessOrEqual(t, taken, maxBurst+int(1000*ownRatio)+1)
+	assert.GreaterOrEqual(t, taken, int(1000*ownRatio)-1)
 }
 
 func TestEventsArePassedOnWhole(t *testing.T) {
--- a/pkg/forward/session.go
+++ b/pkg/forward/session.go
@@ -79,7 +79,7 @@
 		caller.Watch(func() { s.cancel(errCallerGone) })
 	}
 	e.mu.Lock()
-	e.repeats.request()
+	e.repeats.request(r.service.Name)
 	if r.modelName != "" {
 		e.reports.arrived(r.modelName, r.work)
 	}
@@ -233,7 +233,7 @@
 func (s *session) mayRepeatNow() bool {
 	s.e.mu.Lock()
 	defer s.e.mu.Unlock()
-	return s.mayRepeat() && s.e.repeats.left >= 1
+	return s.mayRepeat() && s.e.repeats.has(s.r.service.Name)
 }
 
 // mayRepeat reports whether the route, the time left and what became of the sends so
@@ -261,7 +261,7 @@
 	if err.Reason != dispatch.Canceled && err.Reason != dispatch.Failed {
 		s.suspect(now, err)
 	}
-	again := s.ctx.Err() == nil && s.mayRepeat() && (!err.Sent || e.repeats.take())
+	again := s.ctx.Err() == nil && s.mayRepeat() && (!err.Sent || e.repeats.take(s.r.service.Name))
 	e.mu.Unlock()
 	s.release()
 	return again
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -74,7 +74,7 @@
 	if !e.placer.AnsweredSince(s.target, now.Add(-eventSilence/2)) {
 		e.reports.stall(now, s.target)
 	}
-	return s.mayRepeat() && e.repeats.left >= 1 && e.placer.HasRoom(now, w)
+	return s.mayRepeat() && e.repeats.has(s.r.service.Name) && e.placer.HasRoom(now, w)
 }
 
 // Read implements io.Reader. It goes on at another target when one breaks.
