Keeper: the second change of a replaced vote follows the first at once

In that second a region of five votes has four, and the loss of two more leaves no majority. Ruled out: nothing for certain. Change: after a change the leader looks again at the next tick (50 ms). Test: TestTheSecondChangeOfAReplacementFollowsAtOnce (does not compile before).

--- a/pkg/keeper/growth_test.go
+++ b/pkg/keeper/growth_test.go
@@ -64,3 +64,20 @@
 	members[4].Learner = false
 	require.EqualValues(t, 6, g.next(1, growthStatus(members, 1, 2, 3, 4, 5, 6), 5).GetIdentity())
 }
+
+// The two changes that replace a vote follow each other without a pause: between them
+// the loss of one keeper less is borne.
+func TestTheSecondChangeOfAReplacementFollowsAtOnce(t *testing.T) {
+	var s looks
+	require.True(t, s.due(0))
+	s.nothing(40)
+	require.False(t, s.due(40+replacementTicks-1))
+	require.True(t, s.due(40+replacementTicks))
+	s.proposed(60, nil)
+	require.True(t, s.due(61))
+	s.proposed(61, regionlog.ErrChangePending)
+	require.True(t, s.due(62), "the first is not committed yet")
+	s.proposed(62, regionlog.ErrNotCaughtUp)
+	require.False(t, s.due(63))
+	require.True(t, s.due(62+replacementTicks))
+}
--- a/pkg/keeper/logduty.go
+++ b/pkg/keeper/logduty.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"errors"
 	"time"
 
 	"github.com/masticmount/masticmount/pkg/boottime"
@@ -15,6 +16,24 @@
 // replacementTicks pass between two looks for a lost identity to replace: 1 s.
 const replacementTicks = 20
 
+// looks says when the leader looks for the next change of the membership. A vote that
+// is replaced takes two changes, and between them the loss of fewer keepers is borne:
+// the second follows as soon as the first is committed.
+type looks struct{ next uint64 }
+
+func (s *looks) due(tick uint64) bool { return tick >= s.next }
+
+// nothing notes that there was no change to make.
+func (s *looks) nothing(tick uint64) { s.next = tick + replacementTicks }
+
+// proposed notes what became of a change.
+func (s *looks) proposed(tick uint64, err error) {
+	s.next = tick + 1
+	if err != nil && !errors.Is(err, regionlog.ErrChangePending) {
+		s.next = tick + replacementTicks
+	}
+}
+
 // logDuty owns the protocol and the disk.
 type logDuty struct {
 	k       *Keeper
@@ -27,6 +46,7 @@
 	hardState *peerpb.HardState
 	published regionlog.Status
 	growth    growth
+	looks     looks
 	// refreshed is the membership that the transport was last told.
 	refreshed *peerpb.Membership
 }
@@ -90,7 +110,7 @@
 	l.machine.Tick()
 	l.k.tickedAt.Store(boottime.Now().UnixNano())
 	l.ticks++
-	if l.ticks%replacementTicks == 0 {
+	if l.looks.due(l.ticks) {
 		l.replaceLost()
 	}
 }
@@ -103,9 +123,14 @@
 		change = l.growth.next(l.ticks, l.machine.Status(), l.k.opts.Grow)
 	}
 	if change == nil {
+		l.looks.nothing(l.ticks)
 		return
 	}
 	_, _, err := l.machine.ProposeMembership(time.Now().UnixMilli(), change)
+	l.looks.proposed(l.ticks, err)
+	if errors.Is(err, regionlog.ErrChangePending) {
+		return
+	}
 	l.k.opts.Log.Info().Str("action", change.GetAction().String()).Uint64("identity", change.GetIdentity()).
 		AnErr("refused", err).Msg("keeper_replacement")
 }
