Forward: late requests wait behind those on time; free room is shared out

Change: once an entry's picture shows less free room than twice what is on its way unseen, each entry takes its share of the room and replaces its own requests as they end. A request that cannot meet its objective any more (by the measured time to the first event) waits behind the others, up to 1.2 s, and leaves a fifth of the slots to them; the line is as long as what was served of it of late; the rest is refused at once, with a Retry-After within a third of the caller's time, late in it while no late request is served. Told loads fade with what ended since.

--- a/pkg/forward/entry.go
+++ b/pkg/forward/entry.go
@@ -98,12 +98,20 @@
 		select {
 		case now := <-sweep.C:
 			e.opts.Client.Sweep(now)
+			e.measure()
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// measure sets the gauges of the configuration.
+func (e *Entry) measure() {
+	e.opts.Metrics.Set("config.age_ms", min(e.opts.Age(), time.Hour).Milliseconds())
+	e.opts.Metrics.Set("config.version", int64(e.opts.View().Document.VersionOrZero()))
+	e.opts.Metrics.Set("requests.in_flight", e.inFlight.Load())
+}
+
 // OnView takes in a new view.
 func (e *Entry) OnView(v *attach.View) {
 	e.mu.Lock()
--- a/pkg/forward/placer.go
+++ b/pkg/forward/placer.go
@@ -41,6 +41,13 @@
 	Service, Model string
 	// Rank orders waiting requests; lower goes first.
 	Rank float64
+	// ObjectiveAt is when the first event is due; zero where it does not matter any more.
+	ObjectiveAt time.Time
+	// Late requests cannot be answered by then. They wait behind the others, which still
+	// can, and leave them places.
+	Late bool
+	// Left is what is left of the caller's time.
+	Left time.Duration
 	// GiveUpAt is when waiting any longer does not help the caller.
 	GiveUpAt time.Time
 	// Excluded are targets that the request was sent to before.
@@ -55,6 +62,8 @@
 	Target *attach.Target
 	// Waiting is true when a Grant or the end of its patience follows.
 	Waiting bool
+	// LateAt is when a waiting request becomes late; zero where it is or never will be.
+	LateAt time.Time
 	// RetryAfter is when to come back after a refusal.
 	RetryAfter time.Duration
 	// Reason names a refusal.
@@ -110,6 +119,10 @@
 	views uint64
 	// loadsAt is when the other entries' loads were last told.
 	loadsAt time.Time
+	// entries is the number of entries that share the targets, as last told.
+	entries int
+	// sharedAt is when the free room was last shared out.
+	sharedAt time.Time
 }
 
 // NewPlacer returns a placer of an entry in a failure domain.
@@ -132,7 +145,8 @@
 		s.target, s.seen, s.others = t, p.views, v.Loads[key]
 	}
 	maps.DeleteFunc(p.slots, func(_ string, s *slot) bool { return s.seen != p.views && s.own == 0 })
-	p.keys, p.loadsAt = slices.Sorted(maps.Keys(p.slots)), v.LoadsAt
+	p.keys, p.loadsAt, p.entries = slices.Sorted(maps.Keys(p.slots)), v.LoadsAt, v.Entries
+	p.shareRoom(now)
 	return p.grant(now)
 }
 
@@ -147,32 +161,58 @@
 // Arrive places a request, has it wait or refuses it.
 func (p *Placer) Arrive(now time.Time, w Work) Placement {
 	l := p.lane(w)
-	if len(l.waiting) == 0 || l.waiting[0].Rank > w.Rank {
+	w.Late = w.Late || l.late(now, &w, 0)
+	if len(l.waiting) == 0 || l.waiting[0].rank() > w.rank() {
 		if s := p.pick(now, &w); s != nil {
-			return Placement{Target: p.take(now, s, l, w.Hold)}
+			return Placement{Target: p.take(now, s, l, &w)}
 		}
 	}
+	return p.queue(now, l, w)
+}
+
+// queue has a request wait, or refuses it when it would wait for too long.
+func (p *Placer) queue(now time.Time, l *lane, w Work) Placement {
 	capacity := p.capacity(now, &w)
-	switch {
-	case capacity == 0:
-		return Placement{Reason: NoTarget, RetryAfter: retryAfter(p.rand)}
-	case now.Add(l.expectedWait(&w, capacity)).After(w.GiveUpAt):
-		return Placement{Reason: Crowded, RetryAfter: retryAfter(p.rand)}
+	if capacity == 0 {
+		return p.refuse(now, l, &w, NoTarget)
+	}
+	wait := l.expectedWait(now, &w, capacity)
+	if !w.Late && l.late(now, &w, wait) {
+		w.Late = true
+		wait = l.expectedWait(now, &w, capacity)
+	}
+	if now.Add(wait).After(w.GiveUpAt) {
+		return p.refuse(now, l, &w, Crowded)
 	}
 	l.insert(w)
-	return Placement{Waiting: true}
+	return Placement{Waiting: true, LateAt: l.lateAt(&w)}
+}
+
+// Delayed puts a waiting request whose objective has passed behind the others. It
+// returns false when the request was granted already.
+func (p *Placer) Delayed(now time.Time, w Work) (Placement, bool) {
+	l := p.lane(w)
+	if !l.remove(w.ID) {
+		return Placement{}, false
+	}
+	w.Late = true
+	return p.queue(now, l, w), true
+}
+
+func (p *Placer) refuse(now time.Time, l *lane, w *Work, reason Reason) Placement {
+	return Placement{Reason: reason, RetryAfter: retryAfter(p.rand, w.Left, l.full(now))}
 }
 
 // HasRoom reports whether a request would be placed at once.
 func (p *Placer) HasRoom(now time.Time, w Work) bool { return p.pick(now, &w) != nil }
 
 // GiveUp takes a waiting request out; false when it was granted already.
-func (p *Placer) GiveUp(w Work) (Placement, bool) {
+func (p *Placer) GiveUp(now time.Time, w Work) (Placement, bool) {
 	l := p.lane(w)
 	if !l.remove(w.ID) {
 		return Placement{}, false
 	}
-	return Placement{Reason: Outlived, RetryAfter: retryAfter(p.rand)}, true
+	return p.refuse(now, l, &w, Outlived), true
 }
 
 // Release frees a request's place at its target.
@@ -180,6 +220,8 @@
 	if s := p.slots[keyOf(t)]; s != nil {
 		s.own = max(s.own-1, 0)
 	}
+	l := p.lane(Work{Service: t.Service, Model: t.Model})
+	l.own = max(l.own-1, 0)
 	return p.grant(now)
 }
 
@@ -215,11 +257,18 @@
 	return s != nil && s.answeredAt.After(at)
 }
 
+// Began notes how long a target took from a request to the first event or the whole
+// answer.
+func (p *Placer) Began(t *attach.Target, took time.Duration) {
+	p.lane(Work{Service: t.Service, Model: t.Model}).began(took)
+}
+
 // take counts a request at a target.
-func (p *Placer) take(now time.Time, s *slot, l *lane, hold time.Duration) *attach.Target {
+func (p *Placer) take(now time.Time, s *slot, l *lane, w *Work) *attach.Target {
 	s.own++
+	l.own++
 	s.sentAt = now
-	l.served(hold)
+	l.served(now, w)
 	t := s.target
 	return &t
 }
@@ -235,7 +284,7 @@
 				break
 			}
 			l.waiting = l.waiting[1:]
-			grants = append(grants, Grant{ID: w.ID, Target: p.take(now, s, l, w.Hold)})
+			grants = append(grants, Grant{ID: w.ID, Target: p.take(now, s, l, &w)})
 		}
 	}
 	return grants
@@ -257,6 +306,9 @@
 	return true
 }
 
+// load is the number of requests at a target when a share of those told is left.
+func (s *slot) load(left float64) float64 { return float64(s.own) + left*float64(s.others) }
+
 // answers reports whether a target answered of late.
 func (s *slot) answers(now time.Time) bool { return now.Sub(s.answeredAt) <= answerMemory }
 
@@ -272,8 +324,8 @@
 }
 
 // score is lower for a better target; it is in shares of the target's slots.
-func (p *Placer) score(now time.Time, s *slot) float64 {
-	score := float64(s.own+s.others)/float64(s.target.Slots) + jitterShare*p.rand.Float64()
+func (p *Placer) score(now time.Time, s *slot, load float64) float64 {
+	score := load/float64(s.target.Slots) + jitterShare*p.rand.Float64()
 	if s.target.FailureDomain != p.failureDomain {
 		score += otherDomainPenalty
 	}
@@ -292,6 +344,18 @@
 // answerMemory is how long an answer clears a target of doubt.
 const answerMemory = time.Second
 
+// lateReserve is the share of a target's slots that late requests leave to those that
+// can be on time: about what arrives before the next picture of the loads.
+const lateReserve = 0.2
+
+// room is the number of requests of all entries up to which a target is given one.
+func (s *slot) room(w *Work) int {
+	if w.Late {
+		return s.limit() - int(lateReserve*float64(s.target.Slots))
+	}
+	return s.limit()
+}
+
 // limit is the number of requests of all entries that a target is given.
 func (s *slot) limit() int {
 	if s.target.Group == "" {
--- a/pkg/forward/respond.go
+++ b/pkg/forward/respond.go
@@ -77,12 +77,17 @@
 		Dur("after_ms", time.Since(s.r.arrivedAt)).Bool("doubtful", s.target.Doubtful).Msg("send_failed")
 }
 
-func (e *Entry) observeStream(s *session, _ time.Time) {
-	series := telemetry.Series{Account: s.r.accountName(), Class: s.r.class()}
-	series.Name = "first_token"
-	e.opts.Metrics.Observe(series, s.first)
-	series.Name = "whole"
-	e.opts.Metrics.Observe(series, time.Since(s.r.arrivedAt))
-	series.Name = "queueing"
-	e.opts.Metrics.Observe(series, s.queued)
+// series names a histogram of the request's client account and class.
+func (s *session) series(name string) telemetry.Series {
+	return telemetry.Series{Name: name, Account: s.r.accountName(), Class: s.r.class()}
+}
+
+// observe records the times of a request that was answered.
+func (s *session) observe() {
+	metrics := s.e.opts.Metrics
+	if s.first > 0 {
+		metrics.Observe(s.series("first_token"), s.first)
+	}
+	metrics.Observe(s.series("whole"), time.Since(s.r.arrivedAt))
+	metrics.Observe(s.series("queueing"), s.queued)
 }
--- a/pkg/forward/session.go
+++ b/pkg/forward/session.go
@@ -53,8 +53,10 @@
 	header   []dispatch.HeaderLine
 	events   eventSplitter
 	lastFail *dispatch.CallError
-	queued   time.Duration
-	first    time.Duration
+	// sentAt is when the request was sent last.
+	sentAt time.Time
+	queued time.Duration
+	first  time.Duration
 }
 
 // serve handles one request.
@@ -155,6 +157,7 @@
 	s.answered()
 	s.copyHeader(ctx)
 	ctx.Response.SetBodyRaw(body)
+	s.observe()
 	s.e.logAnswer(s, s.status, "whole")
 	s.close()
 	return true, nil
@@ -163,7 +166,7 @@
 // send sends the request to the target and waits for the header of its answer.
 func (s *session) send() *dispatch.CallError {
 	s.history.sends++
-	s.last = s.target
+	s.last, s.sentAt = s.target, time.Now()
 	resp, err := s.e.opts.Client.Begin(s.ctx, s.call())
 	if err != nil {
 		return callError(err)
@@ -247,6 +250,7 @@
 	s.e.mu.Lock()
 	defer s.e.mu.Unlock()
 	s.e.placer.Answered(boottime.Now(), s.target)
+	s.e.placer.Began(s.target, time.Since(s.sentAt))
 }
 
 // failed takes in a failed send and reports whether the request may be sent again.
@@ -289,7 +293,7 @@
 func (s *session) retryAfter() time.Duration {
 	s.e.mu.Lock()
 	defer s.e.mu.Unlock()
-	return retryAfter(s.e.random)
+	return retryAfter(s.e.random, time.Until(s.r.deadline), false)
 }
 
 func callError(err error) *dispatch.CallError {
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -133,8 +133,11 @@
 	defer e.mu.Unlock()
 	at := boottime.Now()
 	e.placer.Answered(at, s.target)
-	if !st.eventAt.IsZero() {
+	if st.eventAt.IsZero() {
+		e.placer.Began(s.target, now.Sub(s.sentAt))
+	} else {
 		e.placer.Paused(at, s.target, now.Sub(st.eventAt))
+		e.opts.Metrics.Observe(s.series("between_tokens"), now.Sub(st.eventAt))
 	}
 	st.eventAt = now
 }
@@ -194,7 +197,7 @@
 func (st *stream) Close() error {
 	s := st.s
 	_ = s.resp.Abort(dispatch.Canceled, errCallerGone)
-	s.e.observeStream(s, boottime.Now())
+	s.observe()
 	s.e.logAnswer(s, fasthttp.StatusOK, st.outcome)
 	s.close()
 	return nil
