Forward: room is shared out only where an entry has ten places; quieter second links

Change: shares from ten places an entry on. Test: TestFreeRoomIsSharedOut has the two cases; the pacing of links has none of its own.

--- a/pkg/control/attach.go
+++ b/pkg/control/attach.go
@@ -110,8 +110,12 @@
 	for {
 		select {
 		case <-signal:
-			time.Sleep(gatherTime)
-			return nil
+			if s.primary.Load() {
+				time.Sleep(gatherTime)
+				return nil
+			}
+			// The primary link told it; the next tick carries the changes of its interval.
+			signal = nil
 		case <-s.woken:
 			return nil
 		case <-tick:
--- a/pkg/forward/allowance.go
+++ b/pkg/forward/allowance.go
@@ -15,6 +15,10 @@
 	// ampleRoom is how many times the requests that are on their way unseen fit into the
 	// free room while it is not shared out.
 	ampleRoom = 2
+	// leastPart is the number of places for each entry from which free room is shared out.
+	// An entry with fewer meets chance more than crowds: some would wait while others had
+	// places to spare.
+	leastPart = 10
 )
 
 // allowance is the number of requests of one entry up to which a lane may send more.
@@ -31,18 +35,31 @@
 // allows reports whether a lane with some requests under way may send one more.
 func (a *allowance) allows(own int) bool { return !a.limited || own < a.upTo }
 
-// share sets the allowance of an entry that has some of all requests under way, and of
-// whose free room it gets as much as of these, and as of the entries.
-func (a *allowance) share(free, unseen float64, own, all, entries int) {
-	if a.limited = entries > 1 && free < ampleRoom*unseen; !a.limited {
+// room is what an entry sees of a lane's targets.
+type room struct {
+	// places are all that the targets have, free those that no request takes.
+	places, free int
+	// own are the entry's requests under way, all those of all entries.
+	own, all int
+	// entries share the places.
+	entries int
+	// unseen requests are on their way.
+	unseen float64
+}
+
+// share sets the allowance of an entry: of the free room it gets as much as it has of
+// all requests, and as it is of the entries.
+func (a *allowance) share(r room) {
+	a.limited = r.entries > 1 && r.places >= leastPart*r.entries && float64(r.free) < ampleRoom*r.unseen
+	if !a.limited {
 		return
 	}
-	part := 1 / float64(entries)
-	if all > 0 {
-		part = (part + float64(own)/float64(all)) / 2
+	part := 1 / float64(r.entries)
+	if r.all > 0 {
+		part = (part + float64(r.own)/float64(r.all)) / 2
 	}
-	whole, carry := math.Modf(a.carry + allowanceShare*free*part)
-	a.upTo, a.carry = own+int(whole), carry
+	whole, carry := math.Modf(a.carry + allowanceShare*float64(max(r.free, 0))*part)
+	a.upTo, a.carry = r.own+int(whole), carry
 }
 
 // shareRoom renews the allowances of all lanes when a picture is due.
@@ -59,19 +76,19 @@
 // shareLane renews the allowances of a lane.
 func (p *Placer) shareLane(now time.Time, key laneKey, l *lane) {
 	w, late := Work{Service: key.service, Model: key.model}, Work{Late: true}
-	free, freeLate, all := 0, 0, 0
+	r := room{own: l.own, entries: p.entries, unseen: p.unseenOf(now, key, l)}
+	reserve := 0
 	for _, k := range p.keys {
 		s := p.slots[k]
 		if !p.admits(now, s, &w) {
 			continue
 		}
-		load := s.own + s.others
-		reserve := s.limit() - s.room(&late)
-		free, freeLate, all = free+s.limit()-load, freeLate+s.limit()-reserve-load, all+load
+		r.places, r.all, reserve = r.places+s.limit(), r.all+s.own+s.others, reserve+s.limit()-s.room(&late)
 	}
-	unseen := p.unseenOf(now, key, l)
-	l.onTime.share(float64(max(free, 0)), unseen, l.own, all, p.entries)
-	l.lateOnes.share(float64(max(freeLate, 0)), unseen, l.own, all, p.entries)
+	r.free = r.places - r.all
+	l.onTime.share(r)
+	r.free -= reserve
+	l.lateOnes.share(r)
 }
 
 // allowed reports whether a request may be sent now.
--- a/pkg/forward/placer_test.go
+++ b/pkg/forward/placer_test.go
@@ -292,20 +292,29 @@
 // replaces its own requests as they end.
 func TestFreeRoomIsSharedOut(t *testing.T) {
 	var a allowance
-	a.share(100, 10, 3, 50, 10)
+	r := room{places: 100, free: 100, own: 3, all: 30, entries: 10, unseen: 10}
+	a.share(r)
 	assert.True(t, a.allows(1000), "room enough for all")
-	a.share(4, 10, 3, 30, 10)
+	r.free = 4
+	a.share(r)
 	assert.True(t, a.allows(2))
 	assert.False(t, a.allows(3), "a fifth of a request so far")
 	more := 0
 	for range 50 {
-		a.share(4, 10, 3, 30, 10)
+		a.share(r)
 		if a.allows(3) {
 			more++
 		}
 	}
 	assert.InDelta(t, 10, more, 1, "shares add up")
-	a.share(0, 10, 3, 30, 1)
+	r.free = -3
+	a.share(r)
+	assert.False(t, a.allows(3), "less than none is none")
+	r.entries = 50
+	a.share(r)
+	assert.True(t, a.allows(1000), "two places for each entry are left to chance")
+	r.entries = 1
+	a.share(r)
 	assert.True(t, a.allows(1000), "one entry alone sees all")
 }
 
