Soak: nodes of the users' platform as real processes under seeded faults

Change: mastic-soak runs three keepers and two entries on loopback with a stand-in of a plain service, callers and an operator; kills, freezes, planned stops, lost disks, lost answers, refusals and silence, one at a time, drawn from a seed. Checked: work that runs once does, 'not run' is true, each answer is its own, no read is older than an acknowledgement or other than what was sent, service is back at the end. Not in it: groups of engines, cuts between nodes.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Entry points for developers. README.md says what each is for.
-.PHONY: build test demo up faults bench capacity model lint fmt generate
+.PHONY: build test demo up faults soak bench capacity model lint fmt generate
 
 build:
 	go build -o bin/ ./cmd/...
@@ -17,6 +17,11 @@
 	scripts/demo.sh --faults
 	bin/mastic-cuts
 
+# SEEDS=50 for a whole soak: ten minutes.
+SEEDS ?= 2
+soak: build
+	bin/mastic-soak --seeds $(SEEDS)
+
 bench: build
 	bin/mastic-bench --save docs/measurements
 	scripts/bench-idle.sh docs/measurements
--- /dev/null
+++ b/cmd/mastic-soak/operator.go
@@ -0,0 +1,140 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+)
+
+const (
+	soakHost = "soak.example"
+	// changeEvery is the time between two changes of the configuration.
+	changeEvery = 400 * time.Millisecond
+	// controlTime bounds a call to a keeper.
+	controlTime = 2 * time.Second
+)
+
+// operator changes the configuration and notes what was acknowledged.
+type operator struct {
+	r       *region
+	version uint64
+	// acknowledged is the highest version that a keeper acknowledged.
+	acknowledged uint64
+	sent         map[uint64][]byte
+	// back are the reads that were older than what was acknowledged before.
+	back []string
+}
+
+// document returns the configuration of a version; its only difference is a time limit.
+func document(version uint64) []byte {
+	route := func(name, prefix, kind string) map[string]any {
+		return map[string]any{
+			"name": name, "host": soakHost, "path_prefix": prefix, "kind": kind, "timeout_ms": callTime.Milliseconds(),
+			"slo_ms": 150, "priority": 1, "service": "desk", "max_attempts": 2, "public": true,
+		}
+	}
+	data, err := json.Marshal(map[string]any{
+		"version": version, "services": []map[string]any{{"name": "desk", "max_conns": 100}},
+		"routes": []map[string]any{route("grant", "/grant/", "non_idempotent"), route("lookup", "/lookup/", "idempotent")},
+		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "idle_timeout_ms": 10000 + version},
+	})
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+// replace sends the next version to a keeper.
+func (o *operator) replace(keeper *node) bool {
+	if o.sent == nil {
+		o.sent = map[uint64][]byte{}
+	}
+	o.version++
+	o.sent[o.version] = document(o.version)
+	client := &http.Client{Timeout: controlTime}
+	resp, err := client.Post(fmt.Sprintf("http://%s:%d/api/config/replace", keeper.ip, controlPort), "application/json", bytes.NewReader(o.sent[o.version]))
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode == http.StatusOK {
+		o.acknowledged = o.version
+	}
+	return resp.StatusCode == http.StatusOK
+}
+
+func (o *operator) first() error {
+	for end := time.Now().Add(startPatience); time.Now().Before(end); {
+		if o.replace(o.r.keepers[0]) {
+			return nil
+		}
+		time.Sleep(changeEvery)
+	}
+	return fmt.Errorf("no configuration was acknowledged within %s", startPatience)
+}
+
+// run changes the configuration until a time and reads it back.
+func (o *operator) run(until time.Time, done chan<- struct{}) {
+	for i := 0; time.Now().Before(until); i++ {
+		o.replace(o.r.keepers[i%keeperCount])
+		o.check(o.r.keepers[(i+1)%keeperCount])
+		time.Sleep(changeEvery)
+	}
+	done <- struct{}{}
+}
+
+// read returns what a keeper answers; nil when it does not.
+func read(keeper *node) []byte {
+	client := &http.Client{Timeout: controlTime}
+	resp, err := client.Get(fmt.Sprintf("http://%s:%d/api/config/read", keeper.ip, controlPort))
+	if err != nil {
+		return nil
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		return nil
+	}
+	return body
+}
+
+// check reads a keeper and notes an answer that is older than an acknowledgement, or
+// other than what was sent.
+func (o *operator) check(keeper *node) bool {
+	before := o.acknowledged
+	body := read(keeper)
+	if body == nil {
+		return false
+	}
+	var held struct {
+		Version uint64 `json:"version"`
+	}
+	switch err := json.Unmarshal(body, &held); {
+	case err != nil:
+		o.back = append(o.back, fmt.Sprintf("%s answers a read with what is no document: %v", keeper.name, err))
+	case held.Version < before:
+		o.back = append(o.back, fmt.Sprintf("%s answers a read with version %d after %d was acknowledged", keeper.name, held.Version, before))
+	case !bytes.Equal(body, o.sent[held.Version]):
+		o.back = append(o.back, fmt.Sprintf("%s holds other bytes than were sent as version %d", keeper.name, held.Version))
+	}
+	return true
+}
+
+// violations reads every keeper at the end.
+func (o *operator) violations() []string {
+	for _, keeper := range o.r.keepers {
+		answered := false
+		for end := time.Now().Add(endPatience); !answered && time.Now().Before(end); {
+			if answered = o.check(keeper); !answered {
+				time.Sleep(changeEvery)
+			}
+		}
+		if !answered {
+			o.back = append(o.back, keeper.name+" answers no read after the faults")
+		}
+	}
+	return o.back
+}
