--- a/pkg/forward/spread.go
+++ b/pkg/forward/spread.go
@@ -10,6 +10,10 @@
 // of the interval of reports.
 const reportLag = 100 * time.Millisecond
 
+// mostEnded bounds the share of told loads that is taken to have ended: a picture that
+// stays away, as keepers are lost, must not make full groups look idle.
+const mostEnded = 0.6
+
 // candidate is a target with room for a request.
 type candidate struct {
 	slot *slot
@@ -57,7 +61,7 @@
 	if l.hold <= 0 {
 		return 0
 	}
-	return min(1, float64(now.Sub(p.loadsAt)+reportLag)/float64(l.hold))
+	return min(mostEnded, float64(now.Sub(p.loadsAt)+reportLag)/float64(l.hold))
 }
 
 // draw takes one of the candidates, which are ordered by score.
--- a/pkg/forward/spread_test.go
+++ b/pkg/forward/spread_test.go
@@ -309,3 +309,18 @@
 		assert.Greater(t, float64(o.onTime), possible/2, "seed %d: asked %d, served %d, refused twice %d", seed, id, o.served, o.refused)
 	}
 }
+
+// Without keepers the picture stays away; groups that were full are not taken for idle.
+func TestAnOldPictureDoesNotEmptyGroups(t *testing.T) {
+	target := groupTarget("one", "fd-a")
+	target.Slots = 20
+	p := NewPlacer("fd-a", rand.New(rand.NewPCG(1, 1)))
+	p.Update(start, &attach.View{Targets: []attach.Target{target}, Loads: map[string]int{target.Group: 20}, LoadsAt: start, Entries: 9})
+	placed := 0
+	for id := range uint64(100) {
+		if p.Arrive(start.Add(time.Minute), work(id, 0)).Target != nil {
+			placed++
+		}
+	}
+	assert.LessOrEqual(t, placed, 20+engineSurplus-20/3, "a third of what was told counts yet")
+}
