--- a/pkg/fleetnode/entry.go
+++ b/pkg/fleetnode/entry.go
@@ -75,8 +75,11 @@
 	return entry, nil
 }
 
-// Ready reports whether the entry takes new connections.
-func (n *Entry) Ready() bool { return n.ready.get() }
+// Ready reports whether the entry takes new connections: not while it starts or stops,
+// and not while its configuration may be old.
+func (n *Entry) Ready() bool {
+	return n.ready.get() && do.MustInvoke[*forward.Entry](n.injector).Ready()
+}
 
 // Run serves until ctx ends, then stops within the grace.
 func (n *Entry) Run(ctx context.Context) error {
--- a/pkg/forward/entry_test.go
+++ b/pkg/forward/entry_test.go
@@ -433,3 +433,35 @@
 		assert.Equal(t, 200, status("", "Short: x"))
 	})
 }
+
+// An entry that is cut off from the keepers sends its callers elsewhere before it has to
+// refuse them.
+func TestAnEntryWithAnOldConfigurationSendsCallersElsewhere(t *testing.T) {
+	inBubble(t, map[string]script{"a:1": always(answer(200, "ok"))}, func(h *harness) {
+		closes := func() (status int, closed bool) {
+			conn := h.open()
+			defer func() { _ = conn.Close() }()
+			go func() {
+				_, _ = io.WriteString(conn, "GET /repeat/x HTTP/1.1\r\nHost: h\r\nTest-Id: r1\r\nTest-Key: secret\r\n\r\n")
+			}()
+			resp, _, err := h.receive(conn)
+			require.NoError(t, err)
+			return resp.StatusCode, resp.Close
+		}
+		assert.True(t, h.entry.Ready())
+		status, closed := closes()
+		assert.Equal(t, 200, status)
+		assert.False(t, closed)
+		h.age = 2500 * time.Millisecond
+		assert.False(t, h.entry.Ready())
+		status, closed = closes()
+		assert.Equal(t, 200, status, "what it may still serve it serves")
+		assert.True(t, closed)
+		h.age = 5 * time.Second
+		status, closed = closes()
+		assert.Equal(t, 503, status)
+		assert.True(t, closed)
+		h.age, h.view = 0, &attach.View{}
+		assert.False(t, h.entry.Ready(), "nothing is known yet")
+	})
+}
--- a/pkg/forward/session.go
+++ b/pkg/forward/session.go
@@ -63,7 +63,8 @@
 func (e *Entry) serve(ctx *fasthttp.RequestCtx) {
 	e.inFlight.Add(1)
 	r, refusal := e.read(ctx)
-	if _, stopping := e.stopping(r.arrivedAt); stopping {
+	if _, stopping := e.stopping(r.arrivedAt); stopping || !e.Ready() {
+		// The caller's next connection reaches another entry.
 		ctx.Response.SetConnectionClose()
 	}
 	if refusal == nil {
