Entry: not ready only while it has to refuse

Change: the whole bound; the document's absence counts as before. Test: TestAnEntryWithAnOldConfigurationSendsCallersElsewhere with the new bound.

--- a/pkg/forward/entry.go
+++ b/pkg/forward/entry.go
@@ -137,14 +137,10 @@
 	return e.random.Float64()
 }
 
-// readyShare of the age from which the configuration is not relied on is the age from
-// which the balancer is told to send callers elsewhere: it takes two seconds to act.
-const readyShare = 0.5
-
 // Ready reports whether this entry is a good place for new callers: it holds a
-// configuration that a quorum has confirmed of late.
+// configuration that it may rely on.
 func (e *Entry) Ready() bool {
-	return e.opts.View().Document != nil && float64(e.opts.Age()) <= readyShare*float64(e.opts.MaxAge)
+	return e.opts.View().Document != nil && e.opts.Age() <= e.opts.MaxAge
 }
 
 // Stopping begins a planned stop that ends at a time: from now on every answer closes
