--- /dev/null
+++ b/pkg/forward/crashing_part_test.go
@@ -0,0 +1,175 @@
+package forward
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/masticmount/masticmount/pkg/document"
+)
+
+const (
+	// contactTime is the time within which evidence must reach all entries.
+	contactTime = 3 * time.Second
+	// tolerableCrashes is the number of crashes after which that time begins, and
+	// tolerableSends the number of requests that may reach engines after it.
+	tolerableCrashes, tolerableSends = 5, 3
+	// restartTime is how long a crashed engine refuses connections.
+	restartTime = 3 * time.Second
+)
+
+// crashingEngines are engines that crash when they begin an answer on one of the deadly parts.
+type crashingEngines struct {
+	h  *harness
+	mu sync.Mutex
+	// deadly are the parts of which any crashes an engine.
+	deadly []string
+	// downUntil is when each crashed engine accepts connections again.
+	downUntil map[string]time.Time
+	crashes   []time.Time
+	// sends are the times of requests with a deadly part that reached an engine.
+	sends []time.Time
+}
+
+// newCrashingEngines makes all upstreams of the harness engines that crash on the given parts.
+func newCrashingEngines(h *harness, deadly ...string) *crashingEngines {
+	c := &crashingEngines{h: h, deadly: deadly, downUntil: map[string]time.Time{}}
+	h.entry.opts.HeaderNames.PromptParts = func(peek func(string) []byte) []string {
+		return strings.FieldsFunc(string(peek("Test-Parts")), func(r rune) bool { return r == ',' })
+	}
+	h.view.Document.Services["desk"].Engine = &document.Engine{Slots: 6}
+	h.dialError = c.dialError
+	for i := range h.view.Targets {
+		h.view.Targets[i].Group = "group-" + h.view.Targets[i].ID
+		address := h.view.Targets[i].Address
+		h.upstreams[address] = func(req *http.Request, _ string, conn net.Conn) (string, bool) { return c.serve(address, req, conn) }
+	}
+	h.entry.UpdateView(h.view)
+	return c
+}
+
+func (c *crashingEngines) dialError(address string) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if time.Now().Before(c.downUntil[address]) {
+		return syscall.ECONNREFUSED
+	}
+	return nil
+}
+
+func (c *crashingEngines) isDeadly(req *http.Request) bool {
+	for _, part := range strings.Split(req.Header.Get("Test-Parts"), ",") {
+		for _, deadly := range c.deadly {
+			if part == deadly {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// serve answers with a stream of six events. An engine that crashes has sent the header of
+// its answer.
+func (c *crashingEngines) serve(address string, req *http.Request, _ net.Conn) (string, bool) {
+	head := strings.Replace(fmt.Sprintf(streamHead, "p"), "r1", req.Header.Get("Test-Id"), 1)
+	if c.isDeadly(req) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		now := time.Now()
+		c.sends, c.crashes = append(c.sends, now), append(c.crashes, now)
+		c.downUntil[address] = now.Add(restartTime)
+		return head, false
+	}
+	for id := 1; id <= 6; id++ {
+		head += chunk(event(id))
+	}
+	return head + "0\r\n\r\n", true
+}
+
+// restart announces the engines that are back as new incarnations.
+func (c *crashingEngines) restart() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	v := *c.h.view
+	v.Targets = append(v.Targets[:0:0], v.Targets...)
+	for i := range v.Targets {
+		t := &v.Targets[i]
+		if until := c.downUntil[t.Address]; !until.IsZero() && !time.Now().Before(until) {
+			delete(c.downUntil, t.Address)
+			t.StartTime++
+		}
+	}
+	c.h.view = &v
+	c.h.entry.UpdateView(&v)
+}
+
+// sendsAfterLimit counts the requests with a deadly part that reached engines after the
+// tolerated time.
+func (c *crashingEngines) sendsAfterLimit() int {
+	if len(c.crashes) < tolerableCrashes {
+		return 0
+	}
+	n := 0
+	for _, at := range c.sends {
+		if at.After(c.crashes[tolerableCrashes-1].Add(contactTime)) {
+			n++
+		}
+	}
+	return n
+}
+
+// request sends one request and returns the status of its answer, and whether a stream was
+// complete.
+func (c *crashingEngines) request(id string, parts ...string) (status int, whole bool) {
+	c.h.requestID = id
+	resp, body, err := c.h.call("POST", "/stream/x", "", "Test-Parts: "+strings.Join(parts, ","))
+	return resp.StatusCode, err == nil && strings.Contains(body, event(6))
+}
+
+// eightEngines returns the addresses of engines whose scripts newCrashingEngines sets.
+func eightEngines() map[string]script {
+	upstreams := map[string]script{}
+	for i := range 8 {
+		upstreams[fmt.Sprintf("e:%d", i)] = nil
+	}
+	return upstreams
+}
+
+// Guards against requests that crash one engine after the other: each send, retry and new
+// request with a part that crashes engines ended another one.
+func TestPromptPartThatCrashesEnginesStopsReachingThem(t *testing.T) {
+	inBubble(t, eightEngines(), func(h *harness) {
+		engines := newCrashingEngines(h, "deadly")
+		for i := range 30 {
+			engines.restart()
+			own := fmt.Sprintf("own-%d", i)
+			engines.request("d"+own, "first", "deadly", own)
+			engines.request("s"+own, "first", "sound", own)
+			<-time.After(time.Second)
+		}
+		assert.LessOrEqual(t, engines.sendsAfterLimit(), tolerableSends, "of %d requests that crashed an engine", len(engines.sends))
+	})
+}
+
+// Guards against requests that fail because an engine crashed shortly before: each refused
+// connection used up one of the request's attempts.
+func TestRequestIsSentPastEnginesThatCrashed(t *testing.T) {
+	inBubble(t, eightEngines(), func(h *harness) {
+		engines := newCrashingEngines(h, "deadly")
+		for i := range 10 {
+			engines.restart()
+			own := fmt.Sprintf("own-%d", i)
+			engines.request("d"+own, "first", "deadly", own)
+			_, whole := engines.request("s"+own, "first", "sound", own)
+			assert.True(t, whole, "a sound request with the same first part, at %d s", i)
+			<-time.After(time.Second)
+		}
+	})
+}
--- a/pkg/forward/entry_test.go
+++ b/pkg/forward/entry_test.go
@@ -41,6 +41,8 @@
 	headers chan http.Header
 	// log collects the entry's log lines.
 	log lockedBuffer
+	// dialError returns the error of opening a connection to an upstream; may be nil.
+	dialError func(address string) error
 	// requestID is sent with the next request.
 	requestID string
 }
@@ -116,6 +118,11 @@
 }
 
 func (h *harness) dial(_ context.Context, address string) (net.Conn, error) {
+	if h.dialError != nil {
+		if err := h.dialError(address); err != nil {
+			return nil, err
+		}
+	}
 	client, server := net.Pipe()
 	go h.serveUpstream(address, server)
 	return client, nil
