--- a/pkg/forward/crashing_part_test.go
+++ b/pkg/forward/crashing_part_test.go
@@ -46,6 +46,8 @@
 	}
 	h.view.Document.Services["desk"].Engine = &document.Engine{Slots: 6}
 	h.dialError = c.dialError
+	// Nobody reads what the harness records of each request.
+	h.received, h.headers = make(chan string, 4096), make(chan http.Header, 4096)
 	for i := range h.view.Targets {
 		h.view.Targets[i].Group = "group-" + h.view.Targets[i].ID
 		address := h.view.Targets[i].Address
--- a/pkg/forward/send_history.go
+++ b/pkg/forward/send_history.go
@@ -12,6 +12,8 @@
 type sendHistory struct {
 	// sends counts the sends that were started.
 	sends int
+	// notConnected counts those that ended without a connection; they reached no upstream.
+	notConnected int
 	// mayHaveRun is true once an upstream may have executed the request.
 	mayHaveRun bool
 	// firstEventSent is true once the caller was sent a part of the answer.
@@ -23,11 +25,14 @@
 	if !err.NotRun() {
 		h.mayHaveRun = true
 	}
+	if !err.Sent {
+		h.notConnected++
+	}
 }
 
 // mayRetry reports whether a request may be sent to another upstream.
 func (h *sendHistory) mayRetry(kind document.Idempotency, maxAttempts int, left time.Duration) bool {
-	if h.sends >= max(maxAttempts, 1) || left < minTimeLeft {
+	if h.sends-h.notConnected >= max(maxAttempts, 1) || h.notConnected > maxNotConnected || left < minTimeLeft {
 		return false
 	}
 	switch kind {
@@ -40,6 +45,10 @@
 	}
 }
 
+// maxNotConnected bounds the sends without a connection beside a route's attempts. Each one ends
+// within the time limit for opening a connection, and excludes its target.
+const maxNotConnected = 4
+
 // minTimeLeft is the time left below which another send cannot be answered in time: two passes
 // of an engine.
 const minTimeLeft = 120 * time.Millisecond
--- a/pkg/forward/session.go
+++ b/pkg/forward/session.go
@@ -275,6 +275,10 @@
 		if err.AtFault != "" {
 			s.entry.reports.recordStall(now, s.target)
 		}
+	case dispatch.IsConnectionRefused(err) && s.entry.placer.AnsweredSince(s.target, now.Add(-eventGapTimeout/2)):
+		// Nothing listens there any more, whatever it answered before. It may be leaving with
+		// its last streams, so this is no evidence of a stall.
+		s.entry.placer.RecordFailure(now, s.target)
 	case !err.Sent || err.Reason == dispatch.Stalled:
 		// A connection that cannot be opened is as much evidence of a stall as a silent
 		// stream.
