--- a/pkg/attach/attach.go
+++ b/pkg/attach/attach.go
@@ -40,13 +40,15 @@
 }
 
 // Reporter fills in an entry's report to a keeper, except for the version of the
-// configuration. Only reports over the primary link carry loads and demand.
-type Reporter func(now time.Time, primary bool, r *peerpb.EntryReport)
+// configuration. Only reports over the primary link carry loads and demand. evidenceSent is the
+// version of the crash evidence that the link has carried; the reporter updates it.
+type Reporter func(now time.Time, primary bool, evidenceSent *uint64, r *peerpb.EntryReport)
 
 // Attachment keeps an entry attached to keepers.
 type Attachment struct {
 	opts       Options
 	onView     func(*View)
+	onEvidence func(time.Time, *peerpb.CrashEvidence)
 	fillReport Reporter
 	updates    *ring.Ring[update]
 	view       atomic.Pointer[View]
@@ -89,10 +91,11 @@
 	return a
 }
 
-// SetHandlers sets the function that is called with each new view, which must not block, and
-// the one that fills in reports. It must be called before Run.
-func (a *Attachment) SetHandlers(onView func(*View), report Reporter) {
-	a.onView, a.fillReport = onView, report
+// SetHandlers sets the functions that are called with each new view and with the crash evidence
+// of other nodes, which must not block, and the one that fills in reports. It must be called
+// before Run.
+func (a *Attachment) SetHandlers(onView func(*View), onEvidence func(time.Time, *peerpb.CrashEvidence), report Reporter) {
+	a.onView, a.onEvidence, a.fillReport = onView, onEvidence, report
 }
 
 // View returns the latest view; it is never nil.
@@ -242,6 +245,10 @@
 	}
 	f := u.fleet
 	s.attached = true
+	// The evidence must be known before a first document lets this entry serve.
+	if f.GetCrashEvidence() != nil {
+		a.onEvidence(u.at, f.GetCrashEvidence())
+	}
 	a.choosePrimary(u.keeper, f.GetFailureDomain())
 	s.apply(f, u.at)
 	changed := f.GetFull() || len(f.GetUpstreams())+len(f.GetForgotten()) > 0
--- a/pkg/attach/view_test.go
+++ b/pkg/attach/view_test.go
@@ -269,7 +269,7 @@
 	a := New(Options{NodeID: "n", Decode: func(content []byte) (*document.Document, error) {
 		return &document.Document{Version: uint64(content[0])}, nil
 	}})
-	a.SetHandlers(func(*View) {}, nil)
+	a.SetHandlers(func(*View) {}, func(time.Time, *peerpb.CrashEvidence) {}, nil)
 	packed, err := document.Pack([]byte{9})
 	require.NoError(t, err)
 	a.apply(updateOf("k", &peerpb.FleetUpdate{DocumentVersion: 9, Document: packed, ConfirmedToken: uint64(start.UnixNano())}))
--- a/pkg/control/announce.go
+++ b/pkg/control/announce.go
@@ -121,6 +121,7 @@
 		c.changes.recordRemoval(id)
 	}
 	c.mu.Unlock()
+	c.reportQuarantines()
 	for _, id := range silent {
 		c.opts.Log.Warn().Str("upstream", id).Msg("upstream_silent")
 	}
--- a/pkg/control/attach.go
+++ b/pkg/control/attach.go
@@ -28,6 +28,7 @@
 
 	sentVersion  uint64
 	sentDocument uint64
+	sentEvidence uint64
 	// primary is true for the entry's primary link, which gets documents immediately.
 	primary atomic.Bool
 	// reportedVersion is the document version that the entry last reported.
@@ -79,6 +80,7 @@
 	c.mu.Lock()
 	c.loads.setNode(boottime.Now(), s.nodeID, r)
 	c.mu.Unlock()
+	c.mergeCrashEvidence(r.GetCrashEvidence())
 	if len(r.GetEvidence()) == 0 && len(r.GetDemand()) == 0 {
 		return
 	}
@@ -146,6 +148,7 @@
 	}
 	u.Upstreams, u.Forgotten = c.upstreamsSince(s.sentVersion, boottime.Now())
 	s.sentVersion = c.changes.version
+	u.CrashEvidence, s.sentEvidence = c.crashes.Encode(boottime.Now(), s.sentEvidence)
 	if s.needsDocument(boottime.Now(), c.content.GetVersion()) {
 		s.sentDocument, u.Document = c.content.GetVersion(), c.content.GetContent()
 	}
--- a/pkg/control/control.go
+++ b/pkg/control/control.go
@@ -20,6 +20,7 @@
 	"github.com/masticmount/masticmount/pkg/mechanism"
 	"github.com/masticmount/masticmount/pkg/peerpb"
 	"github.com/masticmount/masticmount/pkg/peers"
+	"github.com/masticmount/masticmount/pkg/quarantine"
 	"github.com/masticmount/masticmount/pkg/ring"
 	"github.com/masticmount/masticmount/pkg/state"
 	"github.com/masticmount/masticmount/pkg/telemetry"
@@ -77,13 +78,15 @@
 	inbox  *ring.Ring[event]
 	orders *ring.Ring[queuedOrder]
 
-	// mu guards the directory, the document, the loads and their change versions.
+	// mu guards the directory, the document, the loads, their change versions and the crash
+	// evidence.
 	mu        sync.Mutex
 	directory *fleet.Directory
 	changes   changes
 	document  *document.Document
 	content   *peerpb.DocumentChange
 	loads     loadSums
+	crashes   *quarantine.Table
 
 	confirmations confirmations
 	relays        relays
@@ -110,7 +113,7 @@
 		inbox:  ring.New[event](inboxSize, ring.DropOldest),
 		orders: ring.New[queuedOrder](orderQueueSize, ring.RejectNew),
 
-		directory: fleet.NewDirectory(opts.AnnounceInterval),
+		directory: fleet.NewDirectory(opts.AnnounceInterval), crashes: quarantine.NewTable(),
 	}
 	c.changes.init()
 	c.loads.init()
--- a/pkg/control/relay.go
+++ b/pkg/control/relay.go
@@ -147,7 +147,10 @@
 	}
 	// A keeper that has just started has an empty directory, and deregistrations are not
 	// repeated.
-	if err := stream.Send(r.directoryBatch()); err != nil {
+	var evidenceSent uint64
+	first := r.directoryBatch()
+	first.CrashEvidence, evidenceSent = r.control.encodeCrashEvidence(evidenceSent)
+	if err := stream.Send(first); err != nil {
 		return err
 	}
 	for {
@@ -159,7 +162,9 @@
 		case <-time.After(relayBatchDelay):
 		case <-ctx.Done():
 		}
-		if err := stream.Send(link.mergeQueued(batch)); err != nil {
+		merged := link.mergeQueued(batch)
+		merged.CrashEvidence, evidenceSent = r.control.encodeCrashEvidence(evidenceSent)
+		if err := stream.Send(merged); err != nil {
 			return err
 		}
 	}
@@ -212,6 +217,7 @@
 		for _, r := range b.GetUpstreams() {
 			c.record(fleet.Decode(r, now))
 		}
+		c.mergeCrashEvidence(b.GetCrashEvidence())
 		if b.GetLoads() != nil {
 			c.mu.Lock()
 			c.loads.setKeeper(now, stream, b.GetLoads())
--- a/pkg/dispatch/response.go
+++ b/pkg/dispatch/response.go
@@ -41,6 +41,10 @@
 // Length returns the length of the body; negative if it is not stated.
 func (r *Response) Length() int { return r.exchange.resp.Header.ContentLength() }
 
+// Framed reports whether the body's end is marked by a length or a last chunk, and not only by the
+// end of the connection.
+func (r *Response) Framed() bool { return r.exchange.framed() }
+
 // Header returns the value of one header; nil if it is absent.
 func (r *Response) Header(name string) []byte { return r.exchange.resp.Header.Peek(name) }
 
--- a/pkg/fault/fault.go
+++ b/pkg/fault/fault.go
@@ -46,6 +46,9 @@
 	// AnswerNotKept means that a non-idempotent request ran, but its response was
 	// too large to be stored for retries.
 	AnswerNotKept Kind = "answer-not-kept"
+	// PromptQuarantined means that requests with a part of the prompt crash the engines that
+	// answer them, so that the request is not sent.
+	PromptQuarantined Kind = "prompt-quarantined"
 )
 
 // Outcome states whether a request ran.
@@ -92,6 +95,8 @@
 	HeaderTooLarge:   http.StatusRequestHeaderFieldsTooLarge,
 	WrongContentType: http.StatusUnsupportedMediaType,
 	AnswerNotKept:    http.StatusConflict,
+
+	PromptQuarantined: http.StatusBadRequest,
 }
 
 // Error is an error of a known kind.
--- /dev/null
+++ b/pkg/forward/crashes.go
@@ -0,0 +1,147 @@
+package forward
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/masticmount/masticmount/pkg/attach"
+	"github.com/masticmount/masticmount/pkg/dispatch"
+	"github.com/masticmount/masticmount/pkg/fault"
+	"github.com/masticmount/masticmount/pkg/peerpb"
+	"github.com/masticmount/masticmount/pkg/quarantine"
+	"github.com/masticmount/masticmount/pkg/quarantine/report"
+)
+
+const (
+	// beginningEvents is the number of events up to which a stream has only begun: its engine
+	// may have crashed because of it.
+	beginningEvents = 1
+	// successEvents is the number of events from which a stream shows that its prompt crashes
+	// no engine.
+	successEvents = 3
+)
+
+// incarnation identifies one start of an upstream.
+type incarnation struct {
+	upstream  string
+	startTime uint64
+}
+
+// crashCheck collects the requests whose answers an engine had begun when its connections broke,
+// until a probe shows whether the engine ended.
+type crashCheck struct {
+	target attach.Target
+	at     time.Time
+	// suspects are the prompt parts of these requests.
+	suspects [][]string
+}
+
+// suspectsCrash reports whether a failed send is one that may have crashed its engine: the
+// answer broke off at its beginning.
+func (s *session) suspectsCrash(r *upstreamRun, err *dispatch.CallError) bool {
+	return r != nil && err.Reason == dispatch.Truncated && r.eventsRead <= beginningEvents &&
+		s.request.service.Engine != nil && len(s.request.promptParts) > 0
+}
+
+// suspectCrash records that a request may have crashed its target. The first one starts a probe
+// of the engine; the caller holds the lock.
+func (e *Entry) suspectCrash(now time.Time, t *attach.Target, parts []string) {
+	key := incarnation{t.ID, t.StartTime}
+	check := e.crashChecks[key]
+	if check == nil {
+		check = &crashCheck{target: *t, at: now}
+		e.crashChecks[key] = check
+		go e.probeCrashed(check)
+	}
+	check.suspects = append(check.suspects, parts)
+}
+
+// probeCrashed records the suspects as evidence if nothing listens at their engine's address any
+// more. A broken connection alone proves nothing: networks and engines break single connections,
+// too.
+func (e *Entry) probeCrashed(check *crashCheck) {
+	err := e.opts.Client.Probe(context.Background(), check.target.Address)
+	crashed := dispatch.IsConnectionRefused(err)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.crashChecks, incarnation{check.target.ID, check.target.StartTime})
+	now := e.opts.EvidenceClock()
+	for _, parts := range check.suspects {
+		e.opts.Log.Info().Str("upstream", check.target.ID).Str("group", check.target.Group).Str("prompt_parts", strings.Join(parts, ",")).
+			Bool("crashed", crashed).AnErr("probe", err).Dur("crash_age_ms", now.Sub(check.at)).Msg("engine_crash_checked")
+	}
+	if !crashed {
+		return
+	}
+	e.opts.Metrics.Add("engine_crashes.at_first_event", 1)
+	for _, parts := range check.suspects {
+		e.crashes.AddCrash(now, quarantine.Crash{Upstream: check.target.ID, StartTime: check.target.StartTime, Parts: parts, At: check.at})
+	}
+	e.applyQuarantines(now)
+}
+
+// MergeCrashEvidence adds the crash evidence of other nodes.
+func (e *Entry) MergeCrashEvidence(now time.Time, evidence *peerpb.CrashEvidence) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.crashes.Merge(now, evidence) {
+		e.applyQuarantines(now)
+	}
+}
+
+// recordSuccess records that an engine answered the request beyond the beginning; the caller
+// holds the lock.
+func (s *session) recordSuccess() {
+	if len(s.request.promptParts) == 0 {
+		return
+	}
+	now := s.entry.opts.EvidenceClock()
+	if s.entry.crashes.ObserveSuccess(now, s.request.promptParts) {
+		s.entry.applyQuarantines(now)
+	}
+}
+
+// reportQuarantines logs the quarantines that began or ended.
+func (e *Entry) reportQuarantines() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	report.Changes(e.opts.EvidenceClock(), e.crashes, e.opts.Metrics, e.opts.Log)
+}
+
+// applyQuarantines logs changed quarantines and has the waiting requests that are quarantined
+// refused; the caller holds the lock.
+func (e *Entry) applyQuarantines(now time.Time) {
+	report.Changes(now, e.crashes, e.opts.Metrics, e.opts.Log)
+	for id, w := range e.waiters {
+		if _, quarantined := e.crashes.Check(now, w.parts); !quarantined {
+			continue
+		}
+		if _, waiting := e.placer.Cancel(now, w.work); waiting {
+			delete(e.waiters, id)
+			w.granted <- nil
+		}
+	}
+}
+
+// quarantined returns the refusal of a request with a quarantined part; nil when the request may
+// be sent.
+func (s *session) quarantined() *fault.Error {
+	if s.request.service.Engine == nil || len(s.request.promptParts) == 0 {
+		return nil
+	}
+	now := s.entry.opts.EvidenceClock()
+	s.entry.mu.Lock()
+	finding, found := s.entry.crashes.Check(now, s.request.promptParts)
+	s.entry.mu.Unlock()
+	if !found {
+		return nil
+	}
+	s.finding = &finding
+	refusal := fault.New(fault.PromptQuarantined, "leave the named part out of the prompt",
+		"%d engines crashed as they began to answer prompts with part %s, the last one %d s ago", len(finding.Upstreams), finding.Part, int(now.Sub(finding.Last).Seconds()))
+	if s.history.mayHaveRun {
+		return refusal.WithOutcome(fault.Unknown)
+	}
+	return refusal
+}
--- a/pkg/forward/crashing_part_test.go
+++ b/pkg/forward/crashing_part_test.go
@@ -152,8 +152,12 @@
 		for i := range 30 {
 			engines.restart()
 			own := fmt.Sprintf("own-%d", i)
-			engines.request("d"+own, "first", "deadly", own)
-			engines.request("s"+own, "first", "sound", own)
+			status, _ := engines.request("d"+own, "first", "deadly", own)
+			_, whole := engines.request("s"+own, "first", "sound", own)
+			assert.True(t, whole, "a sound request with the same first part, at %d s", i)
+			if i > 5 {
+				assert.Equal(t, http.StatusBadRequest, status, "a final answer, at %d s", i)
+			}
 			<-time.After(time.Second)
 		}
 		assert.LessOrEqual(t, engines.sendsAfterLimit(), tolerableSends, "of %d requests that crashed an engine", len(engines.sends))
--- a/pkg/forward/entry.go
+++ b/pkg/forward/entry.go
@@ -20,6 +20,7 @@
 	"github.com/masticmount/masticmount/pkg/fault"
 	"github.com/masticmount/masticmount/pkg/mechanism"
 	"github.com/masticmount/masticmount/pkg/peerpb"
+	"github.com/masticmount/masticmount/pkg/quarantine"
 	"github.com/masticmount/masticmount/pkg/telemetry"
 )
 
@@ -47,6 +48,8 @@
 	MaxConfigAge time.Duration
 	Client       *dispatch.Client
 	HeaderNames  HeaderNames
+	// EvidenceClock reads the time by which crash evidence ages; nil reads the boot time.
+	EvidenceClock func() time.Time
 	// Mechanisms selects the mechanisms that are enabled; the zero value enables all.
 	Mechanisms mechanism.Set
 	Metrics    *telemetry.Registry
@@ -61,7 +64,10 @@
 	mu          sync.Mutex
 	placer      *Placer
 	retryBudget retryBudget
-	waiters     map[uint64]chan *attach.Target
+	waiters     map[uint64]waiter
+	crashes     *quarantine.Table
+	// crashChecks are the engines that may have crashed, until it is known whether they did.
+	crashChecks map[incarnation]*crashCheck
 	lastWorkID  uint64
 	random      *rand.Rand
 	reports     reports
@@ -79,10 +85,14 @@
 	if opts.Metrics == nil {
 		opts.Metrics = telemetry.New("")
 	}
+	if opts.EvidenceClock == nil {
+		opts.EvidenceClock = boottime.Now
+	}
 	now := time.Now()
 	seed := uint64(now.UnixNano())
 	e := &Entry{
-		opts: opts, startedAt: now, waiters: map[uint64]chan *attach.Target{}, retryBudget: newRetryBudget(), numberings: map[string]*numbering{},
+		opts: opts, startedAt: now, waiters: map[uint64]waiter{}, retryBudget: newRetryBudget(), numberings: map[string]*numbering{},
+		crashes: quarantine.NewTable(), crashChecks: map[incarnation]*crashCheck{},
 		random: rand.New(rand.NewPCG(seed, 1)), placer: NewPlacer(opts.FailureDomain, rand.New(rand.NewPCG(seed, 2))),
 	}
 	e.reports.init()
@@ -109,6 +119,7 @@
 		case now := <-sweep.C:
 			e.opts.Client.CloseExpired(now)
 			e.updateGauges()
+			e.reportQuarantines()
 		case <-ctx.Done():
 			return
 		}
@@ -133,9 +144,9 @@
 // deliver hands granted targets to the requests that wait for them; the caller holds the lock.
 func (e *Entry) deliver(grants []Grant) {
 	for _, g := range grants {
-		if waiter := e.waiters[g.ID]; waiter != nil {
+		if w, waiting := e.waiters[g.ID]; waiting {
 			delete(e.waiters, g.ID)
-			waiter <- g.Target
+			w.granted <- g.Target
 		}
 	}
 }
@@ -225,10 +236,12 @@
 	}
 }
 
-// Report fills in this entry's report to the keepers.
-func (e *Entry) Report(now time.Time, primary bool, r *peerpb.EntryReport) {
+// Report fills in this entry's report to the keepers. evidenceSent is the version of the crash
+// evidence that the link has carried.
+func (e *Entry) Report(now time.Time, primary bool, evidenceSent *uint64, r *peerpb.EntryReport) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	r.CrashEvidence, *evidenceSent = e.crashes.Encode(now, *evidenceSent)
 	r.Evidence = e.reports.takeEvidence(now, primary, e.placer)
 	if primary {
 		r.Loads, r.Demand, r.Repeats = e.placer.loads(), e.reports.takeDemand(), e.retryBudget.takeCounts()
--- a/pkg/forward/entry_test.go
+++ b/pkg/forward/entry_test.go
@@ -104,7 +104,7 @@
 		}
 		h.entry = New(Options{
 			FailureDomain: "fd", View: func() *attach.View { return h.view }, ConfigAge: func() time.Duration { return h.configAge },
-			MaxConfigAge: 4 * time.Second, HeaderNames: testHeaderNames, Log: log,
+			MaxConfigAge: 4 * time.Second, HeaderNames: testHeaderNames, Log: log, EvidenceClock: time.Now,
 			Client: dispatch.NewClientWith(dispatch.Options{Dial: h.dial, Protocol: dispatch.Protocol{
 				RequestID: "Test-Id", AllowUnframed: true,
 				Refused: func(_ int, peek func(string) []byte) bool { return len(peek("Test-Refused")) > 0 },
--- a/pkg/forward/respond.go
+++ b/pkg/forward/respond.go
@@ -10,6 +10,7 @@
 
 	"github.com/masticmount/masticmount/pkg/dispatch"
 	"github.com/masticmount/masticmount/pkg/fault"
+	"github.com/masticmount/masticmount/pkg/quarantine/report"
 	"github.com/masticmount/masticmount/pkg/telemetry"
 )
 
@@ -50,6 +51,9 @@
 		line = line.Int("sends", s.history.sends).Bool("may_have_run", s.history.mayHaveRun).Dur("queued_ms", s.queueTime).
 			Bool("caller_left", s.ctx.Err() != nil)
 	}
+	if s != nil && s.finding != nil {
+		line = report.Fields(e.opts.EvidenceClock(), *s.finding, line)
+	}
 	line.Msg("request_refused")
 }
 
--- a/pkg/forward/session.go
+++ b/pkg/forward/session.go
@@ -15,6 +15,7 @@
 	"github.com/masticmount/masticmount/pkg/dispatch"
 	"github.com/masticmount/masticmount/pkg/document"
 	"github.com/masticmount/masticmount/pkg/fault"
+	"github.com/masticmount/masticmount/pkg/quarantine"
 )
 
 var (
@@ -51,8 +52,10 @@
 	// reused is true when the last answer came on a reused connection.
 	reused bool
 	// position is how far a stream has got.
-	position          position
-	lastFailure       *dispatch.CallError
+	position    position
+	lastFailure *dispatch.CallError
+	// finding is the evidence on which the request was refused; nil otherwise.
+	finding           *quarantine.Finding
 	queueTime         time.Duration
 	firstEventLatency time.Duration
 }
@@ -155,7 +158,7 @@
 	if err != nil {
 		return r, asCallError(err)
 	}
-	s.recordAnswer(r)
+	s.recordAnswer(r, status)
 	copyHeader(ctx, status, header)
 	ctx.Response.SetBodyRaw(body)
 	s.observe()
@@ -173,7 +176,7 @@
 	if err != nil {
 		return nil, asCallError(err)
 	}
-	r.resp, s.reused = resp, resp.Reused()
+	r.resp, r.framed, s.reused = resp, resp.Framed(), resp.Reused()
 	return r, nil
 }
 
@@ -240,12 +243,15 @@
 	return s.position.resumable() && s.history.mayRetry(s.request.route.Idempotency, s.request.route.MaxAttempts, time.Until(s.request.deadline))
 }
 
-// recordAnswer records that the target answers.
-func (s *session) recordAnswer(r *upstreamRun) {
+// recordAnswer records that the target gave a whole answer.
+func (s *session) recordAnswer(r *upstreamRun, status int) {
 	s.entry.mu.Lock()
 	defer s.entry.mu.Unlock()
 	s.entry.placer.RecordAnswer(boottime.Now(), s.target)
 	s.entry.placer.RecordStart(s.target, time.Since(r.sentAt))
+	if status < http.StatusInternalServerError {
+		s.recordSuccess()
+	}
 }
 
 // handleFailure records the failure of a send, whose run is nil when no answer began, and
@@ -261,6 +267,9 @@
 	if err.Reason != dispatch.Canceled && err.Reason != dispatch.Failed {
 		s.backOffTarget(now, err)
 	}
+	if s.suspectsCrash(r, err) {
+		e.suspectCrash(e.opts.EvidenceClock(), s.target, s.request.promptParts)
+	}
 	retry := s.ctx.Err() == nil && s.canRetry() && (!err.Sent || e.retryBudget.spend(s.request.service.Name))
 	e.mu.Unlock()
 	s.releaseTarget()
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -112,6 +112,9 @@
 func (st *stream) fill() error {
 	events, err := st.run.nextEvents(st.buf)
 	if err != nil {
+		if errors.Is(err, io.EOF) {
+			st.recordEnd()
+		}
 		return err
 	}
 	first := !st.run.spliced
@@ -123,6 +126,19 @@
 	return nil
 }
 
+// recordEnd records a short stream that was complete as a success of its prompt. The end of a
+// connection does not show that an answer without framing is complete.
+func (st *stream) recordEnd() {
+	s, r := st.session, st.run
+	if r.succeeded || !r.framed || r.eventsRead == 0 {
+		return
+	}
+	r.succeeded = true
+	s.entry.mu.Lock()
+	defer s.entry.mu.Unlock()
+	s.recordSuccess()
+}
+
 // checkSplice checks that the first event of a run continues what the caller has been sent.
 func (st *stream) checkSplice(events []byte) error {
 	s, r := st.session, st.run
@@ -168,6 +184,10 @@
 	eventsBefore := s.position.eventCount
 	s.position.advance(events, firstOfRun, e.numberingOf(s.request.service.Name))
 	r.eventsRead += s.position.eventCount - eventsBefore
+	if !r.succeeded && r.eventsRead >= successEvents {
+		r.succeeded = true
+		s.recordSuccess()
+	}
 	if r.eventAt.IsZero() {
 		e.placer.RecordStart(s.target, now.Sub(r.sentAt))
 	} else {
--- a/pkg/forward/upstream_run.go
+++ b/pkg/forward/upstream_run.go
@@ -16,11 +16,15 @@
 	// resumeAfter is the identifier of the last event that the caller has, as sent to the
 	// upstream; empty for an answer from the start.
 	resumeAfter string
-	events      eventSplitter
+	// framed is true if the answer marks its end by a length or a last chunk.
+	framed bool
+	events eventSplitter
 	// spliced is true once the first event was checked to continue after resumeAfter.
 	spliced bool
 	// eventsRead counts the events that were read of it.
 	eventsRead int
+	// succeeded is true once the run was recorded as a success of its prompt parts.
+	succeeded bool
 	// eventAt is when the last events came; zero before the first.
 	eventAt time.Time
 	// stallTimeout bounds the time without a complete event; 0 sets no bound. onStall decides
--- a/pkg/forward/wait.go
+++ b/pkg/forward/wait.go
@@ -61,8 +61,20 @@
 	return rank
 }
 
-// acquireTarget gets a slot at a target, and waits for one if need be.
+// waiter is a request that waits for a target.
+type waiter struct {
+	// granted receives the target; nil when the request has been quarantined.
+	granted chan *attach.Target
+	work    Work
+	parts   []string
+}
+
+// acquireTarget gets a slot at a target, and waits for one if need be. A request with a
+// quarantined part gets none.
 func (s *session) acquireTarget() *fault.Error {
+	if refusal := s.quarantined(); refusal != nil {
+		return refusal
+	}
 	e, w := s.entry, s.newWork()
 	e.mu.Lock()
 	e.lastWorkID++
@@ -71,7 +83,7 @@
 	var granted chan *attach.Target
 	if p.Waiting {
 		granted = make(chan *attach.Target, 1)
-		e.waiters[w.ID] = granted
+		e.waiters[w.ID] = waiter{granted, w, s.request.promptParts}
 	}
 	e.mu.Unlock()
 	if p.Target != nil {
@@ -97,7 +109,7 @@
 	defer timer.Stop()
 	select {
 	case s.target = <-granted:
-		return nil
+		return s.checkGrant()
 	case <-timer.C:
 	case <-s.ctx.Done():
 	}
@@ -105,7 +117,7 @@
 	switch {
 	case !waiting:
 		s.target = <-granted
-		return nil
+		return s.checkGrant()
 	case p.Waiting:
 		return s.awaitGrant(w, p, granted)
 	default:
@@ -113,6 +125,18 @@
 	}
 }
 
+// checkGrant refuses a request that was quarantined while it waited.
+func (s *session) checkGrant() *fault.Error {
+	if s.target != nil {
+		return nil
+	}
+	if refusal := s.quarantined(); refusal != nil {
+		return refusal
+	}
+	// The quarantine has ended already.
+	return s.acquireTarget()
+}
+
 // endWait ends a wait, or turns it into that of a late request. It returns false when the
 // request was granted in the meantime.
 func (s *session) endWait(w Work, deadline time.Time) (p Placement, waiting bool) {
--- /dev/null
+++ b/pkg/quarantine/codec.go
@@ -0,0 +1,42 @@
+package quarantine
+
+import (
+	"time"
+
+	"github.com/masticmount/masticmount/pkg/peerpb"
+)
+
+// Encode returns the evidence that was added after a version of the table, nil if there is none,
+// and the table's version now.
+func (t *Table) Encode(now time.Time, after uint64) (*peerpb.CrashEvidence, uint64) {
+	crashes, successes, version := t.Since(after)
+	if len(crashes)+len(successes) == 0 {
+		return nil, version
+	}
+	e := &peerpb.CrashEvidence{}
+	for _, c := range crashes {
+		e.Crashes = append(e.Crashes, &peerpb.CrashRecord{Upstream: c.Upstream, BornMs: c.StartTime, Parts: c.Parts, AgeMs: age(now, c.At)})
+	}
+	for _, s := range successes {
+		e.Successes = append(e.Successes, &peerpb.PartSuccess{Part: s.Part, AgeMs: age(now, s.At)})
+	}
+	return e, version
+}
+
+// Merge adds the evidence that another node sent, and reports whether any of it was new.
+func (t *Table) Merge(now time.Time, e *peerpb.CrashEvidence) bool {
+	changed := false
+	for _, c := range e.GetCrashes() {
+		added := t.AddCrash(now, Crash{
+			Upstream: c.GetUpstream(), StartTime: c.GetBornMs(), Parts: c.GetParts(), At: now.Add(-time.Duration(c.GetAgeMs()) * time.Millisecond),
+		})
+		changed = changed || added
+	}
+	for _, s := range e.GetSuccesses() {
+		added := t.AddSuccess(Success{s.GetPart(), now.Add(-time.Duration(s.GetAgeMs()) * time.Millisecond)})
+		changed = changed || added
+	}
+	return changed
+}
+
+func age(now, at time.Time) uint32 { return uint32(max(now.Sub(at).Milliseconds(), 0)) }
--- /dev/null
+++ b/pkg/quarantine/report/report.go
@@ -0,0 +1,34 @@
+// Package report logs the findings of a quarantine.Table and publishes them as metrics.
+package report
+
+import (
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/masticmount/masticmount/pkg/quarantine"
+	"github.com/masticmount/masticmount/pkg/telemetry"
+)
+
+// Changes has the table delete expired evidence, logs the quarantines that began or ended since
+// the last call, and sets the gauges quarantine.parts and quarantine.crashes.
+func Changes(now time.Time, t *quarantine.Table, metrics *telemetry.Registry, log zerolog.Logger) {
+	for _, c := range t.Changes(now) {
+		event := "prompt_part_released"
+		if c.Quarantined {
+			event = "prompt_part_quarantined"
+			metrics.Add("quarantine.begun", 1)
+		}
+		Fields(now, c.Finding, log.Warn()).Msg(event)
+	}
+	metrics.Set("quarantine.parts", int64(t.Quarantined()))
+	metrics.Set("quarantine.crashes", int64(t.Crashes()))
+}
+
+// Fields adds the evidence of a finding to a log line.
+func Fields(now time.Time, f quarantine.Finding, line *zerolog.Event) *zerolog.Event {
+	return line.Str("part", f.Part).Str("companions", strings.Join(f.Companions, ",")).Int("crashes", f.Crashes).
+		Str("crashed", strings.Join(f.Upstreams, ",")).Dur("first_crash_age_ms", now.Sub(f.First)).Dur("last_crash_age_ms", now.Sub(f.Last)).
+		Dur("quarantined_for_ms", max(f.Until.Sub(now), 0))
+}
