--- a/pkg/forward/entry_test.go
+++ b/pkg/forward/entry_test.go
@@ -123,9 +123,10 @@
 			return nil, err
 		}
 	}
-	client, server := net.Pipe()
-	go h.serveUpstream(address, server)
-	return client, nil
+	near, far := net.Pipe()
+	entrySide := &resettable{Conn: near}
+	go h.serveUpstream(address, &upstreamSide{Conn: far, entrySide: entrySide})
+	return entrySide, nil
 }
 
 func (h *harness) serveUpstream(address string, conn net.Conn) {
--- a/pkg/forward/events.go
+++ b/pkg/forward/events.go
@@ -11,6 +11,8 @@
 var (
 	eventEnd = []byte("\n\n")
 	idField  = []byte("id:")
+	// eventStreamType is the media type of a series of events.
+	eventStreamType = []byte("text/event-stream")
 )
 
 // eventSplitter splits the bytes of one upstream run into complete events.
--- a/pkg/forward/runs_test.go
+++ b/pkg/forward/runs_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"errors"
 	"flag"
 	"fmt"
@@ -22,7 +21,6 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/masticmount/masticmount/pkg/attach"
-	"github.com/masticmount/masticmount/pkg/dispatch"
 )
 
 var (
@@ -174,18 +172,6 @@
 		h.view = &attach.View{Document: d, Targets: h.view.Targets}
 		h.entry.placer = NewPlacer("fd", rand.New(rand.NewPCG(1, 1)))
 		h.entry.UpdateView(h.view)
-		h.entry.opts.Client = dispatch.NewClientWith(dispatch.Options{
-			Dial: func(_ context.Context, address string) (net.Conn, error) {
-				near, far := net.Pipe()
-				entrySide := &resettable{Conn: near}
-				go h.serveUpstream(address, &upstreamSide{Conn: far, entrySide: entrySide})
-				return entrySide, nil
-			},
-			Protocol: dispatch.Protocol{
-				RequestID: "Test-Id", AllowUnframed: true,
-				Refused: func(_ int, peek func(string) []byte) bool { return len(peek("Test-Refused")) > 0 },
-			},
-		})
 		received = s.call(h)
 	})
 	return received
--- a/pkg/forward/session.go
+++ b/pkg/forward/session.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net/http"
@@ -176,7 +177,8 @@
 	if err != nil {
 		return nil, asCallError(err)
 	}
-	r.resp, r.framed, s.reused = resp, resp.Framed(), resp.Reused()
+	r.resp, s.reused = resp, resp.Reused()
+	r.endsWithConnection = !resp.Framed() && bytes.HasPrefix(resp.Header("Content-Type"), eventStreamType)
 	return r, nil
 }
 
--- a/pkg/forward/spliced_stream_test.go
+++ b/pkg/forward/spliced_stream_test.go
@@ -87,7 +87,8 @@
 		}
 		inBubble(t, map[string]script{"a:1": upstream, "b:1": upstream}, func(h *harness) {
 			_, body, err := h.call("POST", "/stream/x", "prompt")
-			if regularEnds[endName] && (part == "" || strings.HasSuffix(part, "\n\n")) {
+			emptyIsRegular := part == "" && endName != "closed without a length"
+			if regularEnds[endName] && (emptyIsRegular || strings.HasSuffix(part, "\n\n")) {
 				assert.Equal(t, part, body, "truncated at byte %d", cut)
 				return
 			}
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -18,6 +18,7 @@
 
 var (
 	errTruncatedEvent = errors.New("the stream ended inside an event")
+	errNoEvent        = errors.New("the stream ended before its first event")
 	errEventSize      = errors.New("an event is longer than 256 KiB")
 	errNotResumed     = errors.New("the stream failed and could not be resumed")
 )
@@ -130,7 +131,7 @@
 // connection does not show that an answer without framing is complete.
 func (st *stream) recordEnd() {
 	s, r := st.session, st.run
-	if r.succeeded || !r.framed || r.eventsRead == 0 {
+	if r.succeeded || r.endsWithConnection || r.eventsRead == 0 {
 		return
 	}
 	r.succeeded = true
--- a/pkg/forward/upstream_run.go
+++ b/pkg/forward/upstream_run.go
@@ -16,9 +16,9 @@
 	// resumeAfter is the identifier of the last event that the caller has, as sent to the
 	// upstream; empty for an answer from the start.
 	resumeAfter string
-	// framed is true if the answer marks its end by a length or a last chunk.
-	framed bool
-	events eventSplitter
+	// endsWithConnection is true for a series of events that has neither a length nor chunks.
+	endsWithConnection bool
+	events             eventSplitter
 	// spliced is true once the first event was checked to continue after resumeAfter.
 	spliced bool
 	// eventsRead counts the events that were read of it.
@@ -46,7 +46,7 @@
 		events := r.events.feed(buf[:n])
 		switch {
 		case errors.Is(err, io.EOF):
-			if r.end = r.endOfBody(); errors.Is(r.end, io.EOF) {
+			if r.end = r.endOfBody(events); errors.Is(r.end, io.EOF) {
 				events = r.events.flush()
 			}
 		case err != nil:
@@ -93,11 +93,18 @@
 	return failure
 }
 
-// endOfBody returns io.EOF, unless the body ended inside an event.
-func (r *upstreamRun) endOfBody() error {
+// endOfBody returns io.EOF, unless the body ended inside an event or, where only the end of the
+// connection marks it, before the first event. A run that is asked to continue after the last
+// event has none. lastEvents are the events that came with the end.
+func (r *upstreamRun) endOfBody(lastEvents []byte) error {
 	if r.events.partial() {
 		return r.resp.Abort(dispatch.Truncated, errTruncatedEvent)
 	}
+	if r.endsWithConnection && r.eventsRead == 0 && r.resumeAfter == "" {
+		if _, any := firstIdentifier(lastEvents); !any {
+			return r.resp.Abort(dispatch.Truncated, errNoEvent)
+		}
+	}
 	r.resp.Finish()
 	return io.EOF
 }
