--- /dev/null
+++ b/pkg/quarantine/simulation_test.go
@@ -0,0 +1,365 @@
+package quarantine
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/masticmount/masticmount/pkg/peerpb"
+)
+
+// The simulation plays entries, keepers and engines in steps of stepTime. Entries send requests to
+// engines, some of which crash by a part of a prompt and some by themselves, and exchange
+// evidence by way of the keepers.
+const (
+	stepTime = 10 * time.Millisecond
+	// reportSteps is the interval of entries' reports and keepers' updates, relaySteps the delay
+	// between keepers.
+	reportSteps, relaySteps = 20, 3
+	// contactSteps is the users' bound on spreading what is known.
+	contactSteps = 300
+	// toleratedCrashes is the number of crashes by a part after which contactSteps begin, and
+	// toleratedSends the number of sends with it after that.
+	toleratedCrashes, toleratedSends = 5, 3
+	restartSteps                     = 320
+	simulatedEngines                 = 16
+	simulatedSteps                   = 4000
+)
+
+// scenario is what a simulation plays.
+type scenario struct {
+	name    string
+	entries int
+	// deadly are the parts that crash engines, and the share of the requests that have each.
+	deadly map[string]float64
+	// companion is true if requests with a deadly part come with a part that is rare otherwise.
+	companion bool
+	// crashesPerSecond is the rate of ordinary crashes, crashGroup how many engines end together.
+	crashesPerSecond float64
+	crashGroup       int
+	// hotShare is the share of the sound requests that have one part in common.
+	hotShare float64
+	// cutFrom and cutTo are the steps between which the first third of the entries, and the first
+	// keeper, exchange no evidence with the others.
+	cutFrom, cutTo int
+	// frozenFrom and frozenTo are the steps in which the second keeper does nothing.
+	frozenFrom, frozenTo int
+	// joinAt is the step at which the last entry starts; restartAt that at which the first one
+	// starts again without evidence.
+	joinAt, restartAt int
+}
+
+var scenarios = []scenario{
+	{name: "one part", entries: 9, deadly: map[string]float64{"d1": 0.02}},
+	{name: "rare part", entries: 9, deadly: map[string]float64{"d1": 0.002}},
+	{name: "frequent part", entries: 9, deadly: map[string]float64{"d1": 0.2}},
+	{name: "three parts at once", entries: 9, deadly: map[string]float64{"d1": 0.01, "d2": 0.02, "d3": 0.005}},
+	{name: "part with a rare companion", entries: 9, deadly: map[string]float64{"d1": 0.02}, companion: true},
+	{name: "beside ordinary crashes", entries: 9, deadly: map[string]float64{"d1": 0.02}, crashesPerSecond: 0.5, crashGroup: 1},
+	{name: "beside engines that end together", entries: 9, deadly: map[string]float64{"d1": 0.02}, crashesPerSecond: 0.15, crashGroup: 5},
+	{name: "ordinary crashes and a frequent sound part", entries: 9, crashesPerSecond: 1, crashGroup: 1, hotShare: 0.6},
+	{name: "engines that end together and a frequent sound part", entries: 9, crashesPerSecond: 0.3, crashGroup: 6, hotShare: 0.6},
+	{name: "cut failure domain", entries: 9, deadly: map[string]float64{"d1": 0.02}, cutFrom: 300, cutTo: 1200},
+	{name: "frozen keeper", entries: 9, deadly: map[string]float64{"d1": 0.02}, frozenFrom: 100, frozenTo: 1000},
+	{name: "entries that start and return later", entries: 9, deadly: map[string]float64{"d1": 0.02}, joinAt: 1500, restartAt: 2000},
+	{name: "sixty entries", entries: 60, deadly: map[string]float64{"d1": 0.02, "d2": 0.01}, crashesPerSecond: 0.3, crashGroup: 1, hotShare: 0.3},
+}
+
+// flight is a request that an engine works on.
+type flight struct {
+	entry int
+	parts []string
+	// deadly is the deadly part; empty for a sound request.
+	deadly string
+	// beginsAt is the step at which the engine begins the answer, successAt that at which the
+	// answer is past its beginning.
+	beginsAt, successAt int
+}
+
+type simulatedEngine struct {
+	incarnation uint64
+	downUntil   int
+	flights     []flight
+}
+
+// node is an entry or a keeper, with the version that each peer was sent.
+type node struct {
+	table *Table
+	sent  map[*node]uint64
+}
+
+func newNode() *node { return &node{table: NewTable(), sent: map[*node]uint64{}} }
+
+type message struct {
+	at       int
+	from, to *node
+	evidence *peerpb.CrashEvidence
+}
+
+type simulation struct {
+	scenario
+	random   *rand.Rand
+	step     int
+	nodes    []*node
+	keepers  []*node
+	engines  []simulatedEngine
+	messages []message
+	requests int
+	// crashSteps and sendSteps are the crashes by each deadly part and the sends with it, by
+	// entries that were in contact for contactSteps.
+	crashSteps map[string][]int
+	sendSteps  map[string][]int
+	// soundRefused counts refused sound requests, soundSent the others.
+	soundRefused, soundSent int
+}
+
+func (s *simulation) now() time.Time { return start.Add(time.Duration(s.step) * stepTime) }
+
+func play(sc scenario, seed uint64) *simulation {
+	s := &simulation{
+		scenario: sc, random: rand.New(rand.NewPCG(seed, 7)), engines: make([]simulatedEngine, simulatedEngines),
+		crashSteps: map[string][]int{}, sendSteps: map[string][]int{},
+	}
+	for range sc.entries {
+		s.nodes = append(s.nodes, newNode())
+	}
+	for range 3 {
+		s.keepers = append(s.keepers, newNode())
+	}
+	for s.step = range simulatedSteps {
+		if sc.restartAt > 0 && s.step == sc.restartAt {
+			s.restartEntry(0)
+		}
+		s.arrive()
+		s.crashOrdinarily()
+		s.runEngines()
+		s.exchange()
+	}
+	return s
+}
+
+// restartEntry replaces an entry by a new one, which is served by the first update of a keeper.
+func (s *simulation) restartEntry(i int) {
+	s.nodes[i] = newNode()
+	for _, k := range s.keepers {
+		evidence, version := k.table.Encode(s.now(), 0)
+		s.nodes[i].table.Merge(s.now(), evidence)
+		k.sent[s.nodes[i]] = version
+	}
+}
+
+// arrive draws the requests of a step: about one.
+func (s *simulation) arrive() {
+	if s.joinAt > 0 && s.step == s.joinAt {
+		s.restartEntry(s.entries - 1)
+	}
+	s.requests++
+	entry := s.random.IntN(s.entries)
+	if entry == s.entries-1 && s.step < s.joinAt {
+		entry = 0
+	}
+	f := flight{entry: entry, parts: []string{fmt.Sprint("first", s.random.IntN(4)), fmt.Sprint("session", int(math.Pow(s.random.Float64(), 3)*300))}}
+	if s.random.Float64() < s.hotShare {
+		f.parts[1] = "hot"
+	}
+	at := s.random.Float64()
+	for _, part := range slices.Sorted(maps.Keys(s.deadly)) {
+		if at -= s.deadly[part]; at < 0 {
+			f.deadly, f.parts[1] = part, part
+			if s.companion {
+				f.parts[0] = "rare"
+			}
+			break
+		}
+	}
+	if s.companion && f.deadly == "" && s.random.Float64() < 0.002 {
+		f.parts[0] = "rare"
+	}
+	s.send(f)
+}
+
+// send sends a request unless it is quarantined.
+func (s *simulation) send(f flight) {
+	if _, refused := s.nodes[f.entry].table.Check(s.now(), f.parts); refused {
+		if f.deadly == "" {
+			s.soundRefused++
+		}
+		return
+	}
+	if f.deadly == "" {
+		s.soundSent++
+	} else if s.inContact(f.entry) {
+		s.sendSteps[f.deadly] = append(s.sendSteps[f.deadly], s.step)
+	}
+	for range simulatedEngines {
+		e := &s.engines[s.random.IntN(simulatedEngines)]
+		if s.step < e.downUntil {
+			continue
+		}
+		f.beginsAt = s.step + 5 + s.random.IntN(25)
+		f.successAt = f.beginsAt + 10
+		e.flights = append(e.flights, f)
+		return
+	}
+}
+
+// inContact reports whether an entry could exchange evidence for contactSteps.
+func (s *simulation) inContact(entry int) bool {
+	cut := s.cutTo > 0 && s.step >= s.cutFrom && s.step < s.cutTo+contactSteps
+	return !cut && (entry > 0 || s.restartAt == 0 || s.step < s.restartAt || s.step > s.restartAt+contactSteps)
+}
+
+func (s *simulation) crashOrdinarily() {
+	if s.random.Float64() >= s.crashesPerSecond*stepTime.Seconds() {
+		return
+	}
+	for _, i := range s.random.Perm(simulatedEngines)[:s.crashGroup] {
+		s.crash(i)
+	}
+}
+
+// crash ends an engine. Entries whose answers it had begun report them as suspects, and send
+// their requests once more.
+func (s *simulation) crash(i int) {
+	e := &s.engines[i]
+	if s.step < e.downUntil {
+		return
+	}
+	flights := e.flights
+	*e = simulatedEngine{incarnation: e.incarnation + 1, downUntil: s.step + restartSteps}
+	for _, f := range flights {
+		if f.beginsAt <= s.step && s.step < f.successAt {
+			s.nodes[f.entry].table.AddCrash(s.now(), Crash{Upstream: fmt.Sprint("engine", i), StartTime: e.incarnation, Parts: f.parts, At: s.now()})
+		}
+		if s.random.IntN(2) == 0 {
+			s.send(f)
+		}
+	}
+}
+
+func (s *simulation) runEngines() {
+	for i := range s.engines {
+		e := &s.engines[i]
+		crashed := false
+		for _, f := range e.flights {
+			if f.deadly != "" && f.beginsAt+5 <= s.step {
+				s.crashSteps[f.deadly] = append(s.crashSteps[f.deadly], s.step)
+				s.crash(i)
+				crashed = true
+				break
+			}
+		}
+		if crashed {
+			continue
+		}
+		e.flights = slices.DeleteFunc(e.flights, func(f flight) bool {
+			if f.successAt <= s.step {
+				s.nodes[f.entry].table.ObserveSuccess(s.now(), f.parts)
+			}
+			return f.successAt <= s.step
+		})
+	}
+}
+
+// separated reports whether two nodes cannot exchange messages.
+func (s *simulation) separated(a, b *node) bool {
+	if s.step >= s.frozenFrom && s.step < s.frozenTo && (a == s.keepers[1] || b == s.keepers[1]) {
+		return true
+	}
+	if s.step < s.cutFrom || s.step >= s.cutTo {
+		return false
+	}
+	isCut := func(n *node) bool { return n == s.keepers[0] || slices.Contains(s.nodes[:s.entries/3], n) }
+	return isCut(a) != isCut(b)
+}
+
+// exchange sends the evidence that each link has not carried, and delivers messages. Each
+// entry has links to two keepers. A message that cannot be delivered breaks its link, so that all
+// evidence is sent again.
+func (s *simulation) exchange() {
+	s.messages = slices.DeleteFunc(s.messages, func(m message) bool {
+		if m.at > s.step {
+			return false
+		}
+		if s.separated(m.from, m.to) {
+			m.from.sent[m.to] = 0
+		} else {
+			m.to.table.Merge(s.now(), m.evidence)
+		}
+		return true
+	})
+	for i, n := range s.nodes {
+		if s.step%reportSteps != i%reportSteps {
+			continue
+		}
+		for j := range 2 {
+			k := s.keepers[(i+j)%len(s.keepers)]
+			s.transmit(n, k, 1)
+			s.transmit(k, n, 1)
+		}
+	}
+	for _, from := range s.keepers {
+		for _, to := range s.keepers {
+			if from != to {
+				s.transmit(from, to, relaySteps)
+			}
+		}
+	}
+}
+
+func (s *simulation) transmit(from, to *node, delay int) {
+	if s.separated(from, to) {
+		from.sent[to] = 0
+		return
+	}
+	evidence, version := from.table.Encode(s.now(), from.sent[to])
+	from.sent[to] = version
+	if evidence != nil {
+		s.messages = append(s.messages, message{s.step + delay, from, to, evidence})
+	}
+}
+
+// lateSends counts the sends with a part later than contactSteps after the tolerated crashes.
+func (s *simulation) lateSends(part string) int {
+	crashes := s.crashSteps[part]
+	if len(crashes) < toleratedCrashes {
+		return 0
+	}
+	n := 0
+	for _, step := range s.sendSteps[part] {
+		if step > crashes[toleratedCrashes-1]+contactSteps {
+			n++
+		}
+	}
+	return n
+}
+
+const (
+	simulationSeeds = 20
+	// maxSoundRefused bounds the share of the sound requests that are refused.
+	maxSoundRefused = 0.002
+)
+
+// Plays drawn requests, parts and crashes. The users' bound on sends with a part that crashes
+// engines holds, and sound requests are served.
+func TestDrawnPartsAndCrashes(t *testing.T) {
+	for _, sc := range scenarios {
+		t.Run(sc.name, func(t *testing.T) {
+			refused, sent := 0, 0
+			for seed := range uint64(simulationSeeds) {
+				s := play(sc, seed)
+				for part := range sc.deadly {
+					assert.LessOrEqual(t, s.lateSends(part), toleratedSends, "seed %d: sends with %s after %d crashes", seed, part, len(s.crashSteps[part]))
+				}
+				refused, sent = refused+s.soundRefused, sent+s.soundSent
+			}
+			assert.LessOrEqual(t, float64(refused), maxSoundRefused*float64(sent+refused), "%d of %d sound requests refused", refused, sent+refused)
+		})
+	}
+}
