--- a/pkg/attach/view_test.go
+++ b/pkg/attach/view_test.go
@@ -296,3 +296,23 @@
 	a.apply(update{keeper: "k", fleet: f, at: start.Add(3 * time.Second)})
 	assert.Equal(t, 3*time.Second, a.freshness.age(start.Add(3*time.Second)))
 }
+
+// Guards against an entry that serves its first requests before it knows which parts of prompts
+// crash engines.
+func TestCrashEvidenceIsAppliedBeforeFirstDocument(t *testing.T) {
+	a := New(Options{NodeID: "n", Decode: func(content []byte) (*document.Document, error) {
+		return &document.Document{Version: uint64(content[0])}, nil
+	}})
+	applied := 0
+	a.SetHandlers(func(*View) {}, func(_ time.Time, e *peerpb.CrashEvidence) {
+		assert.Nil(t, a.View().Document, "no request is served before")
+		applied += len(e.GetCrashes())
+	}, nil)
+	packed, err := document.Pack([]byte{9})
+	require.NoError(t, err)
+	a.apply(updateOf("k", &peerpb.FleetUpdate{
+		DocumentVersion: 9, Document: packed, CrashEvidence: &peerpb.CrashEvidence{Crashes: []*peerpb.CrashRecord{{Upstream: "e"}}},
+	}))
+	assert.Equal(t, 1, applied)
+	assert.NotNil(t, a.View().Document)
+}
--- a/pkg/explain/cause.go
+++ b/pkg/explain/cause.go
@@ -29,6 +29,8 @@
 		return ""
 	case end.Fields["caller_left"] == "true":
 		return "the client disconnected"
+	case end.Fields["kind"] == "prompt-quarantined":
+		return quarantineCause(end.Fields)
 	case end.Event == "request_refused" && failed.Event == "":
 		return refusalCause(end.Fields)
 	case failed.Event == "":
@@ -49,6 +51,12 @@
 	}
 }
 
+// quarantineCause explains the refusal of a request with a quarantined part.
+func quarantineCause(f map[string]string) string {
+	return fmt.Sprintf("part %s of the prompt is quarantined: engines %s crashed as they began to answer prompts with it, the first one %s ms and the last one %s ms earlier; requests with it are refused for another %s ms",
+		f["part"], f["crashed"], f["first_crash_age_ms"], f["last_crash_age_ms"], f["quarantined_for_ms"])
+}
+
 // groupEndReason returns the reason why the group of a failed send ended, or an empty string
 // if no line reports it.
 func groupEndReason(lines []Line, failed Line) string {
--- a/pkg/explain/explain.go
+++ b/pkg/explain/explain.go
@@ -57,11 +57,13 @@
 func Request(id string, lines []Line) []Line {
 	var own []Line
 	related := map[string]bool{}
+	quarantined := ""
 	for _, l := range lines {
 		if l.Fields["request_id"] != id {
 			continue
 		}
 		own = append(own, l)
+		quarantined = cmp.Or(quarantined, l.Fields["part"])
 		for _, key := range []string{"group", "target", "at_fault"} {
 			if name := l.Fields[key]; name != "" {
 				related[name] = true
@@ -75,7 +77,10 @@
 	last := slices.MaxFunc(own, compare).Time.Add(contextWindow)
 	found := own
 	for _, l := range lines {
-		if l.Fields["request_id"] == "" && l.Time.After(first) && l.Time.Before(last) && isRelated(l, related) {
+		if l.Fields["request_id"] != "" || !l.Time.Before(last) {
+			continue
+		}
+		if l.Time.After(first) && isRelated(l, related) || isEvidence(l, quarantined) {
 			found = append(found, l)
 		}
 	}
@@ -98,6 +103,18 @@
 	}
 }
 
+// isEvidence reports whether a line describes evidence against a quarantined part, however old.
+func isEvidence(l Line, part string) bool {
+	switch l.Event {
+	case "prompt_part_quarantined", "prompt_part_released":
+		return part != "" && l.Fields["part"] == part
+	case "engine_crash_checked":
+		return part != "" && l.Fields["crashed"] == "true" && slices.Contains(strings.Split(l.Fields["prompt_parts"], ","), part)
+	default:
+		return false
+	}
+}
+
 // Describe describes a log line as text.
 func Describe(l Line) string {
 	f := l.Fields
@@ -136,6 +153,16 @@
 			text += " (" + f["reason"] + ")"
 		}
 		return text
+	case "prompt_part_quarantined":
+		text := fmt.Sprintf("part %s quarantined after %s crashes (%s), the first one %s ms earlier", f["part"], f["crashes"], f["crashed"], f["first_crash_age_ms"])
+		if f["companions"] != "" {
+			text += "; only beside " + f["companions"]
+		}
+		return text
+	case "prompt_part_released":
+		return fmt.Sprintf("part %s is no longer quarantined", f["part"])
+	case "engine_crash_checked":
+		return fmt.Sprintf("%s crashed as it began to answer a prompt with parts %s", f["upstream"], f["prompt_parts"])
 	case "group_suspected":
 		return fmt.Sprintf("an entry reports that the group of %s stopped responding", f["upstream"])
 	case "upstream_silent":
--- a/pkg/forward/crashing_part_test.go
+++ b/pkg/forward/crashing_part_test.go
@@ -11,8 +11,11 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/masticmount/masticmount/pkg/document"
+	"github.com/masticmount/masticmount/pkg/explain"
+	"github.com/masticmount/masticmount/pkg/peerpb"
 )
 
 const (
@@ -179,3 +182,78 @@
 		}
 	})
 }
+
+// deadlyCrashes are three separate crashes with a part, beside a success of another one.
+func deadlyCrashes(part string) *peerpb.CrashEvidence {
+	e := &peerpb.CrashEvidence{Successes: []*peerpb.PartSuccess{{Part: "", AgeMs: 1500}}}
+	for i := range 3 {
+		e.Crashes = append(e.Crashes, &peerpb.CrashRecord{Upstream: fmt.Sprint("crashed-", i), BornMs: 1, Parts: []string{part}, AgeMs: uint32(3000 - 1000*i)})
+	}
+	return e
+}
+
+// Guards against each entry losing engines until it has learned of the part by itself.
+func TestEntryRefusesPartThatOtherEntriesReported(t *testing.T) {
+	inBubble(t, eightEngines(), func(h *harness) {
+		engines := newCrashingEngines(h, "deadly")
+		h.entry.MergeCrashEvidence(time.Now(), deadlyCrashes("deadly"))
+		status, _ := engines.request("r1", "first", "deadly", "own")
+		assert.Equal(t, http.StatusBadRequest, status)
+		assert.Empty(t, engines.sends)
+		status, whole := engines.request("r2", "first", "sound", "own")
+		assert.True(t, whole, "status %d", status)
+		status, whole = engines.request("r3", "deadly")
+		assert.False(t, whole, "the last part belongs to the request alone: status %d", status)
+		assert.Len(t, engines.sends, 2, "it is sent, and retried once")
+
+		report, sent := &peerpb.EntryReport{}, uint64(0)
+		h.entry.Report(time.Now(), false, &sent, report)
+		assert.Len(t, report.GetCrashEvidence().GetCrashes(), 3, "on every link, to keepers that lack it")
+		report = &peerpb.EntryReport{}
+		h.entry.Report(time.Now(), false, &sent, report)
+		assert.Nil(t, report.GetCrashEvidence(), "once")
+	})
+}
+
+// Guards against evidence from single broken connections: only an engine that has ended crashed.
+func TestAnswersCutByLivingEnginesAreNoCrashes(t *testing.T) {
+	inBubble(t, eightEngines(), func(h *harness) {
+		engines := newCrashingEngines(h, "broken")
+		h.dialError = nil
+		for i := range 20 {
+			own := fmt.Sprintf("own-%d", i)
+			status, _ := engines.request("b"+own, "first", "broken", own)
+			assert.Equal(t, http.StatusBadGateway, status)
+			_, whole := engines.request("s"+own, "first", "sound", own)
+			assert.True(t, whole)
+			<-time.After(time.Second)
+		}
+		assert.Contains(t, h.log.String(), "event=engine_crash_checked")
+		assert.NotContains(t, h.log.String(), "event=prompt_part_quarantined")
+	})
+}
+
+// Guards against refusals that an operator cannot trace to the part and its evidence.
+func TestExplainNamesQuarantinedPart(t *testing.T) {
+	inBubble(t, eightEngines(), func(h *harness) {
+		engines := newCrashingEngines(h, "deadly")
+		for i := range 4 {
+			engines.restart()
+			engines.request(fmt.Sprint("d", i), "first", "deadly", "own")
+			engines.request(fmt.Sprint("s", i), "first", "sound", "own")
+			<-time.After(time.Second)
+		}
+		<-time.After(time.Minute)
+		engines.request("late", "first", "deadly", "own")
+		lines, err := explain.Read(strings.NewReader(h.log.String()))
+		require.NoError(t, err)
+		found := explain.Request("late", lines)
+		var text strings.Builder
+		require.NoError(t, explain.Write(&text, found))
+		assert.Contains(t, text.String(), "part deadly quarantined after 3 crashes")
+		assert.Contains(t, text.String(), "crashed as it began to answer a prompt with parts first,deadly")
+		cause := explain.Cause(found)
+		assert.Contains(t, cause, "part deadly of the prompt is quarantined")
+		assert.Contains(t, cause, "the last one 6")
+	})
+}
