--- a/pkg/forward/crashes.go
+++ b/pkg/forward/crashes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strings"
 	"time"
 
@@ -40,8 +41,7 @@
 // suspectsCrash reports whether a failed send is one that may have crashed its engine: the
 // answer broke off at its beginning.
 func (s *session) suspectsCrash(r *upstreamRun, err *dispatch.CallError) bool {
-	return r != nil && err.Reason == dispatch.Truncated && r.eventsRead <= beginningEvents &&
-		s.request.service.Engine != nil && len(s.request.promptParts) > 0
+	return r != nil && err.Reason == dispatch.Truncated && r.eventsRead <= beginningEvents && s.hasPromptParts()
 }
 
 // suspectCrash records that a request may have crashed its target. The first one starts a probe
@@ -93,7 +93,7 @@
 // recordSuccess records that an engine answered the request beyond the beginning; the caller
 // holds the lock.
 func (s *session) recordSuccess() {
-	if len(s.request.promptParts) == 0 {
+	if !s.hasPromptParts() {
 		return
 	}
 	now := s.entry.opts.EvidenceClock()
@@ -109,8 +109,35 @@
 	report.Changes(e.opts.EvidenceClock(), e.crashes, e.opts.Metrics, e.opts.Log)
 }
 
-// applyQuarantines logs changed quarantines and has the waiting requests that are quarantined
-// refused; the caller holds the lock.
+// cancelWhenQuarantined returns a context for one send, which ends if the request is quarantined
+// before stop is called: an engine that has not begun the answer then never begins it.
+func (s *session) cancelWhenQuarantined() (ctx context.Context, stop func()) {
+	if !s.hasPromptParts() {
+		return s.ctx, func() {}
+	}
+	e := s.entry
+	ctx, cancel := context.WithCancelCause(s.ctx)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.unanswered[s] = cancel
+	return ctx, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		delete(e.unanswered, s)
+	}
+}
+
+// errQuarantined is the cause of the end of a send that was quarantined.
+var errQuarantined = errors.New("a part of the prompt was quarantined")
+
+// hasPromptParts reports whether the request goes to engines and names prompt parts that others
+// may share.
+func (s *session) hasPromptParts() bool {
+	return s.request.service.Engine != nil && len(s.request.promptParts) > 0
+}
+
+// applyQuarantines logs changed quarantines and ends the waits and the unanswered sends of
+// quarantined requests; the caller holds the lock.
 func (e *Entry) applyQuarantines(now time.Time) {
 	report.Changes(now, e.crashes, e.opts.Metrics, e.opts.Log)
 	for id, w := range e.waiters {
@@ -122,12 +149,17 @@
 			w.granted <- nil
 		}
 	}
+	for s, cancel := range e.unanswered {
+		if _, quarantined := e.crashes.Check(now, s.request.promptParts); quarantined {
+			cancel(errQuarantined)
+		}
+	}
 }
 
 // quarantined returns the refusal of a request with a quarantined part; nil when the request may
 // be sent.
 func (s *session) quarantined() *fault.Error {
-	if s.request.service.Engine == nil || len(s.request.promptParts) == 0 {
+	if !s.hasPromptParts() {
 		return nil
 	}
 	now := s.entry.opts.EvidenceClock()
--- a/pkg/forward/crashing_part_test.go
+++ b/pkg/forward/crashing_part_test.go
@@ -8,6 +8,7 @@
 	"sync"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
@@ -233,6 +234,40 @@
 	})
 }
 
+// Guards against requests that crash an engine although their part was quarantined before it
+// began the answer: while they waited for a target, or in the engine's queue.
+func TestQuarantineReachesRequestsThatWait(t *testing.T) {
+	for _, occupied := range []bool{true, false} {
+		inBubble(t, map[string]script{"e:0": nil}, func(h *harness) {
+			engines := newCrashingEngines(h)
+			h.upstreams["e:0"] = func(_ *http.Request, _ string, conn net.Conn) (string, bool) {
+				// The request waits in the engine's queue until its connection is closed.
+				_, err := conn.Read(make([]byte, 1))
+				assert.Error(t, err)
+				return "", false
+			}
+			if occupied {
+				// Fills the group, so that the next request waits for a target.
+				for range h.view.Targets[0].Slots + engineQueueDepth {
+					other := h.open()
+					defer func() { _ = other.Close() }()
+					h.send(other, "POST", "/stream/x", "", "Test-Parts: first,sound,own")
+				}
+				synctest.Wait()
+			}
+			began := time.Now()
+			go func() {
+				<-time.After(300 * time.Millisecond)
+				h.entry.MergeCrashEvidence(time.Now(), deadlyCrashes("deadly"))
+			}()
+			status, _ := engines.request("r1", "first", "deadly", "own")
+			assert.Equal(t, http.StatusBadRequest, status, "occupied: %v", occupied)
+			assert.Equal(t, 300*time.Millisecond, time.Since(began), "at once")
+			assert.Equal(t, occupied, strings.Contains(h.log.String(), "outcome=not-run"))
+		})
+	}
+}
+
 // Guards against refusals that an operator cannot trace to the part and its evidence.
 func TestExplainNamesQuarantinedPart(t *testing.T) {
 	inBubble(t, eightEngines(), func(h *harness) {
--- a/pkg/forward/entry.go
+++ b/pkg/forward/entry.go
@@ -68,9 +68,12 @@
 	crashes     *quarantine.Table
 	// crashChecks are the engines that may have crashed, until it is known whether they did.
 	crashChecks map[incarnation]*crashCheck
-	lastWorkID  uint64
-	random      *rand.Rand
-	reports     reports
+	// unanswered are the sends of requests with prompt parts to engines that have not begun the
+	// answer, and how to cancel them.
+	unanswered map[*session]context.CancelCauseFunc
+	lastWorkID uint64
+	random     *rand.Rand
+	reports    reports
 	// numberings holds the observed event numbering of each service.
 	numberings map[string]*numbering
 
@@ -92,7 +95,7 @@
 	seed := uint64(now.UnixNano())
 	e := &Entry{
 		opts: opts, startedAt: now, waiters: map[uint64]waiter{}, retryBudget: newRetryBudget(), numberings: map[string]*numbering{},
-		crashes: quarantine.NewTable(), crashChecks: map[incarnation]*crashCheck{},
+		crashes: quarantine.NewTable(), crashChecks: map[incarnation]*crashCheck{}, unanswered: map[*session]context.CancelCauseFunc{},
 		random: rand.New(rand.NewPCG(seed, 1)), placer: NewPlacer(opts.FailureDomain, rand.New(rand.NewPCG(seed, 2))),
 	}
 	e.reports.init()
--- a/pkg/forward/session.go
+++ b/pkg/forward/session.go
@@ -105,7 +105,11 @@
 			return
 		}
 		if !s.handleFailure(run, err) {
-			s.refuse(ctx, s.history.refusal(err.Reason, s.retryAfter()))
+			refusal := s.quarantined()
+			if refusal == nil {
+				refusal = s.history.refusal(err.Reason, s.retryAfter())
+			}
+			s.refuse(ctx, refusal)
 			return
 		}
 	}
@@ -173,7 +177,9 @@
 	s.history.sends++
 	s.lastTarget, s.sentAt = s.target, time.Now()
 	r := &upstreamRun{sentAt: s.sentAt, resumeAfter: s.position.lastID}
-	resp, err := s.entry.opts.Client.Begin(s.ctx, s.buildCall(r.resumeAfter))
+	ctx, stopWatching := s.cancelWhenQuarantined()
+	resp, err := s.entry.opts.Client.Begin(ctx, s.buildCall(r.resumeAfter))
+	stopWatching()
 	if err != nil {
 		return nil, asCallError(err)
 	}
