--- a/pkg/control/control.go
+++ b/pkg/control/control.go
@@ -55,6 +55,8 @@
 	// Address is the address at which other nodes reach this one.
 	Address       string
 	FailureDomain string
+	// DataFolder is the folder in which crash evidence survives a restart; empty stores none.
+	DataFolder string
 	// AnnounceInterval is the time between two announcements of an upstream.
 	AnnounceInterval time.Duration
 	// StallTimeout is the time after which a group that lacks a member counts as broken.
@@ -87,6 +89,8 @@
 	content   *peerpb.DocumentChange
 	loads     loadSums
 	crashes   *quarantine.Table
+	// evidenceChanged signals that the crash evidence has to be stored.
+	evidenceChanged chan struct{}
 
 	confirmations confirmations
 	relays        relays
@@ -113,7 +117,7 @@
 		inbox:  ring.New[event](inboxSize, ring.DropOldest),
 		orders: ring.New[queuedOrder](orderQueueSize, ring.RejectNew),
 
-		directory: fleet.NewDirectory(opts.AnnounceInterval), crashes: quarantine.NewTable(),
+		directory: fleet.NewDirectory(opts.AnnounceInterval), crashes: quarantine.NewTable(), evidenceChanged: make(chan struct{}, 1),
 	}
 	c.changes.init()
 	c.loads.init()
@@ -134,6 +138,7 @@
 	}
 	workers.Go(func() { c.serveConfirmations(ctx) })
 	workers.Go(func() { c.relays.run(ctx) })
+	workers.Go(func() { c.storeCrashEvidence(ctx) })
 	c.eventLoop(ctx)
 	workers.Wait()
 }
--- a/pkg/control/crashes.go
+++ b/pkg/control/crashes.go
@@ -1,11 +1,86 @@
 package control
 
 import (
+	"context"
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
 	"github.com/masticmount/masticmount/pkg/boottime"
 	"github.com/masticmount/masticmount/pkg/peerpb"
 	"github.com/masticmount/masticmount/pkg/quarantine/report"
+	"github.com/masticmount/masticmount/pkg/regionlog/storage"
+)
+
+const (
+	// evidenceFile holds the crash evidence in the data folder.
+	evidenceFile = "crash-evidence"
+	// evidenceWriteInterval is the shortest time between two writes of it.
+	evidenceWriteInterval = time.Second
 )
 
+// LoadCrashEvidence reads the evidence that this keeper stored before it restarted. Without it a
+// restart of all nodes would let each part crash engines again. Call it before Run.
+func (c *Control) LoadCrashEvidence() {
+	if c.opts.DataFolder == "" {
+		return
+	}
+	payload, err := storage.ReadFile(c.opts.DataFolder, evidenceFile)
+	stored := &peerpb.StoredCrashEvidence{}
+	if err == nil {
+		err = proto.Unmarshal(payload, stored)
+	}
+	if err != nil {
+		c.opts.Log.Error().Err(err).Msg("crash_evidence_not_read")
+		return
+	}
+	// A wall clock that was set back must not make the evidence younger.
+	downtime := max(time.Since(time.UnixMilli(stored.GetStoredMs())), 0)
+	c.mu.Lock()
+	c.crashes.Merge(boottime.Now().Add(-downtime), stored.GetEvidence())
+	c.mu.Unlock()
+	c.reportQuarantines()
+}
+
+// storeCrashEvidence writes the evidence to the data folder after each change, until ctx ends.
+// A failed write is repeated.
+func (c *Control) storeCrashEvidence(ctx context.Context) {
+	if c.opts.DataFolder == "" {
+		return
+	}
+	for {
+		select {
+		case <-c.evidenceChanged:
+		case <-ctx.Done():
+			return
+		}
+		for {
+			err := c.writeCrashEvidence()
+			if err != nil {
+				c.opts.Log.Error().Err(err).Msg("crash_evidence_not_stored")
+			}
+			select {
+			case <-time.After(evidenceWriteInterval):
+			case <-ctx.Done():
+				return
+			}
+			if err == nil {
+				break
+			}
+		}
+	}
+}
+
+func (c *Control) writeCrashEvidence() error {
+	evidence, _ := c.encodeCrashEvidence(0)
+	payload, err := proto.Marshal(&peerpb.StoredCrashEvidence{StoredMs: time.Now().UnixMilli(), Evidence: evidence})
+	if err != nil {
+		return fmt.Errorf("encode the crash evidence: %w", err)
+	}
+	return storage.WriteFile(c.opts.DataFolder, evidenceFile, payload)
+}
+
 // mergeCrashEvidence adds evidence that an entry or another keeper sent, and passes on what was
 // new to all entries and keepers.
 func (c *Control) mergeCrashEvidence(e *peerpb.CrashEvidence) {
@@ -22,6 +97,10 @@
 		c.reportQuarantines()
 		// Each link adds the evidence that it has not carried yet.
 		c.relays.push(&peerpb.RelayBatch{})
+		select {
+		case c.evidenceChanged <- struct{}{}:
+		default:
+		}
 	}
 }
 
--- a/pkg/control/crashes_test.go
+++ b/pkg/control/crashes_test.go
@@ -1,13 +1,18 @@
 package control
 
 import (
+	"context"
+	"os"
+	"path/filepath"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/masticmount/masticmount/pkg/peerpb"
+	"github.com/masticmount/masticmount/pkg/regionlog/storage"
 )
 
 func crashOf(engine string) *peerpb.CrashEvidence {
@@ -55,3 +60,50 @@
 	default:
 	}
 }
+
+// Guards against engines that crash again after all nodes of a region have restarted.
+func TestCrashEvidenceSurvivesRestart(t *testing.T) {
+	folder := t.TempDir()
+	before := newControl(t)
+	before.opts.DataFolder = folder
+	before.LoadCrashEvidence()
+	assert.Zero(t, before.crashCount(), "an empty folder")
+	ctx, stop := context.WithCancel(t.Context())
+	stored := make(chan struct{})
+	go func() {
+		before.storeCrashEvidence(ctx)
+		close(stored)
+	}()
+	before.mergeCrashEvidence(crashOf("a"))
+	require.Eventually(t, func() bool {
+		_, err := os.Stat(filepath.Join(folder, evidenceFile))
+		return err == nil
+	}, 10*time.Second, time.Millisecond)
+	stop()
+	<-stored
+
+	after := newControl(t)
+	after.opts.DataFolder = folder
+	after.LoadCrashEvidence()
+	assert.Equal(t, 1, after.crashCount())
+}
+
+func TestStoredCrashEvidenceAgesWhileNodeIsDown(t *testing.T) {
+	c := newControl(t)
+	c.opts.DataFolder = t.TempDir()
+	payload, err := proto.Marshal(&peerpb.StoredCrashEvidence{StoredMs: time.Now().Add(-5 * time.Minute).UnixMilli(), Evidence: crashOf("a")})
+	require.NoError(t, err)
+	require.NoError(t, storage.WriteFile(c.opts.DataFolder, evidenceFile, payload))
+	c.LoadCrashEvidence()
+	evidence, _ := c.encodeCrashEvidence(0)
+	require.Len(t, evidence.GetCrashes(), 1)
+	assert.InDelta(t, 5*time.Minute.Milliseconds(), float64(evidence.GetCrashes()[0].GetAgeMs()), 60_000)
+}
+
+func TestDamagedCrashEvidenceDoesNotStopKeeper(t *testing.T) {
+	c := newControl(t)
+	c.opts.DataFolder = t.TempDir()
+	require.NoError(t, os.WriteFile(filepath.Join(c.opts.DataFolder, evidenceFile), []byte("torn"), 0o600))
+	c.LoadCrashEvidence()
+	assert.Zero(t, c.crashCount())
+}
--- a/pkg/fleetnode/keeper.go
+++ b/pkg/fleetnode/keeper.go
@@ -156,7 +156,7 @@
 	return control.New(control.Options{
 		Keeper: do.MustInvoke[*keeper.Keeper](i), Machine: do.MustInvoke[*state.Machine](i),
 		Dialer: do.MustInvoke[*peers.Dialer](i), Address: inst.opts.Address, FailureDomain: inst.opts.FailureDomain, AnnounceInterval: inst.opts.AnnounceInterval, StallTimeout: inst.opts.StallTimeout,
-		Bootstrap: inst.bootstrap, OrderSender: inst.opts.OrderSender, Decode: inst.opts.Decode, Mechanisms: inst.opts.Mechanisms, Metrics: inst.opts.Metrics, Log: inst.opts.Log,
+		DataFolder: inst.opts.DataFolder, Bootstrap: inst.bootstrap, OrderSender: inst.opts.OrderSender, Decode: inst.opts.Decode, Mechanisms: inst.opts.Mechanisms, Metrics: inst.opts.Metrics, Log: inst.opts.Log,
 	}), nil
 }
 
@@ -168,6 +168,7 @@
 		return fmt.Errorf("open the region log: %w", err)
 	}
 	defer k.Close()
+	c.LoadCrashEvidence()
 	listener, err := net.Listen("tcp", inst.opts.Address)
 	if err != nil {
 		return fmt.Errorf("listen for peers on %s: %w; free the address or correct the settings", inst.opts.Address, err)
--- a/pkg/forward/crashes.go
+++ b/pkg/forward/crashes.go
@@ -21,6 +21,8 @@
 	// successEvents is the number of events from which a stream shows that its prompt crashes
 	// no engine.
 	successEvents = 3
+	// maxProbes bounds the attempts to find out whether an engine ended.
+	maxProbes = 3
 )
 
 // incarnation identifies one start of an upstream.
@@ -61,7 +63,13 @@
 // more. A broken connection alone proves nothing: networks and engines break single connections,
 // too.
 func (e *Entry) probeCrashed(check *crashCheck) {
-	err := e.opts.Client.Probe(context.Background(), check.target.Address)
+	var err error
+	for range maxProbes {
+		// A timeout shows neither.
+		if err = e.opts.Client.Probe(context.Background(), check.target.Address); err == nil || dispatch.IsConnectionRefused(err) {
+			break
+		}
+	}
 	crashed := dispatch.IsConnectionRefused(err)
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -26,7 +26,7 @@
 	crashesToQuarantine = 3
 	// correlationWindow is the time within which crashes count once: the loss of power or of a
 	// switch ends several engines together, and a frequent part is in many of them.
-	correlationWindow = 150 * time.Millisecond
+	correlationWindow = 50 * time.Millisecond
 	// QuarantineTime is how long a part stays quarantined after its last crash. After that
 	// requests with it are sent again, and one more crash quarantines it again.
 	QuarantineTime = 10 * time.Minute
@@ -35,7 +35,7 @@
 	// maxCrashes bounds the recorded crashes. Those without a quarantined part make room first.
 	maxCrashes = 256
 	// maxParts bounds the parts of one crash; the parts beyond it are not examined.
-	maxParts = 16
+	maxParts = 32
 	// maxPartBytes bounds the length of a part's identifier; a longer one is hashed.
 	maxPartBytes = 64
 	// maxRecentSuccesses bounds each of the two generations of remembered successes.
--- a/pkg/regionlog/storage/storage.go
+++ b/pkg/regionlog/storage/storage.go
@@ -208,7 +208,12 @@
 // writeFileAtomic writes a file so that it is either complete and synced under its
 // name, or absent: it is renamed to its name, and the folder is synced too.
 func (s *Store) writeFileAtomic(name string, data []byte) error {
-	temporary := s.path(name + ".tmp")
+	return writeFileAtomic(s.folder, name, data)
+}
+
+func writeFileAtomic(folder, name string, data []byte) error {
+	path := filepath.Join(folder, name)
+	temporary := path + ".tmp"
 	f, err := os.OpenFile(temporary, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, fileMode)
 	if err != nil {
 		return diskFault(err, "create "+name)
@@ -220,14 +225,37 @@
 	if err = errors.Join(err, f.Close()); err != nil {
 		return diskFault(err, "write "+name)
 	}
-	if err := os.Rename(temporary, s.path(name)); err != nil {
+	if err := os.Rename(temporary, path); err != nil {
 		return diskFault(err, "rename "+name)
 	}
-	return s.syncFolder()
+	return syncFolder(folder)
+}
+
+// WriteFile writes a file of another part of the node to a data folder, with a checksum. After a
+// crash the file has the content of this write or of the one before.
+func WriteFile(folder, name string, payload []byte) error {
+	return writeFileAtomic(folder, name, withChecksum(payload))
+}
+
+// ReadFile returns the payload of a file that WriteFile wrote, nil if there is none.
+func ReadFile(folder, name string) ([]byte, error) {
+	path := filepath.Join(folder, name)
+	data, err := os.ReadFile(path)
+	if errors.Is(err, os.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, diskFault(err, "read "+name)
+	}
+	payload, err := verifyChecksum(data)
+	if err != nil {
+		return nil, damaged(path, err.Error())
+	}
+	return payload, nil
 }
 
-func (s *Store) syncFolder() error {
-	f, err := os.Open(s.folder)
+func syncFolder(folder string) error {
+	f, err := os.Open(folder)
 	if err != nil {
 		return diskFault(err, "open the data folder")
 	}
