--- a/pkg/forward/crashes.go
+++ b/pkg/forward/crashes.go
@@ -128,6 +128,10 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.unanswered[s] = cancel
+	if _, quarantined := e.crashes.Check(e.opts.EvidenceClock(), s.request.promptParts); quarantined {
+		// The quarantine began after the request got its target.
+		cancel(errQuarantined)
+	}
 	return ctx, func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
