--- a/pkg/forward/crashes.go
+++ b/pkg/forward/crashes.go
@@ -98,10 +98,10 @@
 	}
 }
 
-// recordSuccess records that an engine answered the request beyond the beginning; the caller
-// holds the lock.
+// recordSuccess records that an engine answered the request beyond the beginning, which also
+// shows, without prompt parts, that engines answer; the caller holds the lock.
 func (s *session) recordSuccess() {
-	if !s.hasPromptParts() {
+	if s.request.service.Engine == nil {
 		return
 	}
 	now := s.entry.opts.EvidenceClock()
--- a/pkg/forward/crashing_part_test.go
+++ b/pkg/forward/crashing_part_test.go
@@ -268,6 +268,21 @@
 	}
 }
 
+// Requests that name no prompt parts show, too, that engines answer.
+func TestRequestsWithoutPartsCountAsSuccesses(t *testing.T) {
+	inBubble(t, eightEngines(), func(h *harness) {
+		engines := newCrashingEngines(h, "deadly")
+		status := 0
+		for i := range 8 {
+			engines.restart()
+			status, _ = engines.request(fmt.Sprint("d", i), "first", "deadly", "own")
+			engines.request(fmt.Sprint("s", i))
+			<-time.After(time.Second)
+		}
+		assert.Equal(t, http.StatusBadRequest, status)
+	})
+}
+
 // Guards against refusals that an operator cannot trace to the part and its evidence.
 func TestExplainNamesQuarantinedPart(t *testing.T) {
 	inBubble(t, eightEngines(), func(h *harness) {
