--- /dev/null
+++ b/cmd/mastic-soak/crashes.go
@@ -0,0 +1,142 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// deadlyPart is the part of a prompt that crashes each engine of a group that begins to
+	// answer it; sharedPart is in all prompts for groups.
+	deadlyPart, sharedPart = "dead0001", "5c1e07a2"
+	// crashTime is how long a crashed engine refuses connections.
+	crashTime = 700 * time.Millisecond
+	// crashSeedStep: in one of so many seeds, prompts crash engines during the faults, too. In
+	// the others groups serve more streams.
+	crashSeedStep = 2
+	// deadlyPause is the pause between two requests with deadlyPart.
+	deadlyPause = 250 * time.Millisecond
+	// quarantineLimit is the number of crashes by which the part must be quarantined: three
+	// separate ones, and those that happen while nodes and links are disturbed.
+	quarantineLimit = 30
+	// contactTime is the time within which all entries must know of a quarantine.
+	contactTime = 3 * time.Second
+	// deadlyTries is the number of requests that each entry must refuse at the end.
+	deadlyTries = 3
+)
+
+// crashLog counts the requests with deadlyPart that reached engines.
+type crashLog struct{ arrivals atomic.Int64 }
+
+// promptPrefix returns the header line that lists the parts of a request's prompt.
+func promptPrefix(request string, deadly bool) string {
+	parts := sharedPart + ":40,"
+	if deadly {
+		parts += deadlyPart + ":40,"
+	}
+	return fmt.Sprintf("X-Prompt-Prefix: %s%x:10\r\n", parts, request)
+}
+
+// crash begins the answer to a request and ends the engine's incarnation: its connections break,
+// and nothing listens at its address for crashTime.
+func (e *engine) crash(conn net.Conn, id string) error {
+	e.set.crashes.arrivals.Add(1)
+	_, err := fmt.Fprintf(conn, streamHead+"Transfer-Encoding: chunked\r\n\r\n", http.StatusOK, id, e.id)
+	e.link.goDown(crashTime)
+	e.restart()
+	if err != nil {
+		return err
+	}
+	return errConnEnded
+}
+
+// isDeadly reports whether a request's prompt has deadlyPart.
+func isDeadly(req *http.Request) bool {
+	return strings.Contains(req.Header.Get("X-Prompt-Prefix"), deadlyPart)
+}
+
+// goDown refuses connections for a time. Open connections are reset.
+func (l *link) goDown(d time.Duration) {
+	l.mu.Lock()
+	if l.isDown || l.stopped {
+		l.mu.Unlock()
+		return
+	}
+	l.isDown = true
+	address := l.listener.Addr().String()
+	_ = l.listener.Close()
+	l.mu.Unlock()
+	l.resetAll()
+	time.AfterFunc(d, func() { l.listenAgain(address) })
+}
+
+// listenAgain accepts connections again at the address from before.
+func (l *link) listenAgain(address string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.stopped {
+		return
+	}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		panic(fmt.Sprintf("the link at %s does not listen again: %v", address, err))
+	}
+	l.listener, l.isDown = listener, false
+	go l.accept(listener)
+}
+
+// sendDeadly sends one request with deadlyPart and returns the status of the answer; 0 for none.
+func (s *streamCallers) sendDeadly(name string, entry int) int {
+	c := s.caller(name, entry)
+	defer c.closeConn()
+	a := &attempt{request: name, kind: pairStream, total: 1, deadly: true}
+	c.attempt(a, false)
+	if a.ending == endedComplete && a.status == http.StatusOK {
+		s.report(fmt.Sprintf("request %s crashes engines, and its caller got a complete answer", name))
+	}
+	return a.status
+}
+
+// runDeadly sends requests with deadlyPart to the entries in rotation until a time.
+func (s *streamCallers) runDeadly(until time.Time) {
+	for i := 0; time.Now().Before(until); i++ {
+		s.sendDeadly(fmt.Sprintf("deadly-%d", i), i)
+		time.Sleep(deadlyPause)
+	}
+}
+
+// checkQuarantine returns violations after the faults: once one entry refuses requests with
+// deadlyPart, all must do so after contactTime, and none may reach an engine. Without whole
+// groups there are no crashes to learn from, which is checked elsewhere.
+func (s *streamCallers) checkQuarantine() []string {
+	log := &s.engines.crashes
+	end := time.Now().Add(streamWaitLimit)
+	for i := 0; s.sendDeadly(fmt.Sprintf("learn-%d", i), 0) != http.StatusBadRequest; i++ {
+		if log.arrivals.Load() > quarantineLimit {
+			return []string{fmt.Sprintf("a part of prompts crashed engines %d times and is not quarantined", log.arrivals.Load())}
+		}
+		if time.Now().After(end) {
+			fmt.Printf("no quarantine after %d crashes: groups serve too seldom to learn from\n", log.arrivals.Load())
+			return nil
+		}
+		time.Sleep(deadlyPause)
+	}
+	time.Sleep(contactTime)
+	before := log.arrivals.Load()
+	var violations []string
+	for entry := range s.entryAddresses {
+		for i := range deadlyTries {
+			if status := s.sendDeadly(fmt.Sprintf("late-%d-%d", entry, i), entry); status != http.StatusBadRequest {
+				violations = append(violations, fmt.Sprintf("entry %d answered %d to a request with a quarantined part", entry, status))
+			}
+		}
+	}
+	if n := log.arrivals.Load() - before; n > 0 {
+		violations = append(violations, fmt.Sprintf("%d requests with a quarantined part reached engines %s after the quarantine began", n, contactTime))
+	}
+	return violations
+}
--- a/cmd/mastic-soak/engines.go
+++ b/cmd/mastic-soak/engines.go
@@ -36,7 +36,9 @@
 	region *region
 	seed   uint64
 	runs   *runLog
-	all    []*engine
+	// crashes counts requests that crash engines.
+	crashes crashLog
+	all     []*engine
 	// faultsActive is true while faults are injected.
 	faultsActive atomic.Bool
 	done         chan struct{}
@@ -189,6 +191,8 @@
 		return e.refuse(conn, id, http.StatusBadRequest)
 	case e.service == groupService && !e.group.serves(time.Now(), req.Header.Get("X-Model")):
 		return e.refuse(conn, id, http.StatusServiceUnavailable)
+	case isDeadly(req):
+		return e.crash(conn, id)
 	case e.inFlight.Add(1) > engineSlots:
 		e.inFlight.Add(-1)
 		return e.refuse(conn, id, http.StatusServiceUnavailable)
--- a/cmd/mastic-soak/link.go
+++ b/cmd/mastic-soak/link.go
@@ -49,6 +49,8 @@
 	mu           sync.Mutex
 	random       *rand.Rand
 	conns        map[*linkConn]bool
+	// isDown is true while the link refuses connections, stopped once it does so for good.
+	isDown, stopped bool
 }
 
 func newLink(address, target string, random *rand.Rand, faultsActive *atomic.Bool) (*link, error) {
@@ -57,11 +59,15 @@
 		return nil, err
 	}
 	l := &link{listener: listener, target: target, random: random, faultsActive: faultsActive, conns: map[*linkConn]bool{}}
-	go l.accept()
+	go l.accept(listener)
 	return l, nil
 }
 
-func (l *link) address() string { return l.listener.Addr().String() }
+func (l *link) address() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.listener.Addr().String()
+}
 
 func addresses(links []*link) []string {
 	var all []string
@@ -71,9 +77,9 @@
 	return all
 }
 
-func (l *link) accept() {
+func (l *link) accept(listener net.Listener) {
 	for {
-		conn, err := l.listener.Accept()
+		conn, err := listener.Accept()
 		if err != nil {
 			return
 		}
@@ -82,7 +88,10 @@
 }
 
 func (l *link) stop() {
+	l.mu.Lock()
+	l.stopped = true
 	_ = l.listener.Close()
+	l.mu.Unlock()
 	l.resetAll()
 }
 
--- a/cmd/mastic-soak/main.go
+++ b/cmd/mastic-soak/main.go
@@ -116,6 +116,9 @@
 	all.Go(func() { op.run(until) })
 	all.Go(func() { c.run(until) })
 	all.Go(func() { streams.run(args.Callers, until) })
+	if args.Grouped > 0 && seed%crashSeedStep == 0 {
+		all.Go(func() { streams.runDeadly(until) })
+	}
 	all.Go(func() { (&concurrentFaults{region: r, engines: engines, entryLinks: entryLinks}).run(seed, until) })
 	(&faults{region: r, service: service, random: faultSource(seed)}).run(until)
 	all.Wait()
@@ -129,6 +132,9 @@
 	if !streams.waitServed("end", streamKinds(false)) {
 		violations = append(violations, "streams are not served again after the faults")
 	}
+	if args.Grouped > 0 {
+		violations = append(violations, streams.checkQuarantine()...)
+	}
 	groupsServed = groupsServed && (args.Grouped == 0 || streams.waitServed("end-groups", groupKinds()))
 	if !groupsServed {
 		fmt.Printf("seed %d: streams of groups were not served at the start or the end\n", seed)
@@ -140,7 +146,7 @@
 	violations = append(violations, streams.violations()...)
 	violations = append(violations, streams.executedDespiteRefusal()...)
 	violations = append(violations, engines.runs.violations()...)
-	fmt.Printf("seed %d: %s; failures: %s\n", seed, &streams.counts, engines.runs.failureCounts())
+	fmt.Printf("seed %d: %s; failures: %s; crashes by a prompt: %d\n", seed, &streams.counts, engines.runs.failureCounts(), engines.crashes.arrivals.Load())
 	logged, err := r.logViolations()
 	if err != nil {
 		return nil, err
--- a/cmd/mastic-soak/streamcheck.go
+++ b/cmd/mastic-soak/streamcheck.go
@@ -22,7 +22,9 @@
 	request string
 	kind    *streamKind
 	// after is the last event that the caller already has; total is the stream's last event.
-	after, total        int
+	after, total int
+	// deadly requests have a part in their prompt that crashes engines.
+	deadly              bool
 	status              int
 	echoedID, signature string
 	body                strings.Builder
