--- a/pkg/gateway/attempt/attempt_test.go
+++ b/pkg/gateway/attempt/attempt_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"github.com/cockroachdb/datadriven"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/masticmount/masticmount/pkg/fault"
@@ -205,3 +206,28 @@
 		t.Logf("%s: %v", name, err)
 	}
 }
+
+// Guards against a request that ends one group after the other: a group that breaks before it
+// delivered a token may have broken because of the request.
+func TestGroupsThatBreakBeforeFirstTokenAreBounded(t *testing.T) {
+	m := New(Request{Idempotent: true, Numbered: true, MaxAttempts: 3})
+	m.Step(Arrived{})
+	sends := 0
+	for m.phase != phaseEnded && sends < 20 {
+		m.Step(SlotAssigned{Group: fmt.Sprint("g", sends)})
+		sends++
+		m.Step(GroupBroken{})
+	}
+	assert.Equal(t, 3, sends)
+
+	m = New(Request{Idempotent: true, Numbered: true, MaxAttempts: 3})
+	m.Step(Arrived{})
+	for i := range 20 {
+		m.Step(SlotAssigned{Group: fmt.Sprint("g", i)})
+		m.Step(Delivered{Tokens: 1})
+		m.Step(GroupBroken{})
+		m.Step(SlotAssigned{Group: fmt.Sprint("h", i)})
+		m.Step(Preempted{})
+	}
+	assert.NotEqual(t, phaseEnded, m.phase, "a stream that gets on is resumed, a preempted one too")
+}
--- a/pkg/gateway/attempt/machine.go
+++ b/pkg/gateway/attempt/machine.go
@@ -42,6 +42,10 @@
 	group    string
 	exclude  []string
 	retries  int
+	// deliveredBefore is the value of delivered when the running attempt was dispatched.
+	deliveredBefore int
+	// brokenAtStart counts the attempts whose group broke before they delivered a token.
+	brokenAtStart int
 	// mayHaveRun is true once any attempt may have reached an upstream; it is never
 	// reset.
 	mayHaveRun bool
@@ -98,7 +102,7 @@
 	case Preempted:
 		return m.interrupt("the request was preempted and cannot be resumed on another group")
 	case GroupBroken:
-		return m.interrupt("the group lost a member and the answer cannot be resumed on another group")
+		return m.groupBroken()
 	case ClientDisconnected:
 		return m.clientDisconnected()
 	default:
@@ -129,7 +133,7 @@
 }
 
 func (m *Machine) slotAssigned(group string) []Action {
-	m.phase, m.group = phaseRunning, group
+	m.phase, m.group, m.deliveredBefore = phaseRunning, group, m.delivered
 	return []Action{Dispatch{ResumeFrom: m.resumeFrom()}}
 }
 
@@ -162,6 +166,29 @@
 	return append(actions, m.acquire())
 }
 
+// groupBroken reschedules the request after its group lost a member. The request may itself be
+// the reason, so the groups that break before they deliver a token of it are bounded.
+func (m *Machine) groupBroken() []Action {
+	if m.phase == phaseRunning && m.delivered == m.deliveredBefore {
+		m.brokenAtStart++
+	}
+	if m.brokenAtStart >= max(m.req.MaxAttempts, 1) {
+		return m.endInterrupted(fault.New(fault.UpstreamFailed, "send the request again later, and change its prompt if it fails again",
+			"%d groups lost a member before they answered the request", m.brokenAtStart))
+	}
+	return m.interrupt("the group lost a member and the answer cannot be resumed on another group")
+}
+
+// endInterrupted cancels the running attempt and ends the request with an error. A non-idempotent
+// attempt continues.
+func (m *Machine) endInterrupted(err *fault.Error) []Action {
+	if m.phase != phaseRunning || !m.req.Idempotent {
+		return nil
+	}
+	m.mayHaveRun = true
+	return append([]Action{Cancel{}, Release{}}, m.refuse(err)...)
+}
+
 // interrupt cancels the running attempt and, if possible, reschedules the request.
 // A non-idempotent attempt continues, because only its answer shows whether the
 // request ran. Losing a slot is not a failure of the request: no group is excluded,
@@ -172,12 +199,10 @@
 	}
 	m.mayHaveRun = true
 	m.exclude = nil
-	actions := []Action{Cancel{}, Release{}}
 	if !m.canRetry() {
-		err := fault.New(fault.UpstreamFailed, "send the request again", "%s", detail).WithRetryAfter(retryAfter)
-		return append(actions, m.refuse(err)...)
+		return m.endInterrupted(fault.New(fault.UpstreamFailed, "send the request again", "%s", detail).WithRetryAfter(retryAfter))
 	}
-	return append(actions, m.acquire())
+	return []Action{Cancel{}, Release{}, m.acquire()}
 }
 
 // canRetry reports whether another attempt is safe: it can neither run a
