--- a/internal/settingsdoc/main.go
+++ b/internal/settingsdoc/main.go
@@ -19,7 +19,8 @@
 	intro  = "# Settings\n\n" +
 		"A node reads one TOML file, named on its command line. `masticmountd --check-settings FILE` and\n" +
 		"`masticmount check-settings FILE` report every fault at once. Unknown keys are faults. This page is\n" +
-		"made from the doc comments in `pkg/settings`; `make generate` renews it.\n"
+		"made from the doc comments in `pkg/settings`; `make generate` renews it. The quarantine of prompt parts\n" +
+		"has no settings; its limits are in [operations/quarantine.md](operations/quarantine.md#limits).\n"
 )
 
 func main() {
