--- a/cmd/mastic-soak/crashes.go
+++ b/cmd/mastic-soak/crashes.go
@@ -10,33 +10,33 @@
 )
 
 const (
-	// deadlyPart is the part of a prompt that crashes each engine of a group that begins to
+	// crashingPart is the part of a prompt that crashes each engine of a group that begins to
 	// answer it; sharedPart is in all prompts for groups.
-	deadlyPart, sharedPart = "dead0001", "5c1e07a2"
+	crashingPart, sharedPart = "dead0001", "5c1e07a2"
 	// crashTime is how long a crashed engine refuses connections.
 	crashTime = 700 * time.Millisecond
 	// crashSeedStep: in one of so many seeds, prompts crash engines during the faults, too. In
 	// the others groups serve more streams.
 	crashSeedStep = 2
-	// deadlyPause is the pause between two requests with deadlyPart.
-	deadlyPause = 250 * time.Millisecond
+	// crashingPause is the pause between two requests with crashingPart.
+	crashingPause = 250 * time.Millisecond
 	// quarantineLimit is the number of crashes by which the part must be quarantined: three
 	// separate ones, and those that happen while nodes and links are disturbed.
 	quarantineLimit = 30
 	// contactTime is the time within which all entries must know of a quarantine.
 	contactTime = 3 * time.Second
-	// deadlyTries is the number of requests that each entry must refuse at the end.
-	deadlyTries = 3
+	// crashingTries is the number of requests that each entry must refuse at the end.
+	crashingTries = 3
 )
 
-// crashLog counts the requests with deadlyPart that reached engines.
+// crashLog counts the requests with crashingPart that reached engines.
 type crashLog struct{ arrivals atomic.Int64 }
 
 // promptPrefix returns the header line that lists the parts of a request's prompt.
-func promptPrefix(request string, deadly bool) string {
+func promptPrefix(request string, crashing bool) string {
 	parts := sharedPart + ":40,"
-	if deadly {
-		parts += deadlyPart + ":40,"
+	if crashing {
+		parts += crashingPart + ":40,"
 	}
 	return fmt.Sprintf("X-Prompt-Prefix: %s%x:10\r\n", parts, request)
 }
@@ -54,9 +54,9 @@
 	return errConnEnded
 }
 
-// isDeadly reports whether a request's prompt has deadlyPart.
-func isDeadly(req *http.Request) bool {
-	return strings.Contains(req.Header.Get("X-Prompt-Prefix"), deadlyPart)
+// hasCrashingPart reports whether a request's prompt has crashingPart.
+func hasCrashingPart(req *http.Request) bool {
+	return strings.Contains(req.Header.Get("X-Prompt-Prefix"), crashingPart)
 }
 
 // goDown refuses connections for a time. Open connections are reset.
@@ -89,11 +89,11 @@
 	go l.accept(listener)
 }
 
-// sendDeadly sends one request with deadlyPart and returns the status of the answer; 0 for none.
-func (s *streamCallers) sendDeadly(name string, entry int) int {
+// sendCrashing sends one request with crashingPart and returns the status of the answer; 0 for none.
+func (s *streamCallers) sendCrashing(name string, entry int) int {
 	c := s.caller(name, entry)
 	defer c.closeConn()
-	a := &attempt{request: name, kind: pairStream, total: 1, deadly: true}
+	a := &attempt{request: name, kind: pairStream, total: 1, crashing: true}
 	c.attempt(a, false)
 	if a.ending == endedComplete && a.status == http.StatusOK {
 		s.report(fmt.Sprintf("request %s crashes engines, and its caller got a complete answer", name))
@@ -101,21 +101,21 @@
 	return a.status
 }
 
-// runDeadly sends requests with deadlyPart to the entries in rotation until a time.
-func (s *streamCallers) runDeadly(until time.Time) {
+// runCrashing sends requests with crashingPart to the entries in rotation until a time.
+func (s *streamCallers) runCrashing(until time.Time) {
 	for i := 0; time.Now().Before(until); i++ {
-		s.sendDeadly(fmt.Sprintf("deadly-%d", i), i)
-		time.Sleep(deadlyPause)
+		s.sendCrashing(fmt.Sprintf("crashing-%d", i), i)
+		time.Sleep(crashingPause)
 	}
 }
 
 // checkQuarantine returns violations after the faults: once one entry refuses requests with
-// deadlyPart, all must do so after contactTime, and none may reach an engine. Without whole
+// crashingPart, all must do so after contactTime, and none may reach an engine. Without whole
 // groups there are no crashes to learn from, which is checked elsewhere.
 func (s *streamCallers) checkQuarantine() []string {
 	log := &s.engines.crashes
 	end := time.Now().Add(streamWaitLimit)
-	for i := 0; s.sendDeadly(fmt.Sprintf("learn-%d", i), 0) != http.StatusBadRequest; i++ {
+	for i := 0; s.sendCrashing(fmt.Sprintf("learn-%d", i), 0) != http.StatusBadRequest; i++ {
 		if log.arrivals.Load() > quarantineLimit {
 			return []string{fmt.Sprintf("a part of prompts crashed engines %d times and is not quarantined", log.arrivals.Load())}
 		}
@@ -123,14 +123,14 @@
 			fmt.Printf("no quarantine after %d crashes: groups serve too seldom to learn from\n", log.arrivals.Load())
 			return nil
 		}
-		time.Sleep(deadlyPause)
+		time.Sleep(crashingPause)
 	}
 	time.Sleep(contactTime)
 	before := log.arrivals.Load()
 	var violations []string
 	for entry := range s.entryAddresses {
-		for i := range deadlyTries {
-			if status := s.sendDeadly(fmt.Sprintf("late-%d-%d", entry, i), entry); status != http.StatusBadRequest {
+		for i := range crashingTries {
+			if status := s.sendCrashing(fmt.Sprintf("late-%d-%d", entry, i), entry); status != http.StatusBadRequest {
 				violations = append(violations, fmt.Sprintf("entry %d answered %d to a request with a quarantined part", entry, status))
 			}
 		}
--- a/cmd/mastic-soak/engines.go
+++ b/cmd/mastic-soak/engines.go
@@ -191,7 +191,7 @@
 		return e.refuse(conn, id, http.StatusBadRequest)
 	case e.service == groupService && !e.group.serves(time.Now(), req.Header.Get("X-Model")):
 		return e.refuse(conn, id, http.StatusServiceUnavailable)
-	case isDeadly(req):
+	case hasCrashingPart(req):
 		return e.crash(conn, id)
 	case e.inFlight.Add(1) > engineSlots:
 		e.inFlight.Add(-1)
--- a/cmd/mastic-soak/main.go
+++ b/cmd/mastic-soak/main.go
@@ -117,7 +117,7 @@
 	all.Go(func() { c.run(until) })
 	all.Go(func() { streams.run(args.Callers, until) })
 	if args.Grouped > 0 && seed%crashSeedStep == 0 {
-		all.Go(func() { streams.runDeadly(until) })
+		all.Go(func() { streams.runCrashing(until) })
 	}
 	all.Go(func() { (&concurrentFaults{region: r, engines: engines, entryLinks: entryLinks}).run(seed, until) })
 	(&faults{region: r, service: service, random: faultSource(seed)}).run(until)
--- a/cmd/mastic-soak/streamcheck.go
+++ b/cmd/mastic-soak/streamcheck.go
@@ -23,8 +23,8 @@
 	kind    *streamKind
 	// after is the last event that the caller already has; total is the stream's last event.
 	after, total int
-	// deadly requests have a part in their prompt that crashes engines.
-	deadly              bool
+	// crashing requests have a part in their prompt that crashes engines.
+	crashing            bool
 	status              int
 	echoedID, signature string
 	body                strings.Builder
--- a/pkg/forward/crashing_part_test.go
+++ b/pkg/forward/crashing_part_test.go
@@ -29,22 +29,22 @@
 	restartTime = 3 * time.Second
 )
 
-// crashingEngines are engines that crash when they begin an answer on one of the deadly parts.
+// crashingEngines are engines that crash when they begin an answer on one of the crashing parts.
 type crashingEngines struct {
 	h  *harness
 	mu sync.Mutex
-	// deadly are the parts of which any crashes an engine.
-	deadly []string
+	// crashing are the parts of which any crashes an engine.
+	crashing []string
 	// downUntil is when each crashed engine accepts connections again.
 	downUntil map[string]time.Time
 	crashes   []time.Time
-	// sends are the times of requests with a deadly part that reached an engine.
+	// sends are the times of requests with a crashing part that reached an engine.
 	sends []time.Time
 }
 
 // newCrashingEngines makes all upstreams of the harness engines that crash on the given parts.
-func newCrashingEngines(h *harness, deadly ...string) *crashingEngines {
-	c := &crashingEngines{h: h, deadly: deadly, downUntil: map[string]time.Time{}}
+func newCrashingEngines(h *harness, crashing ...string) *crashingEngines {
+	c := &crashingEngines{h: h, crashing: crashing, downUntil: map[string]time.Time{}}
 	h.entry.opts.HeaderNames.PromptParts = func(peek func(string) []byte) []string {
 		return strings.FieldsFunc(string(peek("Test-Parts")), func(r rune) bool { return r == ',' })
 	}
@@ -70,10 +70,10 @@
 	return nil
 }
 
-func (c *crashingEngines) isDeadly(req *http.Request) bool {
+func (c *crashingEngines) hasCrashingPart(req *http.Request) bool {
 	for _, part := range strings.Split(req.Header.Get("Test-Parts"), ",") {
-		for _, deadly := range c.deadly {
-			if part == deadly {
+		for _, crashing := range c.crashing {
+			if part == crashing {
 				return true
 			}
 		}
@@ -85,7 +85,7 @@
 // its answer.
 func (c *crashingEngines) serve(address string, req *http.Request, _ net.Conn) (string, bool) {
 	head := strings.Replace(fmt.Sprintf(streamHead, "p"), "r1", req.Header.Get("Test-Id"), 1)
-	if c.isDeadly(req) {
+	if c.hasCrashingPart(req) {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		now := time.Now()
@@ -116,7 +116,7 @@
 	c.h.entry.UpdateView(&v)
 }
 
-// sendsAfterLimit counts the requests with a deadly part that reached engines after the
+// sendsAfterLimit counts the requests with a crashing part that reached engines after the
 // tolerated time.
 func (c *crashingEngines) sendsAfterLimit() int {
 	if len(c.crashes) < tolerableCrashes {
@@ -152,11 +152,11 @@
 // request with a part that crashes engines ended another one.
 func TestPromptPartThatCrashesEnginesStopsReachingThem(t *testing.T) {
 	inBubble(t, eightEngines(), func(h *harness) {
-		engines := newCrashingEngines(h, "deadly")
+		engines := newCrashingEngines(h, "crashing")
 		for i := range 30 {
 			engines.restart()
 			own := fmt.Sprintf("own-%d", i)
-			status, _ := engines.request("d"+own, "first", "deadly", own)
+			status, _ := engines.request("d"+own, "first", "crashing", own)
 			_, whole := engines.request("s"+own, "first", "sound", own)
 			assert.True(t, whole, "a sound request with the same first part, at %d s", i)
 			if i > 5 {
@@ -172,11 +172,11 @@
 // connection used up one of the request's attempts.
 func TestRequestIsSentPastEnginesThatCrashed(t *testing.T) {
 	inBubble(t, eightEngines(), func(h *harness) {
-		engines := newCrashingEngines(h, "deadly")
+		engines := newCrashingEngines(h, "crashing")
 		for i := range 10 {
 			engines.restart()
 			own := fmt.Sprintf("own-%d", i)
-			engines.request("d"+own, "first", "deadly", own)
+			engines.request("d"+own, "first", "crashing", own)
 			_, whole := engines.request("s"+own, "first", "sound", own)
 			assert.True(t, whole, "a sound request with the same first part, at %d s", i)
 			<-time.After(time.Second)
@@ -184,8 +184,8 @@
 	})
 }
 
-// deadlyCrashes are three separate crashes with a part, beside a success of another one.
-func deadlyCrashes(part string) *peerpb.CrashEvidence {
+// crashesWith are three separate crashes with a part, beside a success of another one.
+func crashesWith(part string) *peerpb.CrashEvidence {
 	e := &peerpb.CrashEvidence{Successes: []*peerpb.PartSuccess{{Part: "", AgeMs: 1500}}}
 	for i := range 3 {
 		e.Crashes = append(e.Crashes, &peerpb.CrashRecord{Upstream: fmt.Sprint("crashed-", i), BornMs: 1, Parts: []string{part}, AgeMs: uint32(3000 - 1000*i)})
@@ -196,14 +196,14 @@
 // Guards against each entry losing engines until it has learned of the part by itself.
 func TestEntryRefusesPartThatOtherEntriesReported(t *testing.T) {
 	inBubble(t, eightEngines(), func(h *harness) {
-		engines := newCrashingEngines(h, "deadly")
-		h.entry.MergeCrashEvidence(time.Now(), deadlyCrashes("deadly"))
-		status, _ := engines.request("r1", "first", "deadly", "own")
+		engines := newCrashingEngines(h, "crashing")
+		h.entry.MergeCrashEvidence(time.Now(), crashesWith("crashing"))
+		status, _ := engines.request("r1", "first", "crashing", "own")
 		assert.Equal(t, http.StatusBadRequest, status)
 		assert.Empty(t, engines.sends)
 		status, whole := engines.request("r2", "first", "sound", "own")
 		assert.True(t, whole, "status %d", status)
-		status, whole = engines.request("r3", "deadly")
+		status, whole = engines.request("r3", "crashing")
 		assert.False(t, whole, "the last part belongs to the request alone: status %d", status)
 		assert.Len(t, engines.sends, 2, "it is sent, and retried once")
 
@@ -258,9 +258,9 @@
 			began := time.Now()
 			go func() {
 				<-time.After(300 * time.Millisecond)
-				h.entry.MergeCrashEvidence(time.Now(), deadlyCrashes("deadly"))
+				h.entry.MergeCrashEvidence(time.Now(), crashesWith("crashing"))
 			}()
-			status, _ := engines.request("r1", "first", "deadly", "own")
+			status, _ := engines.request("r1", "first", "crashing", "own")
 			assert.Equal(t, http.StatusBadRequest, status, "occupied: %v", occupied)
 			assert.Equal(t, 300*time.Millisecond, time.Since(began), "at once")
 			assert.Equal(t, occupied, strings.Contains(h.log.String(), "outcome=not-run"))
@@ -271,11 +271,11 @@
 // Requests that name no prompt parts show, too, that engines answer.
 func TestRequestsWithoutPartsCountAsSuccesses(t *testing.T) {
 	inBubble(t, eightEngines(), func(h *harness) {
-		engines := newCrashingEngines(h, "deadly")
+		engines := newCrashingEngines(h, "crashing")
 		status := 0
 		for i := range 8 {
 			engines.restart()
-			status, _ = engines.request(fmt.Sprint("d", i), "first", "deadly", "own")
+			status, _ = engines.request(fmt.Sprint("d", i), "first", "crashing", "own")
 			engines.request(fmt.Sprint("s", i))
 			<-time.After(time.Second)
 		}
@@ -286,24 +286,24 @@
 // Guards against refusals that an operator cannot trace to the part and its evidence.
 func TestExplainNamesQuarantinedPart(t *testing.T) {
 	inBubble(t, eightEngines(), func(h *harness) {
-		engines := newCrashingEngines(h, "deadly")
+		engines := newCrashingEngines(h, "crashing")
 		for i := range 4 {
 			engines.restart()
-			engines.request(fmt.Sprint("d", i), "first", "deadly", "own")
+			engines.request(fmt.Sprint("d", i), "first", "crashing", "own")
 			engines.request(fmt.Sprint("s", i), "first", "sound", "own")
 			<-time.After(time.Second)
 		}
 		<-time.After(time.Minute)
-		engines.request("late", "first", "deadly", "own")
+		engines.request("late", "first", "crashing", "own")
 		lines, err := explain.Read(strings.NewReader(h.log.String()))
 		require.NoError(t, err)
 		found := explain.Request("late", lines)
 		var text strings.Builder
 		require.NoError(t, explain.Write(&text, found))
-		assert.Contains(t, text.String(), "part deadly quarantined after 3 crashes")
-		assert.Contains(t, text.String(), "crashed as it began to answer a prompt with parts first,deadly")
+		assert.Contains(t, text.String(), "part crashing quarantined after 3 crashes")
+		assert.Contains(t, text.String(), "crashed as it began to answer a prompt with parts first,crashing")
 		cause := explain.Cause(found)
-		assert.Contains(t, cause, "part deadly of the prompt is quarantined")
+		assert.Contains(t, cause, "part crashing of the prompt is quarantined")
 		assert.Contains(t, cause, "the last one 6")
 	})
 }
--- a/pkg/quarantine/simulation_test.go
+++ b/pkg/quarantine/simulation_test.go
@@ -36,9 +36,9 @@
 type scenario struct {
 	name    string
 	entries int
-	// deadly are the parts that crash engines, and the share of the requests that have each.
-	deadly map[string]float64
-	// companion is true if requests with a deadly part come with a part that is rare otherwise.
+	// crashing are the parts that crash engines, and the share of the requests that have each.
+	crashing map[string]float64
+	// companion is true if requests with a crashing part come with a part that is rare otherwise.
 	companion bool
 	// crashesPerSecond is the rate of ordinary crashes, crashGroup how many engines end together.
 	crashesPerSecond float64
@@ -56,27 +56,27 @@
 }
 
 var scenarios = []scenario{
-	{name: "one part", entries: 9, deadly: map[string]float64{"d1": 0.02}},
-	{name: "rare part", entries: 9, deadly: map[string]float64{"d1": 0.002}},
-	{name: "frequent part", entries: 9, deadly: map[string]float64{"d1": 0.2}},
-	{name: "three parts at once", entries: 9, deadly: map[string]float64{"d1": 0.01, "d2": 0.02, "d3": 0.005}},
-	{name: "part with a rare companion", entries: 9, deadly: map[string]float64{"d1": 0.02}, companion: true},
-	{name: "beside ordinary crashes", entries: 9, deadly: map[string]float64{"d1": 0.02}, crashesPerSecond: 0.5, crashGroup: 1},
-	{name: "beside engines that end together", entries: 9, deadly: map[string]float64{"d1": 0.02}, crashesPerSecond: 0.15, crashGroup: 5},
+	{name: "one part", entries: 9, crashing: map[string]float64{"d1": 0.02}},
+	{name: "rare part", entries: 9, crashing: map[string]float64{"d1": 0.002}},
+	{name: "frequent part", entries: 9, crashing: map[string]float64{"d1": 0.2}},
+	{name: "three parts at once", entries: 9, crashing: map[string]float64{"d1": 0.01, "d2": 0.02, "d3": 0.005}},
+	{name: "part with a rare companion", entries: 9, crashing: map[string]float64{"d1": 0.02}, companion: true},
+	{name: "beside ordinary crashes", entries: 9, crashing: map[string]float64{"d1": 0.02}, crashesPerSecond: 0.5, crashGroup: 1},
+	{name: "beside engines that end together", entries: 9, crashing: map[string]float64{"d1": 0.02}, crashesPerSecond: 0.15, crashGroup: 5},
 	{name: "ordinary crashes and a frequent sound part", entries: 9, crashesPerSecond: 1, crashGroup: 1, hotShare: 0.6},
 	{name: "engines that end together and a frequent sound part", entries: 9, crashesPerSecond: 0.3, crashGroup: 6, hotShare: 0.6},
-	{name: "cut failure domain", entries: 9, deadly: map[string]float64{"d1": 0.02}, cutFrom: 300, cutTo: 1200},
-	{name: "frozen keeper", entries: 9, deadly: map[string]float64{"d1": 0.02}, frozenFrom: 100, frozenTo: 1000},
-	{name: "entries that start and return later", entries: 9, deadly: map[string]float64{"d1": 0.02}, joinAt: 1500, restartAt: 2000},
-	{name: "sixty entries", entries: 60, deadly: map[string]float64{"d1": 0.02, "d2": 0.01}, crashesPerSecond: 0.3, crashGroup: 1, hotShare: 0.3},
+	{name: "cut failure domain", entries: 9, crashing: map[string]float64{"d1": 0.02}, cutFrom: 300, cutTo: 1200},
+	{name: "frozen keeper", entries: 9, crashing: map[string]float64{"d1": 0.02}, frozenFrom: 100, frozenTo: 1000},
+	{name: "entries that start and return later", entries: 9, crashing: map[string]float64{"d1": 0.02}, joinAt: 1500, restartAt: 2000},
+	{name: "sixty entries", entries: 60, crashing: map[string]float64{"d1": 0.02, "d2": 0.01}, crashesPerSecond: 0.3, crashGroup: 1, hotShare: 0.3},
 }
 
 // flight is a request that an engine works on.
 type flight struct {
 	entry int
 	parts []string
-	// deadly is the deadly part; empty for a sound request.
-	deadly string
+	// crashing is the crashing part; empty for a sound request.
+	crashing string
 	// beginsAt is the step at which the engine begins the answer, successAt that at which the
 	// answer is past its beginning.
 	beginsAt, successAt int
@@ -111,7 +111,7 @@
 	engines  []simulatedEngine
 	messages []message
 	requests int
-	// crashSteps and sendSteps are the crashes by each deadly part and the sends with it, by
+	// crashSteps and sendSteps are the crashes by each crashing part and the sends with it, by
 	// entries that were in contact for contactSteps.
 	crashSteps map[string][]int
 	sendSteps  map[string][]int
@@ -169,16 +169,16 @@
 		f.parts[1] = "hot"
 	}
 	at := s.random.Float64()
-	for _, part := range slices.Sorted(maps.Keys(s.deadly)) {
-		if at -= s.deadly[part]; at < 0 {
-			f.deadly, f.parts[1] = part, part
+	for _, part := range slices.Sorted(maps.Keys(s.crashing)) {
+		if at -= s.crashing[part]; at < 0 {
+			f.crashing, f.parts[1] = part, part
 			if s.companion {
 				f.parts[0] = "rare"
 			}
 			break
 		}
 	}
-	if s.companion && f.deadly == "" && s.random.Float64() < 0.002 {
+	if s.companion && f.crashing == "" && s.random.Float64() < 0.002 {
 		f.parts[0] = "rare"
 	}
 	s.send(f)
@@ -187,15 +187,15 @@
 // send sends a request unless it is quarantined.
 func (s *simulation) send(f flight) {
 	if _, refused := s.nodes[f.entry].table.Check(s.now(), f.parts); refused {
-		if f.deadly == "" {
+		if f.crashing == "" {
 			s.soundRefused++
 		}
 		return
 	}
-	if f.deadly == "" {
+	if f.crashing == "" {
 		s.soundSent++
 	} else if s.inContact(f.entry) {
-		s.sendSteps[f.deadly] = append(s.sendSteps[f.deadly], s.step)
+		s.sendSteps[f.crashing] = append(s.sendSteps[f.crashing], s.step)
 	}
 	for range simulatedEngines {
 		e := &s.engines[s.random.IntN(simulatedEngines)]
@@ -248,8 +248,8 @@
 		e := &s.engines[i]
 		crashed := false
 		for _, f := range e.flights {
-			if f.deadly != "" && f.beginsAt+5 <= s.step {
-				s.crashSteps[f.deadly] = append(s.crashSteps[f.deadly], s.step)
+			if f.crashing != "" && f.beginsAt+5 <= s.step {
+				s.crashSteps[f.crashing] = append(s.crashSteps[f.crashing], s.step)
 				s.crash(i)
 				crashed = true
 				break
@@ -354,7 +354,7 @@
 			refused, sent := 0, 0
 			for seed := range uint64(simulationSeeds) {
 				s := play(sc, seed)
-				for part := range sc.deadly {
+				for part := range sc.crashing {
 					assert.LessOrEqual(t, s.lateSends(part), toleratedSends, "seed %d: sends with %s after %d crashes", seed, part, len(s.crashSteps[part]))
 				}
 				refused, sent = refused+s.soundRefused, sent+s.soundSent
--- a/pkg/quarantine/table_test.go
+++ b/pkg/quarantine/table_test.go
@@ -40,8 +40,8 @@
 
 func TestVerdicts(t *testing.T) {
 	threeCrashes := []step{
-		crash(1, "a", "first", "deadly"), success(1.1, "first", "other"), crash(2, "b", "first", "deadly"), success(2.1, "first", "other"),
-		crash(3, "c", "first", "deadly"), success(3.1, "first", "other"),
+		crash(1, "a", "first", "crashing"), success(1.1, "first", "other"), crash(2, "b", "first", "crashing"), success(2.1, "first", "other"),
+		crash(3, "c", "first", "crashing"), success(3.1, "first", "other"),
 	}
 	cases := []struct {
 		name    string
@@ -50,21 +50,21 @@
 		parts   []string
 		refused bool
 	}{
-		{"no evidence", nil, 1, []string{"deadly"}, false},
-		{"two crashes", threeCrashes[:4], 4, []string{"first", "deadly"}, false},
-		{"three crashes", threeCrashes, 4, []string{"first", "deadly"}, true},
-		{"three crashes, with another first part", threeCrashes, 4, []string{"new", "deadly"}, true},
+		{"no evidence", nil, 1, []string{"crashing"}, false},
+		{"two crashes", threeCrashes[:4], 4, []string{"first", "crashing"}, false},
+		{"three crashes", threeCrashes, 4, []string{"first", "crashing"}, true},
+		{"three crashes, with another first part", threeCrashes, 4, []string{"new", "crashing"}, true},
 		{"sound request with the same first part", threeCrashes, 4, []string{"first", "other"}, false},
 		{"unknown request", threeCrashes, 4, []string{"new"}, false},
 		{"request without parts", threeCrashes, 4, nil, false},
 		{"same engine started again counts as another one", []step{
-			crash(1, "a", "deadly"), success(1.5, "x"), crash(5, "b", "deadly"), crash(9, "c", "deadly"),
-		}, 10, []string{"deadly"}, true},
+			crash(1, "a", "crashing"), success(1.5, "x"), crash(5, "b", "crashing"), crash(9, "c", "crashing"),
+		}, 10, []string{"crashing"}, true},
 		{"one engine is counted once", []step{
-			crash(1, "a", "deadly"), success(1.5, "x"), crash(2, "a", "deadly"), crash(3, "a", "deadly"),
-		}, 4, []string{"deadly"}, false},
-		{"success refutes the crashes before it", append(threeCrashes, success(3.5, "deadly")), 4, []string{"first", "deadly"}, false},
-		{"crashes after a success count", append([]step{crash(0, "z", "deadly"), success(0.5, "deadly")}, threeCrashes...), 4, []string{"deadly"}, true},
+			crash(1, "a", "crashing"), success(1.5, "x"), crash(2, "a", "crashing"), crash(3, "a", "crashing"),
+		}, 4, []string{"crashing"}, false},
+		{"success refutes the crashes before it", append(threeCrashes, success(3.5, "crashing")), 4, []string{"first", "crashing"}, false},
+		{"crashes after a success count", append([]step{crash(0, "z", "crashing"), success(0.5, "crashing")}, threeCrashes...), 4, []string{"crashing"}, true},
 		{"engines that end together count once", []step{
 			crash(1, "a", "hot"), crash(1.01, "b", "hot"), crash(1.02, "c", "hot"), crash(1.03, "d", "hot"), success(1.5, "x"),
 		}, 2, []string{"hot"}, false},
@@ -83,11 +83,11 @@
 		{"and acquits the companion", []step{
 			crash(1, "a", "p", "q"), success(1.5, "x"), crash(2, "b", "p", "q"), crash(3, "c", "p", "q"), crash(4, "d", "p"),
 		}, 5, []string{"q"}, false},
-		{"quarantine ends", threeCrashes, 3 + QuarantineTime.Seconds(), []string{"deadly"}, false},
-		{"one more crash restores it", append(threeCrashes, crash(3+QuarantineTime.Seconds(), "d", "deadly")), 4 + QuarantineTime.Seconds(), []string{"deadly"}, true},
+		{"quarantine ends", threeCrashes, 3 + QuarantineTime.Seconds(), []string{"crashing"}, false},
+		{"one more crash restores it", append(threeCrashes, crash(3+QuarantineTime.Seconds(), "d", "crashing")), 4 + QuarantineTime.Seconds(), []string{"crashing"}, true},
 		{"old crashes do not count", []step{
-			crash(1, "a", "deadly"), success(1.5, "x"), crash(evidenceTime.Seconds(), "b", "deadly"), crash(evidenceTime.Seconds()+2, "c", "deadly"),
-		}, evidenceTime.Seconds() + 3, []string{"deadly"}, false},
+			crash(1, "a", "crashing"), success(1.5, "x"), crash(evidenceTime.Seconds(), "b", "crashing"), crash(evidenceTime.Seconds()+2, "c", "crashing"),
+		}, evidenceTime.Seconds() + 3, []string{"crashing"}, false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -137,13 +137,13 @@
 }
 
 func TestQuarantinedPartOutlastsManyOtherCrashes(t *testing.T) {
-	table := tableWith(crash(1, "a", "deadly"), success(1.5, "x"), crash(2, "b", "deadly"), crash(3, "c", "deadly"))
+	table := tableWith(crash(1, "a", "crashing"), success(1.5, "x"), crash(2, "b", "crashing"), crash(3, "c", "crashing"))
 	for i := range 4 * maxCrashes {
 		second := 4 + float64(i)/100
 		table.AddCrash(at(second), Crash{Upstream: fmt.Sprint("u", i), StartTime: 1, Parts: []string{fmt.Sprint("p", i)}, At: at(second)})
 		table.ObserveSuccess(at(second), []string{fmt.Sprint("s", i)})
 	}
-	_, refused := table.Check(at(60), []string{"deadly"})
+	_, refused := table.Check(at(60), []string{"crashing"})
 	assert.True(t, refused)
 	assert.LessOrEqual(t, table.Crashes(), maxCrashes)
 	assert.LessOrEqual(t, len(table.recent)+len(table.older), 2*maxRecentSuccesses+maxParts+1)
