--- /dev/null
+++ b/pkg/forward/crashing_request_test.go
@@ -0,0 +1,278 @@
+package forward
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/masticmount/masticmount/pkg/attach"
+	"github.com/masticmount/masticmount/pkg/disconnect"
+	"github.com/masticmount/masticmount/pkg/dispatch"
+	"github.com/masticmount/masticmount/pkg/peerpb"
+)
+
+const (
+	// crashesOfRequest is the number of crashes by a request after which contactTime begins.
+	crashesOfRequest = 3
+	// exchangeInterval is the time between two reports of an entry's evidence.
+	exchangeInterval = 200 * time.Millisecond
+)
+
+// crashingService is a plain service behind several entries. Its upstreams crash soon after they
+// begin to run a request with a crashing body, and are back after restartTime.
+type crashingService struct {
+	h       *harness
+	entries []*Entry
+	view    atomic.Pointer[attach.View]
+
+	mu     sync.Mutex
+	random *rand.Rand
+	// conns are the connections of each upstream, downUntil is when a crashed one is back.
+	conns     map[string]map[net.Conn]bool
+	downUntil map[string]time.Time
+	// sends and crashes are the times of each crashing body's runs and of the crashes by it.
+	sends, crashes map[string][]time.Time
+	// answered and failed count the sound requests that began after a time, by status.
+	answered map[int]int
+}
+
+// newCrashingService replaces the harness's entry by several that exchange evidence.
+func newCrashingService(h *harness, entries int) *crashingService {
+	c := &crashingService{
+		h: h, random: rand.New(rand.NewPCG(1, 1)), conns: map[string]map[net.Conn]bool{}, downUntil: map[string]time.Time{},
+		sends: map[string][]time.Time{}, crashes: map[string][]time.Time{}, answered: map[int]int{},
+	}
+	// Nobody reads what the harness records of each request.
+	h.received, h.headers, h.dialError = make(chan string, 1<<16), make(chan http.Header, 1<<16), c.dialError
+	for address := range h.upstreams {
+		h.upstreams[address] = func(req *http.Request, body string, conn net.Conn) (string, bool) { return c.serve(address, req, body, conn) }
+		c.conns[address] = map[net.Conn]bool{}
+	}
+	c.view.Store(h.view)
+	for range entries {
+		opts := h.entry.opts
+		opts.View = c.view.Load
+		opts.Client = dispatch.NewClientWith(dispatch.Options{Dial: h.dial, Protocol: dispatch.Protocol{RequestID: "Test-Id", AllowUnframed: true}})
+		e := New(opts)
+		e.UpdateView(h.view)
+		c.entries = append(c.entries, e)
+	}
+	return c
+}
+
+func (c *crashingService) close() {
+	for _, e := range c.entries {
+		e.opts.Client.Close()
+	}
+}
+
+func (c *crashingService) dialError(address string) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if time.Now().Before(c.downUntil[address]) {
+		return syscall.ECONNREFUSED
+	}
+	return nil
+}
+
+// serve answers a request after 20 to 60 ms, or crashes.
+func (c *crashingService) serve(address string, req *http.Request, body string, conn net.Conn) (string, bool) {
+	c.mu.Lock()
+	if time.Now().Before(c.downUntil[address]) {
+		c.mu.Unlock()
+		return "", false
+	}
+	c.conns[address][conn] = true
+	took := time.Duration(20+c.random.IntN(40)) * time.Millisecond
+	crashing := strings.HasPrefix(body, "crashing")
+	if crashing {
+		c.sends[body] = append(c.sends[body], time.Now())
+	}
+	c.mu.Unlock()
+	<-time.After(took)
+	if crashing {
+		c.crash(address, body)
+		return "", false
+	}
+	return strings.Replace(answer(200, "sound"), "r1", req.Header.Get("Test-Id"), 1), true
+}
+
+// crash ends an upstream and its connections.
+func (c *crashingService) crash(address, body string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if time.Now().Before(c.downUntil[address]) {
+		return
+	}
+	c.crashes[body] = append(c.crashes[body], time.Now())
+	c.downUntil[address] = time.Now().Add(restartTime)
+	for conn := range c.conns[address] {
+		_ = conn.Close()
+	}
+	c.conns[address] = map[net.Conn]bool{}
+}
+
+// exchange announces the upstreams that are back as new incarnations, and passes the evidence of
+// each entry on to the others, until done is closed.
+func (c *crashingService) exchange(done <-chan struct{}) {
+	sent := make([]uint64, len(c.entries))
+	for {
+		select {
+		case <-done:
+			return
+		case <-time.After(exchangeInterval):
+		}
+		c.restart()
+		for i, from := range c.entries {
+			report := &peerpb.EntryReport{}
+			from.Report(time.Now(), false, &sent[i], report)
+			for _, to := range c.entries {
+				if to != from {
+					to.MergeCrashEvidence(time.Now(), report.GetCrashEvidence())
+				}
+			}
+		}
+	}
+}
+
+func (c *crashingService) restart() {
+	c.mu.Lock()
+	v := *c.view.Load()
+	v.Targets = append(v.Targets[:0:0], v.Targets...)
+	back := false
+	for i := range v.Targets {
+		t := &v.Targets[i]
+		if until := c.downUntil[t.Address]; !until.IsZero() && !time.Now().Before(until) {
+			delete(c.downUntil, t.Address)
+			t.StartTime++
+			back = true
+		}
+	}
+	c.mu.Unlock()
+	if !back {
+		return
+	}
+	c.view.Store(&v)
+	for _, e := range c.entries {
+		e.UpdateView(&v)
+	}
+}
+
+// request sends one request to an entry and returns the status of the answer; 0 without one.
+func (c *crashingService) request(entry int, id, target, body string) int {
+	client, server := net.Pipe()
+	defer func() { _ = client.Close() }()
+	accepted, err := disconnect.WrapListener(&singleConnListener{conn: server}).Accept()
+	if !assert.NoError(c.h.t, err) {
+		return 0
+	}
+	go func() { _ = c.entries[entry].server.ServeConn(accepted) }()
+	go func() {
+		_, _ = fmt.Fprintf(client, "POST %s HTTP/1.1\r\nHost: h\r\nTest-Id: %s\r\nTest-Key: secret\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", target, id, len(body), body)
+	}()
+	resp, err := http.ReadResponse(bufio.NewReader(client), nil)
+	if err != nil {
+		return 0
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+// callSound sends sound requests to an entry until done is closed. One in eight has a body that
+// comes again. countFrom is when the results begin to count.
+func (c *crashingService) callSound(wait *sync.WaitGroup, done <-chan struct{}, entry int, countFrom time.Time) {
+	for i := 0; ; i++ {
+		select {
+		case <-done:
+			return
+		case <-time.After(40 * time.Millisecond):
+		}
+		body, target := fmt.Sprintf("sound %d %d", entry, i), "/repeat/x"
+		if i%8 == 0 {
+			body = "sound again"
+		}
+		if i%3 == 0 {
+			target = "/once/x"
+		}
+		wait.Go(func() {
+			counts := time.Now().After(countFrom)
+			status := c.request(entry, fmt.Sprintf("s-%d-%d", entry, i), target, body)
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			if counts {
+				c.answered[status]++
+			}
+		})
+	}
+}
+
+// callCrashing sends a crashing request every half second, each time at another entry, and once
+// more after an answer that allows it.
+func (c *crashingService) callCrashing(done <-chan struct{}, body string) {
+	for i := 0; ; i++ {
+		select {
+		case <-done:
+			return
+		case <-time.After(500 * time.Millisecond):
+		}
+		for attempt := range 3 {
+			status := c.request((i+attempt)%len(c.entries), fmt.Sprintf("c-%d-%d", i, attempt), "/repeat/x", body)
+			if status == http.StatusBadRequest {
+				break
+			}
+			<-time.After(100 * time.Millisecond)
+		}
+	}
+}
+
+// sendsAfterLimit counts the runs of a crashing body that began after the tolerated time.
+func (c *crashingService) sendsAfterLimit(body string) int {
+	n := 0
+	for _, at := range c.sends[body] {
+		if len(c.crashes[body]) >= crashesOfRequest && at.After(c.crashes[body][crashesOfRequest-1].Add(contactTime)) {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against a request that ends one upstream after the other: each retry, and each time that
+// it came again at any entry, it was sent to another one until the service had none.
+func TestRequestThatCrashesUpstreamsStopsReachingThem(t *testing.T) {
+	inBubble(t, map[string]script{"a:1": nil, "b:1": nil, "c:1": nil}, func(h *harness) {
+		c := newCrashingService(h, 3)
+		done := make(chan struct{})
+		countFrom := time.Now().Add(10 * time.Second)
+		var wait sync.WaitGroup
+		wait.Go(func() { c.exchange(done) })
+		for entry := range c.entries {
+			wait.Go(func() { c.callSound(&wait, done, entry, countFrom) })
+		}
+		<-time.After(time.Second)
+		wait.Go(func() { c.callCrashing(done, "crashing 1") })
+		<-time.After(40 * time.Second)
+		close(done)
+		wait.Wait()
+		c.close()
+		body := "crashing 1"
+		assert.GreaterOrEqual(t, len(c.crashes[body]), crashesOfRequest)
+		assert.LessOrEqual(t, c.sendsAfterLimit(body), tolerableSends, "%d sends of the request, %d crashes", len(c.sends[body]), len(c.crashes[body]))
+		total := 0
+		for _, n := range c.answered {
+			total += n
+		}
+		assert.GreaterOrEqual(t, float64(c.answered[http.StatusOK]), 0.95*float64(total), "sound requests by status: %v", c.answered)
+	})
+}
