--- a/pkg/forward/crashing_request_test.go
+++ b/pkg/forward/crashing_request_test.go
@@ -56,7 +56,9 @@
 	// Nobody reads what the harness records of each request.
 	h.received, h.headers, h.dialError = make(chan string, 1<<16), make(chan http.Header, 1<<16), c.dialError
 	for address := range h.upstreams {
-		h.upstreams[address] = func(req *http.Request, body string, conn net.Conn) (string, bool) { return c.serve(address, req, body, conn) }
+		h.upstreams[address] = func(req *http.Request, body string, conn net.Conn) (string, bool) {
+			return c.serve(address, req, body, conn)
+		}
 		c.conns[address] = map[net.Conn]bool{}
 	}
 	c.view.Store(h.view)
