Evidence of crashes: whole requests beside prompt parts, judged per service

Its verdicts also mixed all services (a success at a model engine showed that a plain service answers), and counted the end of one incarnation once more when an entry noticed it later than 50 ms.

A content is now a whole request or a prompt part: Contents puts both into one list. Crash has a service (field 5 of CrashRecord; evidence without it is read as before), and successes of any request are kept per service. An incarnation counts once, at the time at which the first node noticed its end. Suspect tells of contents with a crash since their last success, and until when an ambiguous whole request is held: 4 to 8 s after three crashes, 16 to 32 s after four, from five on 10 to 20 minutes; two requests held for the same crashes are released at different times. Successes of whole requests, most of which come once, are remembered apart from those of parts. Findings are derived when they are asked for, once for all evidence of a message.

A test that bounded the contents of a crash to 32 now builds them with Contents: one request and 32 parts. Forward passes parts only, so that its decisions do not change with this commit.

--- a/pkg/forward/crashes.go
+++ b/pkg/forward/crashes.go
@@ -106,7 +106,7 @@
 		e.opts.Metrics.Add("engine_crashes.at_first_event", 1)
 	}
 	for _, found := range check.suspects {
-		e.crashes.AddCrash(now, quarantine.Crash{Upstream: check.target.ID, StartTime: check.target.StartTime, Parts: found.parts, At: check.at})
+		e.crashes.AddCrash(now, quarantine.Crash{Upstream: check.target.ID, StartTime: check.target.StartTime, Service: check.target.Service, Contents: quarantine.Contents("", found.parts), At: check.at})
 	}
 	e.applyQuarantines(now)
 }
@@ -127,7 +127,7 @@
 		return
 	}
 	now := s.entry.opts.EvidenceClock()
-	if s.entry.crashes.ObserveSuccess(now, s.request.promptParts) {
+	if s.entry.crashes.ObserveSuccess(now, s.request.service.Name, quarantine.Contents("", s.request.promptParts)) {
 		s.entry.applyQuarantines(now)
 	}
 }
@@ -205,7 +205,7 @@
 	}
 	s.finding = &finding
 	refusal := fault.New(fault.PromptQuarantined, "leave the named part out of the prompt",
-		"%d engines crashed as they began to answer prompts with part %s, the last one %d s ago", len(finding.Upstreams), finding.Part, int(now.Sub(finding.Last).Seconds()))
+		"%d engines crashed as they began to answer prompts with part %s, the last one %d s ago", len(finding.Upstreams), finding.Content, int(now.Sub(finding.Last).Seconds()))
 	if s.history.mayHaveRun {
 		return refusal.WithOutcome(fault.Unknown)
 	}
--- a/pkg/quarantine/report/report.go
+++ b/pkg/quarantine/report/report.go
@@ -12,23 +12,29 @@
 )
 
 // Changes has the table delete expired evidence, logs the quarantines that began or ended since
-// the last call, and sets the gauges quarantine.parts and quarantine.crashes.
+// the last call, and sets the gauges quarantine.parts, quarantine.requests and quarantine.crashes.
 func Changes(now time.Time, t *quarantine.Table, metrics *telemetry.Registry, log zerolog.Logger) {
 	for _, c := range t.Changes(now) {
-		event := "prompt_part_released"
+		kind := "prompt_part"
+		if quarantine.IsRequest(c.Content) {
+			kind = "request"
+		}
+		event := "_released"
 		if c.Quarantined {
-			event = "prompt_part_quarantined"
+			event = "_quarantined"
 			metrics.Add("quarantine.begun", 1)
 		}
-		Fields(now, c.Finding, log.Warn()).Msg(event)
+		Fields(now, c.Finding, log.Warn()).Msg(kind + event)
 	}
-	metrics.Set("quarantine.parts", int64(t.Quarantined()))
+	parts, requests := t.Quarantined()
+	metrics.Set("quarantine.parts", int64(parts))
+	metrics.Set("quarantine.requests", int64(requests))
 	metrics.Set("quarantine.crashes", int64(t.Crashes()))
 }
 
 // Fields adds the evidence of a finding to a log line.
 func Fields(now time.Time, f quarantine.Finding, line *zerolog.Event) *zerolog.Event {
-	return line.Str("part", f.Part).Str("companions", strings.Join(f.Companions, ",")).Int("crashes", f.Crashes).
+	return line.Str("part", f.Content).Str("companions", strings.Join(f.Companions, ",")).Int("crashes", f.Crashes).
 		Str("crashed", strings.Join(f.Upstreams, ",")).Dur("first_crash_age_ms", now.Sub(f.First)).Dur("last_crash_age_ms", now.Sub(f.Last)).
 		Dur("quarantined_for_ms", max(f.Until.Sub(now), 0))
 }
--- a/pkg/quarantine/simulation_test.go
+++ b/pkg/quarantine/simulation_test.go
@@ -235,7 +235,7 @@
 	*e = simulatedEngine{incarnation: e.incarnation + 1, downUntil: s.step + restartSteps}
 	for _, f := range flights {
 		if f.beginsAt <= s.step && s.step < f.successAt {
-			s.nodes[f.entry].table.AddCrash(s.now(), Crash{Upstream: fmt.Sprint("engine", i), StartTime: e.incarnation, Parts: f.parts, At: s.now()})
+			s.nodes[f.entry].table.AddCrash(s.now(), Crash{Upstream: fmt.Sprint("engine", i), StartTime: e.incarnation, Contents: f.parts, At: s.now()})
 		}
 		if s.random.IntN(2) == 0 {
 			s.send(f)
@@ -260,7 +260,7 @@
 		}
 		e.flights = slices.DeleteFunc(e.flights, func(f flight) bool {
 			if f.successAt <= s.step {
-				s.nodes[f.entry].table.ObserveSuccess(s.now(), f.parts)
+				s.nodes[f.entry].table.ObserveSuccess(s.now(), "", f.parts)
 			}
 			return f.successAt <= s.step
 		})
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -1,10 +1,13 @@
-// Package quarantine decides which parts of prompts crash the engines that answer them.
+// Package quarantine decides which contents of requests crash the upstreams that run them. A
+// content is a whole request, or a part of a prompt that other requests may share.
 //
-// Nodes collect two kinds of evidence: crashes, each an engine that ended as it began an
-// answer, with the parts of that request; and successes, each a part of a request that an engine
-// answered beyond the beginning. A part is quarantined after crashesToQuarantine separate
-// crashes without a success, provided that engines answer other requests. The evidence of several nodes is merged in any order, and merging it
-// again changes nothing.
+// Nodes collect two kinds of evidence: crashes, each an upstream that ended while it ran a
+// request, with the contents of that request; and successes, each a content of a request that an
+// upstream answered. A content with a crash since its last success is a suspect. After
+// crashesToQuarantine separate crashes it is quarantined, provided that upstreams of the service
+// answer other requests and that no other content explains the crashes as well; in the latter case a
+// whole request is held for a time that grows with each crash. The evidence of several nodes is
+// merged in any order, and merging it again changes nothing.
 //
 // The package is pure: the caller passes the time, and a Table is not safe for concurrent use.
 package quarantine
@@ -22,67 +25,81 @@
 
 const (
 	// crashesToQuarantine is the number of separate crashes, since its last success, that
-	// quarantine a part.
+	// quarantine a content.
 	crashesToQuarantine = 3
 	// correlationWindow is the time within which crashes count once: the loss of power or of a
-	// switch ends several engines together, and a frequent part is in many of them.
+	// switch ends several upstreams together, and a frequent content is in many of them.
 	correlationWindow = 50 * time.Millisecond
-	// QuarantineTime is how long a part stays quarantined after its last crash. After that
+	// QuarantineTime is how long a content stays quarantined after its last crash. After that
 	// requests with it are sent again, and one more crash quarantines it again.
 	QuarantineTime = 10 * time.Minute
 	// evidenceTime is how long a crash counts.
 	evidenceTime = time.Hour
-	// maxCrashes bounds the recorded crashes. Those without a quarantined part make room first.
+	// maxCrashes bounds the recorded crashes. Those without a content that was in
+	// crashesToQuarantine crashes make room first.
 	maxCrashes = 256
-	// maxParts bounds the parts of one crash; the parts beyond it are not examined.
+	// maxParts bounds the prompt parts of one crash; the parts beyond it are not examined.
 	maxParts = 32
-	// maxPartBytes bounds the length of a part's identifier; a longer one is hashed.
-	maxPartBytes = 64
-	// maxRecentSuccesses bounds each of the two generations of remembered successes.
+	// maxContents bounds the contents of one crash: the whole request and its parts.
+	maxContents = maxParts + 1
+	// maxContentBytes bounds the length of a content's identifier; a longer one is hashed.
+	maxContentBytes = 64
+	// maxRecentSuccesses bounds each of the two generations of remembered successes, for whole
+	// requests and for prompt parts.
 	maxRecentSuccesses = 2048
-	// anyRequest stands for what all requests have in common. When no request succeeds between
-	// crashes, it explains them, and no part is quarantined.
-	anyRequest = ""
 )
 
-// Crash is an engine that ended as it began the answer to a request.
+// holdTimes are the times for which an ambiguous whole request is held after
+// crashesToQuarantine crashes and each further one.
+var holdTimes = [...]time.Duration{4 * time.Second, 16 * time.Second, QuarantineTime}
+
+// Crash is an upstream that ended while it ran a request.
 type Crash struct {
-	// Upstream and StartTime identify the incarnation of the engine.
+	// Upstream and StartTime identify the incarnation of the upstream.
 	Upstream  string
 	StartTime uint64
-	// Parts are the parts of the request's prompt that other requests may share.
-	Parts []string
-	At    time.Time
+	// Service is the upstream's service. It may be empty in evidence of older nodes.
+	Service string
+	// Contents are the contents of the request, as Contents returns them.
+	Contents []string
+	At       time.Time
 }
 
-// Success is the latest request with a part that an engine answered beyond the beginning.
+// Success is the latest request with a content that an upstream answered.
 type Success struct {
-	Part string
-	At   time.Time
+	Content string
+	At      time.Time
 }
 
-// Finding is the evidence against a quarantined part.
+// Finding is the evidence against a content.
 type Finding struct {
-	Part string
+	Content string
 	// Crashes is the number of separate crashes since the last success.
 	Crashes int
-	// Upstreams are the engines that crashed, in order of time.
+	// Upstreams are the upstreams that crashed, in order of time.
 	Upstreams []string
 	// First and Last are the times of the first and the last crash, Until the end of the
 	// quarantine.
 	First, Last, Until time.Time
-	// Companions were in the requests of all these crashes, too, so that any of them may be
-	// the cause. Only requests that have one of them beside the part are refused. Empty when
-	// the part alone explains the crashes.
+	// Companions were beside the content in all these crashes, in the same request or in others, so
+	// that any of them may be the cause. Only requests that have one of them beside the content are
+	// quarantined. Empty when the content alone explains the crashes.
 	Companions []string
 }
 
-// Change is the beginning or the end of a part's quarantine.
+// Change is the beginning or the end of a content's quarantine.
 type Change struct {
 	Finding
 	Quarantined bool
 }
 
+type incarnation struct {
+	upstream  string
+	startTime uint64
+}
+
+func (c *Crash) incarnation() incarnation { return incarnation{c.Upstream, c.StartTime} }
+
 type crashRecord struct {
 	Crash
 	version uint64
@@ -98,103 +115,152 @@
 	version   uint64
 	crashes   map[string]crashRecord
 	successes map[string]successRecord
-	// recent and older are two generations of the successes that this node observed itself. A
-	// crash that becomes known later may precede them.
-	recent, older map[string]time.Time
-	findings      map[string]Finding
-	// reported are the parts that Changes reported as quarantined.
+	// crashTimes are the times of the recorded crashes of each content.
+	crashTimes map[string][]time.Time
+	// requests and others are the successes that this node observed itself. A crash that becomes
+	// known later may precede them. Whole requests are kept apart, as most come only once.
+	requests, others recentSuccesses
+	// suspects has all contents with a crash since the last success, findings those with enough
+	// crashes for a quarantine. Both follow from the evidence; examined is false when they are
+	// to be derived again.
+	suspects map[string]Finding
+	findings map[string]Finding
+	examined bool
+	// reported are the contents that Changes reported as quarantined.
 	reported map[string]Finding
 }
 
 // NewTable returns a table without evidence.
 func NewTable() *Table {
 	return &Table{
-		crashes: map[string]crashRecord{}, successes: map[string]successRecord{}, recent: map[string]time.Time{}, older: map[string]time.Time{},
-		findings: map[string]Finding{}, reported: map[string]Finding{},
+		crashes: map[string]crashRecord{}, successes: map[string]successRecord{}, crashTimes: map[string][]time.Time{}, reported: map[string]Finding{},
 	}
 }
 
 // AddCrash records a crash and reports whether it was new.
 func (t *Table) AddCrash(now time.Time, c Crash) bool {
-	c.Parts = normalize(c.Parts)
-	key := c.Upstream + "/" + strconv.FormatUint(c.StartTime, 10) + "/" + strings.Join(c.Parts, ",")
-	if _, known := t.crashes[key]; known || len(c.Parts) == 0 || now.Sub(c.At) >= evidenceTime {
+	c.Contents = normalize(c.Contents)
+	key := c.Upstream + "/" + strconv.FormatUint(c.StartTime, 10) + "/" + strings.Join(c.Contents, ",")
+	if _, known := t.crashes[key]; known || len(c.Contents) == 0 || now.Sub(c.At) >= evidenceTime {
 		return false
 	}
 	t.version++
 	t.crashes[key] = crashRecord{c, t.version}
-	t.evict(now)
-	for _, part := range append([]string{anyRequest}, c.Parts...) {
-		if at, known := t.observedSuccess(part); known && at.After(c.At) {
-			t.addSuccess(part, at)
+	for _, content := range c.withService() {
+		t.crashTimes[content] = append(t.crashTimes[content], c.At)
+		if at, known := t.recentOf(content).at(content); known && at.After(c.At) {
+			t.addSuccess(content, at)
 		}
 	}
-	t.findings = t.examine()
+	t.examined = false
+	if len(t.crashes) > 2*maxCrashes {
+		t.examine()
+	}
 	return true
 }
 
-// ObserveSuccess records that an engine answered a request with the given parts beyond the
-// beginning, as this node saw, and reports whether that refutes evidence.
-func (t *Table) ObserveSuccess(now time.Time, parts []string) bool {
-	if len(t.recent) >= maxRecentSuccesses {
-		t.older, t.recent = t.recent, map[string]time.Time{}
-	}
+// withService returns the contents of a crash and what stands for all requests of its service.
+func (c *Crash) withService() []string {
+	return append([]string{anyRequestOf(c.Service)}, c.Contents...)
+}
+
+// ObserveSuccess records that an upstream of a service answered a request with the given
+// contents, as this node saw, and reports whether that refutes evidence.
+func (t *Table) ObserveSuccess(now time.Time, service string, contents []string) bool {
 	refuted := false
-	for _, part := range append([]string{anyRequest}, normalize(parts)...) {
-		t.recent[part] = now
-		refuted = t.addSuccess(part, now) || refuted
-	}
-	if refuted {
-		t.findings = t.examine()
+	for _, content := range append([]string{anyRequestOf(service), anyRequestOf("")}, normalize(contents)...) {
+		t.recentOf(content).record(content, now)
+		refuted = t.addSuccess(content, now) || refuted
 	}
 	return refuted
 }
 
 // AddSuccess records a success that another node observed, and reports whether it refutes
 // evidence.
-func (t *Table) AddSuccess(s Success) bool {
-	if !t.addSuccess(identifier(s.Part), s.At) {
+func (t *Table) AddSuccess(s Success) bool { return t.addSuccess(shortened(s.Content), s.At) }
+
+// addSuccess records a success if it refutes a crash that the known success does not.
+func (t *Table) addSuccess(content string, at time.Time) bool {
+	known := t.successes[content].at
+	refutes := func(crash time.Time) bool { return crash.After(known) && !crash.After(at) }
+	if !slices.ContainsFunc(t.crashTimes[content], refutes) {
 		return false
 	}
-	t.findings = t.examine()
+	t.version++
+	t.successes[content] = successRecord{at, t.version}
+	t.examined = false
 	return true
 }
 
-// addSuccess records a success if it refutes a crash that the known success does not.
-func (t *Table) addSuccess(part string, at time.Time) bool {
-	known := t.successes[part]
-	for _, c := range t.crashes {
-		if c.At.After(known.at) && !c.At.After(at) && (part == anyRequest || slices.Contains(c.Parts, part)) {
-			t.version++
-			t.successes[part] = successRecord{at, t.version}
-			return true
-		}
+func (t *Table) recentOf(content string) *recentSuccesses {
+	if IsRequest(content) {
+		return &t.requests
 	}
-	return false
+	return &t.others
 }
 
-func (t *Table) observedSuccess(part string) (time.Time, bool) {
-	if at, known := t.recent[part]; known {
-		return at, true
+// Check returns the evidence on which a request with the given contents is refused as quarantined;
+// false when it is not. A content that alone explains its crashes goes first.
+func (t *Table) Check(now time.Time, contents []string) (Finding, bool) {
+	if len(t.crashes) == 0 {
+		return Finding{}, false
 	}
-	at, known := t.older[part]
-	return at, known
+	t.examine()
+	contents = normalize(contents)
+	var first Finding
+	refused := false
+	for _, content := range contents {
+		f, found := t.findings[content]
+		switch {
+		case !found || !now.Before(f.Until):
+		case len(f.Companions) == 0:
+			return f, true
+		case !refused && containsAny(contents, f.Companions):
+			first, refused = f, true
+		}
+	}
+	return first, refused
 }
 
-// Check returns the evidence on which a request with the given parts is refused; false when the
-// request may be sent.
-func (t *Table) Check(now time.Time, parts []string) (Finding, bool) {
-	if len(t.findings) == 0 {
+// Suspect returns the evidence against a whole request that Check does not refuse; false when no
+// upstream crashed under it since its last success. Until is the time until which it is held: it may
+// not be sent before. It is zero when the request may be sent.
+func (t *Table) Suspect(now time.Time, request string) (Finding, bool) {
+	if len(t.crashes) == 0 || request == "" {
 		return Finding{}, false
 	}
-	parts = normalize(parts)
-	for _, part := range parts {
-		f, found := t.findings[part]
-		if found && part != anyRequest && now.Before(f.Until) && (len(f.Companions) == 0 || containsAny(parts, f.Companions)) {
-			return f, true
+	t.examine()
+	f, found := t.suspects[request]
+	if !found {
+		return Finding{}, false
+	}
+	f.Until = time.Time{}
+	if held := t.findings[request]; len(held.Companions) > 0 {
+		if until := held.Last.Add(holdTime(&held)); now.Before(until) {
+			f.Until, f.Companions = until, held.Companions
+		}
+	}
+	return f, true
+}
+
+// holdTime is how long a request is held after its last crash. It differs between requests that
+// are held for the same crashes, so that they are sent again one after the other.
+func holdTime(f *Finding) time.Duration {
+	hold := holdTimes[min(f.Crashes-crashesToQuarantine, len(holdTimes)-1)]
+	return hold + hold*time.Duration(xxhash.Sum64String(f.Content)%holdSpread)/holdSpread
+}
+
+// holdSpread is the number of steps by which the hold times of two requests may differ.
+const holdSpread = 64
+
+// Crashed reports whether an upstream's incarnation is known to have ended.
+func (t *Table) Crashed(upstream string, startTime uint64) bool {
+	for _, c := range t.crashes {
+		if c.Upstream == upstream && c.StartTime == startTime {
+			return true
 		}
 	}
-	return Finding{}, false
+	return false
 }
 
 // Since returns the evidence that was added after a version of the table, and its version now.
@@ -202,46 +268,58 @@
 	if version == t.version {
 		return nil, nil, version
 	}
+	t.examine()
 	for _, key := range slices.Sorted(maps.Keys(t.crashes)) {
 		if c := t.crashes[key]; c.version > version {
 			crashes = append(crashes, c.Crash)
 		}
 	}
-	for _, part := range slices.Sorted(maps.Keys(t.successes)) {
-		if s := t.successes[part]; s.version > version {
-			successes = append(successes, Success{part, s.at})
+	for _, content := range slices.Sorted(maps.Keys(t.successes)) {
+		if s := t.successes[content]; s.version > version {
+			successes = append(successes, Success{content, s.at})
 		}
 	}
 	return crashes, successes, t.version
 }
 
 // Changes deletes the evidence that has expired, and returns the quarantines that began or ended
-// since the last call, ordered by part.
+// since the last call, ordered by content. Whole requests that are held count as quarantined.
 func (t *Table) Changes(now time.Time) []Change {
 	t.expire(now)
+	t.examine()
 	current := map[string]Finding{}
-	for part, f := range t.findings {
-		if part != anyRequest && now.Before(f.Until) && !slices.Contains(f.Companions, anyRequest) {
-			current[part] = f
+	for content, f := range t.findings {
+		if now.Before(f.Until) && !slices.ContainsFunc(f.Companions, isAnyRequest) {
+			current[content] = f
 		}
 	}
 	var changes []Change
-	for _, part := range slices.Sorted(maps.Keys(current)) {
-		if _, known := t.reported[part]; !known {
-			changes = append(changes, Change{current[part], true})
+	for _, content := range slices.Sorted(maps.Keys(current)) {
+		if _, known := t.reported[content]; !known {
+			changes = append(changes, Change{current[content], true})
 		}
 	}
-	for _, part := range slices.Sorted(maps.Keys(t.reported)) {
-		if _, still := current[part]; !still {
-			changes = append(changes, Change{t.reported[part], false})
+	for _, content := range slices.Sorted(maps.Keys(t.reported)) {
+		if _, still := current[content]; !still {
+			changes = append(changes, Change{t.reported[content], false})
 		}
 	}
 	t.reported = current
 	return changes
 }
 
-// Quarantined is the number of parts that Changes last reported as quarantined.
-func (t *Table) Quarantined() int { return len(t.reported) }
+// Quarantined is the number of prompt parts and of whole requests that Changes last reported as
+// quarantined.
+func (t *Table) Quarantined() (parts, requests int) {
+	for content := range t.reported {
+		if IsRequest(content) {
+			requests++
+		} else {
+			parts++
+		}
+	}
+	return parts, requests
+}
 
 // Crashes is the number of recorded crashes.
 func (t *Table) Crashes() int { return len(t.crashes) }
@@ -250,114 +328,172 @@
 	before := len(t.crashes)
 	maps.DeleteFunc(t.crashes, func(_ string, c crashRecord) bool { return now.Sub(c.At) >= evidenceTime })
 	if len(t.crashes) < before {
-		t.findings = t.examine()
+		t.reindex()
 	}
 }
 
-// evict deletes the oldest crash while there are too many: one without a quarantined part, if
-// there is any.
-func (t *Table) evict(now time.Time) {
-	for len(t.crashes) > maxCrashes {
-		var oldest, oldestUnneeded string
-		for _, key := range slices.Sorted(maps.Keys(t.crashes)) {
-			c := t.crashes[key]
-			if oldest == "" || c.At.Before(t.crashes[oldest].At) {
-				oldest = key
-			}
-			if _, needed := t.Check(now, c.Parts); !needed && (oldestUnneeded == "" || c.At.Before(t.crashes[oldestUnneeded].At)) {
-				oldestUnneeded = key
-			}
+// evict deletes the oldest crashes while there are too many: those without a finding against one of
+// their contents, if there are any. It reports whether it deleted any.
+func (t *Table) evict() bool {
+	excess := len(t.crashes) - maxCrashes
+	if excess <= 0 {
+		return false
+	}
+	needed := func(key string) int {
+		hasFinding := func(content string) bool { _, found := t.findings[content]; return found }
+		if slices.ContainsFunc(t.crashes[key].Contents, hasFinding) {
+			return 1
 		}
-		delete(t.crashes, cmp.Or(oldestUnneeded, oldest))
+		return 0
+	}
+	keys := slices.Sorted(maps.Keys(t.crashes))
+	slices.SortStableFunc(keys, func(a, b string) int {
+		return cmp.Or(cmp.Compare(needed(a), needed(b)), t.crashes[a].At.Compare(t.crashes[b].At))
+	})
+	for _, key := range keys[:excess] {
+		delete(t.crashes, key)
+	}
+	t.reindex()
+	return true
+}
+
+// reindex derives the times of crashes again after some were deleted, and deletes successes of
+// contents without a crash.
+func (t *Table) reindex() {
+	clear(t.crashTimes)
+	for _, c := range t.crashes {
+		for _, content := range c.withService() {
+			t.crashTimes[content] = append(t.crashTimes[content], c.At)
+		}
+	}
+	maps.DeleteFunc(t.successes, func(content string, _ successRecord) bool { return t.crashTimes[content] == nil })
+	t.examined = false
+}
+
+// examine derives what follows from the evidence.
+func (t *Table) examine() {
+	for !t.examined {
+		t.derive()
+		t.examined = !t.evict()
 	}
 }
 
-// examine returns the findings that follow from the evidence, and deletes successes of parts
-// without a crash.
-func (t *Table) examine() map[string]Finding {
-	byPart := map[string][]Crash{}
-	parts := map[string]bool{}
+// crashSet has the time of each crash that is evidence against a content.
+type crashSet map[incarnation]time.Time
+
+func (t *Table) derive() {
+	// Nodes notice the end of an incarnation at different times; the first one counts.
+	ended := crashSet{}
 	for _, c := range t.crashes {
-		for _, part := range append([]string{anyRequest}, c.Parts...) {
-			parts[part] = true
-			if c.At.After(t.successes[part].at) {
-				byPart[part] = append(byPart[part], c.Crash)
+		if at, known := ended[c.incarnation()]; !known || c.At.Before(at) {
+			ended[c.incarnation()] = c.At
+		}
+	}
+	sets := map[string]crashSet{}
+	for _, c := range t.crashes {
+		for _, content := range c.withService() {
+			if !c.At.After(t.successes[content].at) {
+				continue
+			}
+			if sets[content] == nil {
+				sets[content] = crashSet{}
 			}
+			sets[content][c.incarnation()] = ended[c.incarnation()]
 		}
 	}
-	maps.DeleteFunc(t.successes, func(part string, _ successRecord) bool { return !parts[part] })
-	findings := map[string]Finding{}
-	for part, crashes := range byPart {
-		if f := findingOf(part, crashes); f.Crashes >= crashesToQuarantine {
-			findings[part] = f
+	t.suspects, t.findings = map[string]Finding{}, map[string]Finding{}
+	explanations := map[string]Finding{}
+	for content, set := range sets {
+		f := set.finding(content)
+		if f.Crashes >= crashesToQuarantine {
+			explanations[content] = f
+		}
+		if !isAnyRequest(content) {
+			t.suspects[content] = f
 		}
 	}
-	for part, f := range findings {
-		for _, other := range slices.Sorted(maps.Keys(findings)) {
-			if other != part && explains(byPart[other], byPart[part]) {
+	for content, f := range explanations {
+		if isAnyRequest(content) {
+			continue
+		}
+		for _, other := range slices.Sorted(maps.Keys(explanations)) {
+			if other != content && sets[other].includes(sets[content]) {
 				f.Companions = append(f.Companions, other)
 			}
 		}
-		findings[part] = f
+		t.findings[content] = f
 	}
-	return findings
 }
 
-// findingOf summarizes the crashes of a part.
-func findingOf(part string, crashes []Crash) Finding {
-	slices.SortFunc(crashes, func(a, b Crash) int {
-		return cmp.Or(a.At.Compare(b.At), strings.Compare(a.Upstream, b.Upstream))
+// finding summarizes the crashes of a content.
+func (s crashSet) finding(content string) Finding {
+	crashed := slices.SortedFunc(maps.Keys(s), func(a, b incarnation) int {
+		return cmp.Or(s[a].Compare(s[b]), strings.Compare(a.upstream, b.upstream), cmp.Compare(a.startTime, b.startTime))
 	})
-	f := Finding{Part: part, First: crashes[0].At, Last: crashes[len(crashes)-1].At}
+	f := Finding{Content: content, First: s[crashed[0]], Last: s[crashed[len(crashed)-1]]}
 	f.Until = f.Last.Add(QuarantineTime)
 	var counted time.Time
-	for _, c := range crashes {
-		if f.Crashes == 0 || c.At.Sub(counted) > correlationWindow {
+	for _, i := range crashed {
+		if f.Crashes == 0 || s[i].Sub(counted) > correlationWindow {
 			f.Crashes++
-			counted = c.At
+			counted = s[i]
 		}
-		if !slices.Contains(f.Upstreams, c.Upstream) {
-			f.Upstreams = append(f.Upstreams, c.Upstream)
+		if !slices.Contains(f.Upstreams, i.upstream) {
+			f.Upstreams = append(f.Upstreams, i.upstream)
 		}
 	}
 	return f
 }
 
-// explains reports whether the crashes of one part include all crashes of another.
-func explains(crashes, others []Crash) bool {
-	incarnations := map[incarnation]bool{}
-	for _, c := range crashes {
-		incarnations[incarnation{c.Upstream, c.StartTime}] = true
+// includes reports whether a content explains all crashes of another.
+func (s crashSet) includes(other crashSet) bool {
+	for i := range other {
+		if _, found := s[i]; !found {
+			return false
+		}
 	}
-	return !slices.ContainsFunc(others, func(c Crash) bool { return !incarnations[incarnation{c.Upstream, c.StartTime}] })
+	return true
 }
 
-type incarnation struct {
-	upstream  string
-	startTime uint64
+// recentSuccesses remembers the latest successes in two generations of bounded size.
+type recentSuccesses struct{ recent, older map[string]time.Time }
+
+func (r *recentSuccesses) record(content string, at time.Time) {
+	if r.recent == nil || len(r.recent) >= maxRecentSuccesses {
+		r.older, r.recent = r.recent, map[string]time.Time{}
+	}
+	r.recent[content] = at
+}
+
+func (r *recentSuccesses) at(content string) (time.Time, bool) {
+	if at, known := r.recent[content]; known {
+		return at, true
+	}
+	at, known := r.older[content]
+	return at, known
 }
 
-func containsAny(parts, others []string) bool {
-	return slices.ContainsFunc(parts, func(part string) bool { return part != anyRequest && slices.Contains(others, part) })
+func containsAny(contents, others []string) bool {
+	return slices.ContainsFunc(contents, func(content string) bool { return slices.Contains(others, content) })
 }
 
-// normalize returns the identifiers of the parts that are examined.
-func normalize(parts []string) []string {
-	parts = parts[:min(len(parts), maxParts)]
-	if !slices.ContainsFunc(parts, func(part string) bool { return len(part) > maxPartBytes }) {
-		return parts
+// normalize returns the identifiers of the contents that are examined.
+func normalize(contents []string) []string {
+	contents = contents[:min(len(contents), maxContents)]
+	if !slices.ContainsFunc(contents, func(content string) bool { return len(content) > maxContentBytes }) {
+		return contents
 	}
-	short := make([]string, 0, len(parts))
-	for _, part := range parts {
-		short = append(short, identifier(part))
+	short := make([]string, 0, len(contents))
+	for _, content := range contents {
+		short = append(short, shortened(content))
 	}
 	return short
 }
 
-// identifier returns the identifier of a part, hashed when it is too long.
-func identifier(part string) string {
-	if len(part) <= maxPartBytes {
-		return part
+// shortened returns the identifier of a content, hashed when it is too long.
+func shortened(content string) string {
+	if len(content) <= maxContentBytes {
+		return content
 	}
-	return strconv.FormatUint(xxhash.Sum64String(part), 16)
+	return strconv.FormatUint(xxhash.Sum64String(content), 16)
 }
--- a/pkg/quarantine/table_test.go
+++ b/pkg/quarantine/table_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/masticmount/masticmount/pkg/peerpb"
 )
 
 var start = time.Unix(1_700_000_000, 0)
@@ -30,9 +32,9 @@
 	t := NewTable()
 	for _, s := range steps {
 		if s.crash != "" {
-			t.AddCrash(at(s.at), Crash{Upstream: s.crash, StartTime: 1, Parts: s.parts, At: at(s.at)})
+			t.AddCrash(at(s.at), Crash{Upstream: s.crash, StartTime: 1, Contents: s.parts, At: at(s.at)})
 		} else {
-			t.ObserveSuccess(at(s.at), s.parts)
+			t.ObserveSuccess(at(s.at), "", s.parts)
 		}
 	}
 	return t
@@ -104,7 +106,7 @@
 	finding, refused := table.Check(at(4), []string{"p", "q", "own"})
 	require.True(t, refused)
 	assert.Equal(t, Finding{
-		Part: "p", Crashes: 3, Upstreams: []string{"a", "b", "e", "c"}, First: at(1), Last: at(3), Until: at(3).Add(QuarantineTime), Companions: []string{"q"},
+		Content: "p", Crashes: 3, Upstreams: []string{"a", "b", "e", "c"}, First: at(1), Last: at(3), Until: at(3).Add(QuarantineTime), Companions: []string{"q"},
 	}, finding)
 }
 
@@ -113,22 +115,25 @@
 	began := table.Changes(at(3))
 	require.Len(t, began, 1)
 	assert.True(t, began[0].Quarantined)
-	assert.Equal(t, 1, table.Quarantined())
+	parts, requests := table.Quarantined()
+	assert.Equal(t, 1, parts)
+	assert.Zero(t, requests)
 	assert.Empty(t, table.Changes(at(4)))
-	table.ObserveSuccess(at(5), []string{"p"})
+	table.ObserveSuccess(at(5), "", []string{"p"})
 	ended := table.Changes(at(5))
 	require.Len(t, ended, 1)
 	assert.False(t, ended[0].Quarantined)
-	assert.Equal(t, "p", ended[0].Part)
-	assert.Zero(t, table.Quarantined())
+	assert.Equal(t, "p", ended[0].Content)
+	parts, _ = table.Quarantined()
+	assert.Zero(t, parts)
 }
 
 // A crash that another node reports late may precede a success that this node saw.
 func TestSuccessThatPrecedesReportOfCrash(t *testing.T) {
 	table := NewTable()
-	table.ObserveSuccess(at(5), []string{"p"})
+	table.ObserveSuccess(at(5), "", []string{"p"})
 	for i, engine := range []string{"a", "b", "c"} {
-		table.AddCrash(at(6), Crash{Upstream: engine, StartTime: 1, Parts: []string{"p"}, At: at(1 + float64(i))})
+		table.AddCrash(at(6), Crash{Upstream: engine, StartTime: 1, Contents: []string{"p"}, At: at(1 + float64(i))})
 	}
 	_, refused := table.Check(at(6), []string{"p"})
 	assert.False(t, refused)
@@ -140,13 +145,13 @@
 	table := tableWith(crash(1, "a", "crashing"), success(1.5, "x"), crash(2, "b", "crashing"), crash(3, "c", "crashing"))
 	for i := range 4 * maxCrashes {
 		second := 4 + float64(i)/100
-		table.AddCrash(at(second), Crash{Upstream: fmt.Sprint("u", i), StartTime: 1, Parts: []string{fmt.Sprint("p", i)}, At: at(second)})
-		table.ObserveSuccess(at(second), []string{fmt.Sprint("s", i)})
+		table.AddCrash(at(second), Crash{Upstream: fmt.Sprint("u", i), StartTime: 1, Contents: []string{fmt.Sprint("p", i)}, At: at(second)})
+		table.ObserveSuccess(at(second), "", []string{fmt.Sprint("s", i)})
 	}
 	_, refused := table.Check(at(60), []string{"crashing"})
 	assert.True(t, refused)
 	assert.LessOrEqual(t, table.Crashes(), maxCrashes)
-	assert.LessOrEqual(t, len(table.recent)+len(table.older), 2*maxRecentSuccesses+maxParts+1)
+	assert.LessOrEqual(t, len(table.others.recent)+len(table.others.older), 2*maxRecentSuccesses+maxParts+1)
 	assert.LessOrEqual(t, len(table.successes), maxCrashes*maxParts+1)
 }
 
@@ -155,11 +160,12 @@
 	for i := range long {
 		long[i] = fmt.Sprintf("%0200d", i)
 	}
+	long = Contents(RequestContent("school", "POST", "h", "/a", nil), long)
 	table := tableWith(crash(1, "a", long...), success(1.5, "x"), crash(2, "b", long...), crash(3, "c", long...))
 	for _, c := range table.crashes {
-		assert.LessOrEqual(t, len(c.Parts), maxParts)
-		for _, part := range c.Parts {
-			assert.LessOrEqual(t, len(part), maxPartBytes)
+		assert.Len(t, c.Contents, 1+maxParts)
+		for _, part := range c.Contents {
+			assert.LessOrEqual(t, len(part), maxContentBytes)
 		}
 	}
 	_, refused := table.Check(at(4), long)
@@ -180,9 +186,9 @@
 			parts := []string{fmt.Sprint("p", random.IntN(3)), fmt.Sprint("q", random.IntN(3))}
 			node := nodes[random.IntN(len(nodes))]
 			if random.IntN(3) == 0 {
-				node.ObserveSuccess(at(second), parts)
+				node.ObserveSuccess(at(second), "", parts)
 			} else {
-				node.AddCrash(at(second), Crash{Upstream: fmt.Sprint("u", i), StartTime: 1, Parts: parts, At: at(second)})
+				node.AddCrash(at(second), Crash{Upstream: fmt.Sprint("u", i), StartTime: 1, Contents: parts, At: at(second)})
 			}
 			exchange(at(second), nodes[random.IntN(len(nodes))], nodes[random.IntN(len(nodes))])
 		}
@@ -195,6 +201,7 @@
 			assert.False(t, exchange(at(30), nodes[i/len(nodes)], nodes[i%len(nodes)]), "seed %d: nothing is new", seed)
 		}
 		for _, node := range nodes {
+			node.examine()
 			assert.Equal(t, nodes[0].findings, node.findings, "seed %d", seed)
 		}
 	}
@@ -213,8 +220,161 @@
 	assert.EqualValues(t, 1000, first.GetCrashes()[0].GetAgeMs())
 	nothing, _ := table.Encode(at(2), version)
 	assert.Nil(t, nothing)
-	table.AddCrash(at(3), Crash{Upstream: "b", StartTime: 1, Parts: []string{"p"}, At: at(3)})
+	table.AddCrash(at(3), Crash{Upstream: "b", StartTime: 1, Contents: []string{"p"}, At: at(3)})
 	second, _ := table.Encode(at(3), version)
 	require.Len(t, second.GetCrashes(), 1)
 	assert.Equal(t, "b", second.GetCrashes()[0].GetUpstream())
 }
+
+const (
+	crashingRequest = requestPrefix + "crashing"
+	soundRequest    = requestPrefix + "sound"
+	otherRequest    = requestPrefix + "other"
+)
+
+// plainTable has crashes of a plain service, each an upstream with the requests that broke.
+func plainTable(steps ...step) *Table {
+	t := NewTable()
+	for _, s := range steps {
+		if s.crash == "" {
+			t.ObserveSuccess(at(s.at), "desk", s.parts)
+			continue
+		}
+		for _, request := range s.parts {
+			t.AddCrash(at(s.at), Crash{Upstream: s.crash, StartTime: 1, Service: "desk", Contents: []string{request}, At: at(s.at)})
+		}
+	}
+	return t
+}
+
+func TestVerdictsOnWholeRequests(t *testing.T) {
+	other := success(1.05, otherRequest)
+	cases := []struct {
+		name  string
+		steps []step
+		at    float64
+		// request is the one asked about, and what is expected of it.
+		request                    string
+		quarantined, held, suspect bool
+	}{
+		{"one crash makes a suspect", []step{crash(1, "a", crashingRequest)}, 1.2, crashingRequest, false, false, true},
+		{"three crashes, engines answer others", []step{
+			crash(1, "a", crashingRequest), other, crash(1.1, "b", crashingRequest), crash(1.3, "c", crashingRequest),
+		}, 2, crashingRequest, true, false, true},
+		{"a sound request beside the first crash is a suspect only", []step{
+			crash(1, "a", crashingRequest, soundRequest), other, crash(1.1, "b", crashingRequest), crash(1.3, "c", crashingRequest),
+		}, 2, soundRequest, false, false, true},
+		{"a success clears the suspect", []step{crash(1, "a", crashingRequest, soundRequest), success(1.2, soundRequest)}, 2, soundRequest, false, false, false},
+		{"beside all crashes: held, not quarantined", []step{
+			crash(1, "a", crashingRequest, soundRequest), other, crash(1.1, "b", crashingRequest, soundRequest), crash(1.3, "c", crashingRequest, soundRequest),
+		}, 2, soundRequest, false, true, true},
+		{"the hold ends", []step{
+			crash(1, "a", crashingRequest, soundRequest), other, crash(1.1, "b", crashingRequest, soundRequest), crash(1.3, "c", crashingRequest, soundRequest),
+		}, 1.3 + 2*holdTimes[0].Seconds(), soundRequest, false, false, true},
+		{"one crash more without it condemns the other", []step{
+			crash(1, "a", crashingRequest, soundRequest), other, crash(1.1, "b", crashingRequest, soundRequest), crash(1.3, "c", crashingRequest, soundRequest),
+			crash(8, "d", crashingRequest),
+		}, 8.5, crashingRequest, true, false, true},
+		{"a request that crashes after a sound one was beside it thrice and once more alone is not condemned with it", []step{
+			crash(1, "a", crashingRequest, soundRequest), other, crash(1.1, "b", crashingRequest, soundRequest), crash(1.3, "c", crashingRequest, soundRequest),
+			crash(8, "d", crashingRequest),
+		}, 8.5, soundRequest, false, false, true},
+		{"frequent sound request beside crashes", []step{
+			crash(1, "a", soundRequest), success(1.1, soundRequest), crash(2, "b", soundRequest), success(2.1, soundRequest), crash(3, "c", soundRequest), success(3.1, soundRequest),
+		}, 4, soundRequest, false, false, false},
+		{"upstreams that end together count once", []step{
+			crash(1, "a", soundRequest), crash(1.02, "b", soundRequest), crash(1.04, "c", soundRequest), success(1.5, otherRequest),
+		}, 2, soundRequest, false, false, true},
+		{"no request of the service succeeds", []step{
+			crash(1, "a", crashingRequest), crash(2, "b", crashingRequest), crash(3, "c", crashingRequest),
+		}, 3.5, crashingRequest, false, true, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			table := plainTable(c.steps...)
+			finding, quarantined := table.Check(at(c.at), []string{c.request})
+			assert.Equal(t, c.quarantined, quarantined, "%+v", finding)
+			finding, suspect := table.Suspect(at(c.at), c.request)
+			assert.Equal(t, c.suspect, suspect, "%+v", finding)
+			assert.Equal(t, c.held, !finding.Until.IsZero(), "%+v", finding)
+		})
+	}
+}
+
+// Guards against a crash that counts several times because entries notice it at different times.
+func TestOneIncarnationCountsOnceHoweverLateItIsNoticed(t *testing.T) {
+	table := plainTable(success(0.5, otherRequest), crash(1, "a", crashingRequest), success(1.05, otherRequest))
+	for _, late := range []float64{1.2, 1.9, 2.6} {
+		table.AddCrash(at(late), Crash{Upstream: "a", StartTime: 1, Service: "desk", Contents: []string{crashingRequest, fmt.Sprint("noticed at ", late)}, At: at(late)})
+	}
+	found, suspect := table.Suspect(at(3), crashingRequest)
+	require.True(t, suspect)
+	assert.Equal(t, 1, found.Crashes)
+	assert.Equal(t, at(1), found.Last)
+}
+
+// Guards against successes of another service that make a failing service look sound.
+func TestSuccessesOfOtherServicesRefuteNothing(t *testing.T) {
+	for service, quarantined := range map[string]bool{"engines": false, "desk": true} {
+		table := NewTable()
+		for i, upstream := range []string{"a", "b", "c"} {
+			second := 1 + float64(i)
+			table.AddCrash(at(second), Crash{Upstream: upstream, StartTime: 1, Service: "desk", Contents: []string{crashingRequest}, At: at(second)})
+			table.ObserveSuccess(at(second+0.5), service, []string{otherRequest})
+		}
+		_, refused := table.Check(at(5), []string{crashingRequest})
+		assert.Equal(t, quarantined, refused, service)
+	}
+}
+
+// Guards against two requests that are held for the same crashes, and are sent again together.
+func TestRequestsHeldForTheSameCrashesAreReleasedApart(t *testing.T) {
+	steps := []step{success(0.5, otherRequest)}
+	for i, upstream := range []string{"a", "b", "c"} {
+		steps = append(steps, crash(1+float64(i), upstream, crashingRequest, soundRequest), success(1.5+float64(i), otherRequest))
+	}
+	table := plainTable(steps...)
+	first, _ := table.Suspect(at(4), crashingRequest)
+	second, _ := table.Suspect(at(4), soundRequest)
+	assert.NotEqual(t, first.Until, second.Until)
+	table.AddCrash(at(20), Crash{Upstream: "d", StartTime: 1, Service: "desk", Contents: []string{crashingRequest}, At: at(20)})
+	table.AddCrash(at(20), Crash{Upstream: "d", StartTime: 1, Service: "desk", Contents: []string{soundRequest}, At: at(20)})
+	longer, _ := table.Suspect(at(20), crashingRequest)
+	assert.Greater(t, longer.Until.Sub(longer.Last), first.Until.Sub(first.Last), "longer after each crash")
+}
+
+// Guards against single requests that displace the remembered successes of prompt parts.
+func TestRequestsDoNotDisplaceSuccessesOfParts(t *testing.T) {
+	table := NewTable()
+	table.ObserveSuccess(at(5), "", []string{"p"})
+	for i := range 3 * maxRecentSuccesses {
+		table.ObserveSuccess(at(5), "desk", []string{fmt.Sprint(requestPrefix, i)})
+	}
+	for i, engine := range []string{"a", "b", "c"} {
+		table.AddCrash(at(6), Crash{Upstream: engine, StartTime: 1, Contents: []string{"p"}, At: at(1 + float64(i))})
+	}
+	_, refused := table.Check(at(6), []string{"p"})
+	assert.False(t, refused)
+	assert.LessOrEqual(t, len(table.requests.recent)+len(table.requests.older), 2*maxRecentSuccesses)
+}
+
+// Evidence of older nodes names no service.
+func TestEvidenceWithoutServiceIsRead(t *testing.T) {
+	table := NewTable()
+	old := &peerpb.CrashEvidence{Successes: []*peerpb.PartSuccess{{Part: "", AgeMs: 1500}}}
+	for i := range 3 {
+		old.Crashes = append(old.Crashes, &peerpb.CrashRecord{Upstream: fmt.Sprint("e", i), BornMs: 1, Parts: []string{"p"}, AgeMs: uint32(3000 - 1000*i)})
+	}
+	assert.True(t, table.Merge(at(10), old))
+	_, refused := table.Check(at(10), []string{"p"})
+	assert.True(t, refused)
+	table.AddCrash(at(10), Crash{Upstream: "a", StartTime: 1, Service: "desk", Contents: []string{crashingRequest}, At: at(10)})
+	evidence, _ := table.Encode(at(10), 0)
+	other := NewTable()
+	other.Merge(at(10), evidence)
+	services := map[string]bool{}
+	for _, c := range other.crashes {
+		services[c.Service] = true
+	}
+	assert.Equal(t, map[string]bool{"": true, "desk": true}, services)
+}
