--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -381,7 +381,8 @@
 // crashSet has the time of each crash that is evidence against a content.
 type crashSet map[incarnation]time.Time
 
-func (t *Table) derive() {
+// crashSets returns the crashes since the last success of each content.
+func (t *Table) crashSets() map[string]crashSet {
 	// Nodes notice the end of an incarnation at different times; the first one counts.
 	ended := crashSet{}
 	for _, c := range t.crashes {
@@ -401,6 +402,11 @@
 			sets[content][c.incarnation()] = ended[c.incarnation()]
 		}
 	}
+	return sets
+}
+
+func (t *Table) derive() {
+	sets := t.crashSets()
 	t.suspects, t.findings = map[string]Finding{}, map[string]Finding{}
 	explanations := map[string]Finding{}
 	for content, set := range sets {
