Crashes under a request that was sent after another crash count separately

A request that crashes its upstream within 20 ms and is retried at once ends three upstreams within the 50 ms in which crashes count once (as at the loss of power), so that its third crash counted as its first or second.

A request that was sent after another upstream ended did not end together with it. Records without ran_ms are judged by the window as before.

--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -28,7 +28,8 @@
 	// quarantine a content.
 	crashesToQuarantine = 3
 	// correlationWindow is the time within which crashes count once: the loss of power or of a
-	// switch ends several upstreams together, and a frequent content is in many of them.
+	// switch ends several upstreams together, and a frequent content is in many of them. A crash
+	// under a request that was sent after another crash is always separate from it.
 	correlationWindow = 50 * time.Millisecond
 	// QuarantineTime is how long a content stays quarantined after its last crash. After that
 	// requests with it are sent again, and one more crash quarantines it again.
@@ -63,6 +64,8 @@
 	// Contents are the contents of the request, as Contents returns them.
 	Contents []string
 	At       time.Time
+	// Ran is how long the request had run; 0 where that is not known.
+	Ran time.Duration
 }
 
 // Success is the latest request with a content that an upstream answered.
@@ -378,13 +381,19 @@
 	}
 }
 
-// crashSet has the time of each crash that is evidence against a content.
-type crashSet map[incarnation]time.Time
+// crashSet has the crashes that are evidence against a content.
+type crashSet map[incarnation]crashTimes
+
+type crashTimes struct {
+	at time.Time
+	// sentAt is when the request was sent, the last one with this content; zero if unknown.
+	sentAt time.Time
+}
 
 // crashSets returns the crashes since the last success of each content.
 func (t *Table) crashSets() map[string]crashSet {
 	// Nodes notice the end of an incarnation at different times; the first one counts.
-	ended := crashSet{}
+	ended := map[incarnation]time.Time{}
 	for _, c := range t.crashes {
 		if at, known := ended[c.incarnation()]; !known || c.At.Before(at) {
 			ended[c.incarnation()] = c.At
@@ -399,7 +408,12 @@
 			if sets[content] == nil {
 				sets[content] = crashSet{}
 			}
-			sets[content][c.incarnation()] = ended[c.incarnation()]
+			times := sets[content][c.incarnation()]
+			times.at = ended[c.incarnation()]
+			if sentAt := c.At.Add(-c.Ran); c.Ran > 0 && sentAt.After(times.sentAt) {
+				times.sentAt = sentAt
+			}
+			sets[content][c.incarnation()] = times
 		}
 	}
 	return sets
@@ -434,15 +448,15 @@
 // finding summarizes the crashes of a content.
 func (s crashSet) finding(content string) Finding {
 	crashed := slices.SortedFunc(maps.Keys(s), func(a, b incarnation) int {
-		return cmp.Or(s[a].Compare(s[b]), strings.Compare(a.upstream, b.upstream), cmp.Compare(a.startTime, b.startTime))
+		return cmp.Or(s[a].at.Compare(s[b].at), strings.Compare(a.upstream, b.upstream), cmp.Compare(a.startTime, b.startTime))
 	})
-	f := Finding{Content: content, First: s[crashed[0]], Last: s[crashed[len(crashed)-1]]}
+	f := Finding{Content: content, First: s[crashed[0]].at, Last: s[crashed[len(crashed)-1]].at}
 	f.Until = f.Last.Add(QuarantineTime)
 	var counted time.Time
 	for _, i := range crashed {
-		if f.Crashes == 0 || s[i].Sub(counted) > correlationWindow {
+		if c := s[i]; f.Crashes == 0 || c.at.Sub(counted) > correlationWindow || !c.sentAt.IsZero() && !c.sentAt.Before(counted) {
 			f.Crashes++
-			counted = s[i]
+			counted = c.at
 		}
 		if !slices.Contains(f.Upstreams, i.upstream) {
 			f.Upstreams = append(f.Upstreams, i.upstream)
--- a/pkg/quarantine/table_test.go
+++ b/pkg/quarantine/table_test.go
@@ -313,6 +313,30 @@
 	assert.Equal(t, at(1), found.Last)
 }
 
+// Guards against three crashes by one request within a few passes that count as one, as if the
+// upstreams had lost their power together.
+func TestCrashesByRequestSentAfterAnotherCrashAreSeparate(t *testing.T) {
+	for _, ran := range []time.Duration{20 * time.Millisecond, 0, 200 * time.Millisecond} {
+		table := plainTable(success(0.99, otherRequest))
+		for i, upstream := range []string{"a", "b", "c"} {
+			second := 1 + 0.022*float64(i)
+			table.AddCrash(at(second), Crash{Upstream: upstream, StartTime: 1, Service: "desk", Contents: []string{crashingRequest}, At: at(second), Ran: ran})
+			table.ObserveSuccess(at(second+0.001), "desk", []string{otherRequest})
+		}
+		found, _ := table.Suspect(at(2), crashingRequest)
+		if ran == 20*time.Millisecond {
+			assert.Equal(t, 3, found.Crashes)
+		} else {
+			assert.Equal(t, 1, found.Crashes, "it may have run on all three as they ended: %v", ran)
+		}
+		evidence, _ := table.Encode(at(2), 0)
+		other := NewTable()
+		other.Merge(at(2), evidence)
+		merged, _ := other.Suspect(at(2), crashingRequest)
+		assert.Equal(t, found.Crashes, merged.Crashes)
+	}
+}
+
 // Guards against successes of another service that make a failing service look sound.
 func TestSuccessesOfOtherServicesRefuteNothing(t *testing.T) {
 	for service, quarantined := range map[string]bool{"engines": false, "desk": true} {
