Isolate requests under which an upstream crashed

Evidence is only complete after the third crash, and until then each retry took another upstream.

A whole request under which a plain upstream crashed since its last success is a suspect: it is sent again after the probe has told whether the upstream ended (at most 200 ms), one at a time, to one upstream that is the same at all entries and that other requests avoid; not if no other healthy one would be left, unless the service has had one only for 30 s. One that gets none, or is held for ambiguous evidence, is refused at once: 503 request-suspected where it never ran, 502 with outcome unknown where it may have run. A request that waits is examined again when it becomes a suspect. The placer decides, the session carries it out. An incarnation that is known to have ended gets other requests only where nothing else is left.

Engines are left out: crashes there begin with prompt parts that many requests share, so that one crash would make a suspect of a frequent part and send its requests one at a time until one is answered.

TestServiceKeepsAnUpstreamWhileARequestCrashesOthers fails without the isolation (suspicion() returning none):

--- a/pkg/explain/cause.go
+++ b/pkg/explain/cause.go
@@ -33,6 +33,8 @@
 		return quarantineCause(end.Fields)
 	case end.Fields["kind"] == "request-quarantined":
 		return requestQuarantineCause(end.Fields)
+	case end.Event == "request_refused" && end.Fields["crashed"] != "":
+		return suspectCause(end.Fields)
 	case end.Event == "request_refused" && failed.Event == "":
 		return refusalCause(end.Fields)
 	case failed.Event == "":
@@ -65,6 +67,12 @@
 		f["part"], f["crashed"], f["first_crash_age_ms"], f["last_crash_age_ms"], f["quarantined_for_ms"])
 }
 
+// suspectCause explains the refusal of a request that may crash another upstream.
+func suspectCause(f map[string]string) string {
+	return fmt.Sprintf("%s upstreams crashed as they ran %s (%s), the first one %s ms and the last one %s ms earlier; it was not sent again, as it may crash another one (held for another %s ms)",
+		f["crashes"], f["part"], f["crashed"], f["first_crash_age_ms"], f["last_crash_age_ms"], f["quarantined_for_ms"])
+}
+
 // groupEndReason returns the reason why the group of a failed send ended, or an empty string
 // if no line reports it.
 func groupEndReason(lines []Line, failed Line) string {
--- a/pkg/fault/fault.go
+++ b/pkg/fault/fault.go
@@ -52,6 +52,9 @@
 	// RequestQuarantined means that the whole request crashes the upstreams that run it, so that
 	// it is not sent.
 	RequestQuarantined Kind = "request-quarantined"
+	// RequestSuspected means that upstreams crashed as they ran this request, and that it is not
+	// sent now, as it may crash another one.
+	RequestSuspected Kind = "request-suspected"
 )
 
 // Outcome states whether a request ran.
@@ -101,6 +104,7 @@
 
 	PromptQuarantined:  http.StatusBadRequest,
 	RequestQuarantined: http.StatusBadRequest,
+	RequestSuspected:   http.StatusServiceUnavailable,
 }
 
 // Error is an error of a known kind.
--- a/pkg/forward/crashes.go
+++ b/pkg/forward/crashes.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"strings"
 	"time"
 
 	"github.com/samber/lo"
 
 	"github.com/masticmount/masticmount/pkg/attach"
+	"github.com/masticmount/masticmount/pkg/boottime"
 	"github.com/masticmount/masticmount/pkg/dispatch"
 	"github.com/masticmount/masticmount/pkg/document"
 	"github.com/masticmount/masticmount/pkg/fault"
@@ -41,6 +43,8 @@
 	at     time.Time
 	// suspects are these requests.
 	suspects []suspect
+	// done is closed once the evidence has the verdict.
+	done chan struct{}
 }
 
 // suspect is a request whose answer was not complete when its upstream may have crashed.
@@ -72,15 +76,16 @@
 
 // suspectCrash records that a request may have crashed its target. The first one starts a probe
 // of the upstream; the caller holds the lock.
-func (e *Entry) suspectCrash(t *attach.Target, found suspect) {
+func (e *Entry) suspectCrash(t *attach.Target, found suspect) *crashCheck {
 	key := incarnation{t.ID, t.StartTime}
 	check := e.crashChecks[key]
 	if check == nil {
-		check = &crashCheck{target: *t, at: found.at}
+		check = &crashCheck{target: *t, at: found.at, done: make(chan struct{})}
 		e.crashChecks[key] = check
 		go e.probeCrashed(check)
 	}
 	check.suspects = append(check.suspects, found)
+	return check
 }
 
 // probeCrashed logs the suspects, and records them as evidence if nothing listens at their
@@ -97,6 +102,7 @@
 	crashed := dispatch.IsConnectionRefused(err)
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	defer close(check.done)
 	delete(e.crashChecks, incarnation{check.target.ID, check.target.StartTime})
 	now := e.opts.EvidenceClock()
 	for _, found := range check.suspects {
@@ -109,6 +115,8 @@
 	}
 	if check.target.Group == "" {
 		e.opts.Metrics.Add("upstream_crashes.plain", 1)
+		e.placer.RecordFailure(boottime.Now(), &check.target)
+		e.placer.RecordCrash(boottime.Now(), check.target.Service)
 	} else {
 		e.opts.Metrics.Add("engine_crashes.at_first_event", 1)
 	}
@@ -124,9 +132,13 @@
 func (e *Entry) MergeCrashEvidence(now time.Time, evidence *peerpb.CrashEvidence) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.crashes.Merge(now, evidence) {
-		e.applyQuarantines(now)
+	if !e.crashes.Merge(now, evidence) {
+		return
+	}
+	for _, c := range evidence.GetCrashes() {
+		e.placer.RecordCrash(boottime.Now().Add(-time.Duration(c.GetAgeMs())*time.Millisecond), c.GetService())
 	}
+	e.applyQuarantines(now)
 }
 
 // recordSuccess records that an upstream answered the request, an engine beyond the beginning of
@@ -177,12 +189,13 @@
 // errQuarantined is the cause of the end of a send that was quarantined.
 var errQuarantined = errors.New("a content of the request was quarantined")
 
-// applyQuarantines logs changed quarantines and ends the waits and the unanswered sends of
-// quarantined requests; the caller holds the lock.
+// applyQuarantines logs changed quarantines, and ends the waits of requests that were quarantined
+// or became suspects, and the unanswered sends of quarantined ones; the caller holds the lock.
 func (e *Entry) applyQuarantines(now time.Time) {
 	report.Changes(now, e.crashes, e.opts.Metrics, e.opts.Log)
+	e.placer.MarkCrashed(e.crashes.Crashed)
 	for id, w := range e.waiters {
-		if _, quarantined := e.crashes.Check(now, w.contents); !quarantined {
+		if !e.mustExamine(now, &w) {
 			continue
 		}
 		if _, waiting := e.placer.Cancel(now, w.work); waiting {
@@ -197,6 +210,19 @@
 	}
 }
 
+// mustExamine reports whether a waiting request was quarantined, or became a suspect that waits for a
+// target of ordinary requests.
+func (e *Entry) mustExamine(now time.Time, w *waiter) bool {
+	if _, quarantined := e.crashes.Check(now, w.contents); quarantined {
+		return true
+	}
+	if w.work.Isolated || w.engine {
+		return false
+	}
+	_, suspected := e.suspicion(now, w.contents[0])
+	return suspected
+}
+
 // quarantined returns the refusal of a request with a quarantined content; nil when the request may
 // be sent.
 func (s *session) quarantined() *fault.Error {
@@ -216,13 +242,16 @@
 }
 
 func quarantineRefusal(now time.Time, f *quarantine.Finding) *fault.Error {
-	age := int(now.Sub(f.Last).Seconds())
 	if quarantine.IsRequest(f.Content) {
-		return fault.New(fault.RequestQuarantined, "do not send this request again",
-			"%d upstreams crashed as they ran this request, the last one %d s ago", len(f.Upstreams), age)
+		return fault.New(fault.RequestQuarantined, "do not send this request again", "%s", crashesText(now, f))
 	}
-	return fault.New(fault.PromptQuarantined, "leave the named part out of the prompt",
-		"%d engines crashed as they began to answer prompts with part %s, the last one %d s ago", len(f.Upstreams), f.Content, age)
+	return fault.New(fault.PromptQuarantined, "leave the named part out of the prompt", "%d engines crashed as they began to answer prompts with part %s, the last one %d s ago",
+		len(f.Upstreams), f.Content, int(now.Sub(f.Last).Seconds()))
+}
+
+// crashesText describes the evidence against a whole request.
+func crashesText(now time.Time, f *quarantine.Finding) string {
+	return fmt.Sprintf("%d upstreams crashed as they ran this request, the last one %d s ago", len(f.Upstreams), int(now.Sub(f.Last).Seconds()))
 }
 
 // promptPartsOf lists the prompt parts among the contents of a request.
--- a/pkg/forward/crashing_request_test.go
+++ b/pkg/forward/crashing_request_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -44,6 +47,8 @@
 	// conns are the connections of each upstream, downUntil is when a crashed one is back.
 	conns     map[string]map[net.Conn]bool
 	downUntil map[string]time.Time
+	// maxDown is the largest number of upstreams that were down at once.
+	maxDown int
 	// sends and crashes are the times of each crashing body's runs and of the crashes by it.
 	sends, crashes map[string][]time.Time
 	// answered and failed count the sound requests that began after a time, by status.
@@ -124,12 +129,20 @@
 	}
 	c.crashes[body] = append(c.crashes[body], time.Now())
 	c.downUntil[address] = time.Now().Add(restartTime)
+	c.maxDown = max(c.maxDown, len(c.downUntil))
 	for conn := range c.conns[address] {
 		_ = conn.Close()
 	}
 	c.conns[address] = map[net.Conn]bool{}
 }
 
+// busiest returns the upstream with the most connections.
+func (c *crashingService) busiest() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.MaxFunc(slices.Sorted(maps.Keys(c.conns)), func(a, b string) int { return cmp.Compare(len(c.conns[a]), len(c.conns[b])) })
+}
+
 // exchange announces the upstreams that are back as new incarnations, and passes the evidence of
 // each entry on to the others, until done is closed.
 func (c *crashingService) exchange(done <-chan struct{}) {
@@ -348,3 +361,76 @@
 		assert.Contains(t, cause, "the last one 6")
 	})
 }
+
+// Guards against a service without any upstream: a request that crashes them is tried at one while
+// others still serve.
+func TestServiceKeepsAnUpstreamWhileARequestCrashesOthers(t *testing.T) {
+	inBubble(t, threeUpstreams(), func(h *harness) {
+		c := newCrashingService(h, 1)
+		done := make(chan struct{})
+		var wait sync.WaitGroup
+		wait.Go(func() { c.exchange(done) })
+		wait.Go(func() { c.callSound(&wait, done, 0, time.Time{}) })
+		<-time.After(time.Second)
+		wait.Go(func() { c.callCrashing(done, "crashing 1") })
+		<-time.After(10 * time.Second)
+		wait.Go(func() { c.callCrashing(done, "crashing 2") })
+		<-time.After(30 * time.Second)
+		close(done)
+		wait.Wait()
+		c.close()
+		assert.Positive(t, len(c.crashes["crashing 1"])+len(c.crashes["crashing 2"]))
+		assert.LessOrEqual(t, c.maxDown, 2, "of three upstreams")
+		assert.LessOrEqual(t, c.sendsAfterLimit("crashing 1"), tolerableSends)
+		assert.LessOrEqual(t, c.sendsAfterLimit("crashing 2"), tolerableSends)
+		assert.True(t, strings.Contains(h.log.String(), "kind=request-suspected"), "suspects are refused meanwhile")
+		total := 0
+		for _, n := range c.answered {
+			total += n
+		}
+		assert.GreaterOrEqual(t, float64(c.answered[http.StatusOK]), 0.99*float64(total), "sound requests by status: %v", c.answered)
+	})
+}
+
+// Guards against refusals of suspects that an operator cannot trace to the crashes under them.
+func TestExplainNamesCrashesUnderSuspect(t *testing.T) {
+	inBubble(t, threeUpstreams(), func(h *harness) {
+		c := newCrashingService(h, 1)
+		defer c.close()
+		c.request(0, "first", "/repeat/x", "crashing")
+		refused := c.ask(0, "late", "/repeat/x", "crashing")
+		assert.Equal(t, http.StatusServiceUnavailable, refused.StatusCode)
+		assert.Equal(t, "not-run", refused.Header.Get("Masticmount-Outcome"))
+		assert.NotEmpty(t, refused.Header.Get("Retry-After"))
+		lines, err := explain.Read(strings.NewReader(h.log.String()))
+		require.NoError(t, err)
+		found := explain.Request("late", lines)
+		var text strings.Builder
+		require.NoError(t, explain.Write(&text, found))
+		content := quarantine.RequestContent("school", "POST", "h", "/repeat/x", []byte("crashing"))
+		assert.Equal(t, 2, strings.Count(text.String(), "crashed as it ran request "+content))
+		assert.Contains(t, explain.Cause(found), "upstreams crashed as they ran "+content)
+	})
+}
+
+// Guards against sound requests that lose their retries after an ordinary crash.
+func TestRequestsBesideOrdinaryCrashAreRetried(t *testing.T) {
+	inBubble(t, threeUpstreams(), func(h *harness) {
+		c := newCrashingService(h, 1)
+		done := make(chan struct{})
+		var wait sync.WaitGroup
+		wait.Go(func() { c.exchange(done) })
+		for i := range 4 {
+			wait.Go(func() {
+				status := c.request(0, fmt.Sprint("s-", i), "/repeat/x", fmt.Sprint("sound ", i))
+				assert.Equal(t, http.StatusOK, status)
+			})
+		}
+		<-time.After(10 * time.Millisecond)
+		c.crash(c.busiest(), "ordinary")
+		wait.Go(func() { <-time.After(5 * time.Second); close(done) })
+		wait.Wait()
+		c.close()
+		assert.Len(t, c.crashes["ordinary"], 1)
+	})
+}
--- a/pkg/forward/entry.go
+++ b/pkg/forward/entry.go
@@ -140,7 +140,9 @@
 	defer e.mu.Unlock()
 	now := boottime.Now()
 	e.retryBudget.update(now, v)
-	e.deliver(e.placer.Update(now, v))
+	grants := e.placer.Update(now, v)
+	e.placer.MarkCrashed(e.crashes.Crashed)
+	e.deliver(grants)
 }
 
 // deliver hands granted targets to the requests that wait for them; the caller holds the lock.
--- a/pkg/forward/pick.go
+++ b/pkg/forward/pick.go
@@ -27,23 +27,31 @@
 // took the best target by the same stale counts, they would overload it. So each chooses among
 // the targets below the score to which the unreported requests would fill the best ones.
 func (p *Placer) pick(now time.Time, w *Work) *targetState {
+	if w.Isolated {
+		return p.pickIsolated(now, w)
+	}
 	q := p.queueOf(*w)
 	if p.mechanisms.Enabled(mechanism.Allowances) && !q.allowed(w) {
 		return nil
 	}
 	var candidates []candidate
+	avoided := p.avoided(now, w.Service)
 	activeShare := 1 - p.endedShare(now, q)
 	for _, key := range p.targetKeys {
 		s := p.targets[key]
 		if load := s.load(activeShare); p.eligible(now, s, w) && load < float64(p.limitFor(s, w)) && (!w.Late || s.ownRequests+s.otherRequests < p.limitFor(s, w)) {
-			candidates = append(candidates, candidate{s, p.score(now, s, load)})
+			c := candidate{s, p.score(now, s, load)}
+			if s == avoided {
+				c.score += avoidPenalty
+			}
+			candidates = append(candidates, c)
 		}
 	}
 	if len(candidates) == 0 {
 		return nil
 	}
 	slices.SortStableFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.score, b.score) })
-	return p.pickWeighted(candidates, p.unreportedRequests(now, queueKey{w.Service, w.Model}, q))
+	return p.pickWeighted(candidates, p.unreportedRequests(now, queueKey{service: w.Service, model: w.Model}, q))
 }
 
 // unreportedRequests estimates the requests that other entries of the failure domain sent to
--- a/pkg/forward/placer.go
+++ b/pkg/forward/placer.go
@@ -57,6 +57,9 @@
 	Excluded []string
 	// ServiceTime is the expected service time, for which the request occupies a slot.
 	ServiceTime time.Duration
+	// Isolated requests may crash their upstream. They are sent one at a time, to an upstream that
+	// other requests avoid.
+	Isolated bool
 }
 
 // Placement is the decision on a request that asked for a target.
@@ -83,9 +86,11 @@
 	NoTarget     Reason = "no-target"
 	QueueFull    Reason = "crowded"
 	WaitTimedOut Reason = "waited-long-enough"
+	// NoIsolation means that an isolated request would leave too few other upstreams.
+	NoIsolation Reason = "no-isolation"
 )
 
-// Grant assigns a target to a waiting request.
+// Grant assigns a target to a waiting request. Without a target the request must be submitted again.
 type Grant struct {
 	ID     uint64
 	Target *attach.Target
@@ -108,6 +113,8 @@
 	// consecutiveFailures counts how often the target failed in a row. Until the next answer
 	// one request at a time is let through as a probe.
 	consecutiveFailures int
+	// crashed is true when this incarnation is known to have ended.
+	crashed bool
 	// seenInView is the number of the latest view that contained the target.
 	seenInView uint64
 }
@@ -122,6 +129,7 @@
 	// choices.
 	targetKeys []string
 	queues     map[queueKey]*requestQueue
+	isolations map[string]*isolation
 	viewNumber uint64
 	// loadsAt is the time of the latest report of the other entries' loads.
 	loadsAt time.Time
@@ -137,6 +145,7 @@
 func NewPlacer(failureDomain string, random *rand.Rand) *Placer {
 	return &Placer{
 		failureDomain: failureDomain, rand: random, targets: map[string]*targetState{}, queues: map[queueKey]*requestQueue{},
+		isolations: map[string]*isolation{},
 	}
 }
 
@@ -154,6 +163,7 @@
 	}
 	maps.DeleteFunc(p.targets, func(_ string, s *targetState) bool { return s.seenInView != p.viewNumber && s.ownRequests == 0 })
 	p.targetKeys, p.loadsAt, p.entries = slices.Sorted(maps.Keys(p.targets)), v.LoadsAt, v.Entries
+	p.recordUpstreams(now)
 	p.updateAllowances(now)
 	return p.grantWaiting(now)
 }
@@ -206,6 +216,9 @@
 // enqueue has a request wait, or refuses it when it would wait for too long.
 func (p *Placer) enqueue(now time.Time, q *requestQueue, w Work) Placement {
 	capacity := p.capacity(now, &w)
+	if capacity == 0 && w.Isolated {
+		return p.refuse(now, q, &w, NoIsolation)
+	}
 	if capacity == 0 {
 		return p.refuse(now, q, &w, NoTarget)
 	}
@@ -250,10 +263,15 @@
 
 // Release frees a request's slot at its target.
 func (p *Placer) Release(now time.Time, t *attach.Target) []Grant {
+	return p.release(now, t, Work{Service: t.Service, Model: t.Model})
+}
+
+// release frees a slot that a request of the given queue held.
+func (p *Placer) release(now time.Time, t *attach.Target, w Work) []Grant {
 	if s := p.targets[targetKey(t)]; s != nil {
 		s.ownRequests = max(s.ownRequests-1, 0)
 	}
-	q := p.queueOf(Work{Service: t.Service, Model: t.Model})
+	q := p.queueOf(w)
 	q.inFlight = max(q.inFlight-1, 0)
 	return p.grantWaiting(now)
 }
@@ -300,6 +318,9 @@
 func (p *Placer) assign(now time.Time, s *targetState, q *requestQueue, w *Work) *attach.Target {
 	s.ownRequests++
 	q.inFlight++
+	if w.Isolated {
+		p.isolationOf(w.Service).inFlight++
+	}
 	s.sentAt = now
 	q.recordServed(now, w)
 	t := s.target
@@ -313,6 +334,11 @@
 		for len(q.waiting) > 0 {
 			w := q.waiting[0]
 			s := p.pick(now, &w)
+			if s == nil && w.Isolated && p.capacity(now, &w) == 0 {
+				q.waiting = q.waiting[1:]
+				grants = append(grants, Grant{ID: w.ID})
+				continue
+			}
 			if s == nil {
 				break
 			}
@@ -373,7 +399,7 @@
 	if now.Sub(s.sentAt) < warmFor {
 		score -= warmBonus
 	}
-	if s.target.Suspected && !s.answeredRecently(now) {
+	if s.crashed || s.target.Suspected && !s.answeredRecently(now) {
 		score += suspicionPenalty
 	}
 	return score
@@ -409,6 +435,12 @@
 
 // capacity is the number of requests that the eligible targets of a request accept at once.
 func (p *Placer) capacity(now time.Time, w *Work) int {
+	if w.Isolated {
+		if p.isolationTarget(now, w.Service, w.Excluded) == nil {
+			return 0
+		}
+		return maxIsolated
+	}
 	total := 0
 	for _, s := range p.targets {
 		if p.eligible(now, s, w) {
--- a/pkg/forward/queue.go
+++ b/pkg/forward/queue.go
@@ -21,7 +21,10 @@
 )
 
 // queueKey identifies the requests that compete for the same targets.
-type queueKey struct{ service, model string }
+type queueKey struct {
+	service, model string
+	isolated       bool
+}
 
 // requestQueue holds the requests that wait for the targets of one service and model.
 type requestQueue struct {
@@ -78,7 +81,7 @@
 // queueOf returns the queue of a request's service and model, and creates it at the first
 // request.
 func (p *Placer) queueOf(w Work) *requestQueue {
-	key := queueKey{w.Service, w.Model}
+	key := queueKey{w.Service, w.Model, w.Isolated}
 	q := p.queues[key]
 	if q == nil {
 		q = &requestQueue{serviceTime: w.ServiceTime}
--- a/pkg/forward/session.go
+++ b/pkg/forward/session.go
@@ -46,6 +46,12 @@
 	// excluded are the targets at which the request failed.
 	excluded []string
 	target   *attach.Target
+	// isolated is true when the target was granted to an isolated request.
+	isolated bool
+	// crashCheck is the pending check of the upstream at which the last send broke; unverified is
+	// true once one ended without a verdict.
+	crashCheck *crashCheck
+	unverified bool
 	// lastTarget is the target of the most recent send.
 	lastTarget *attach.Target
 	// sentAt is when the most recent send began.
@@ -144,7 +150,11 @@
 	}
 	e := s.entry
 	e.mu.Lock()
-	e.deliver(e.placer.Release(boottime.Now(), s.target))
+	if s.isolated {
+		e.deliver(e.placer.ReleaseIsolated(boottime.Now(), s.target))
+	} else {
+		e.deliver(e.placer.Release(boottime.Now(), s.target))
+	}
 	e.mu.Unlock()
 	s.target = nil
 }
@@ -286,7 +296,7 @@
 		s.recordSuccess()
 	}
 	if s.suspectsCrash(r, err) {
-		e.suspectCrash(s.target, s.newSuspect(r))
+		s.crashCheck = e.suspectCrash(s.target, s.newSuspect(r))
 	}
 	retry := s.ctx.Err() == nil && s.canRetry() && (!err.Sent || e.retryBudget.spend(s.request.service.Name))
 	e.mu.Unlock()
--- a/pkg/forward/wait.go
+++ b/pkg/forward/wait.go
@@ -63,19 +63,27 @@
 
 // waiter is a request that waits for a target.
 type waiter struct {
-	// granted receives the target; nil when the request has been quarantined.
+	// granted receives the target; nil when the request must be examined again.
 	granted  chan *attach.Target
 	work     Work
 	contents []string
+	// engine is true for a request to engines.
+	engine bool
 }
 
 // acquireTarget gets a slot at a target, and waits for one if need be. A request with a
 // quarantined content gets none.
 func (s *session) acquireTarget() *fault.Error {
+	s.awaitCrashCheck()
 	if refusal := s.quarantined(); refusal != nil {
 		return refusal
 	}
+	found, suspected := s.suspicion()
+	if !found.Until.IsZero() {
+		return s.refuseSuspect(found)
+	}
 	e, w := s.entry, s.newWork()
+	w.Isolated, s.isolated = suspected, suspected
 	e.mu.Lock()
 	e.lastWorkID++
 	w.ID = e.lastWorkID
@@ -83,13 +91,16 @@
 	var granted chan *attach.Target
 	if p.Waiting {
 		granted = make(chan *attach.Target, 1)
-		e.waiters[w.ID] = waiter{granted, w, s.request.contents}
+		e.waiters[w.ID] = waiter{granted, w, s.request.contents, s.request.service.Engine != nil}
 	}
 	e.mu.Unlock()
 	if p.Target != nil {
 		s.target = p.Target
 		return nil
 	}
+	if p.Reason == NoIsolation {
+		return s.refuseSuspect(found)
+	}
 	if !p.Waiting {
 		return s.placementRefusal(p)
 	}
@@ -125,15 +136,12 @@
 	}
 }
 
-// checkGrant refuses a request that was quarantined while it waited.
+// checkGrant examines a request again that got no target: it was quarantined or became a suspect
+// while it waited, or no upstream is left for suspects.
 func (s *session) checkGrant() *fault.Error {
 	if s.target != nil {
 		return nil
 	}
-	if refusal := s.quarantined(); refusal != nil {
-		return refusal
-	}
-	// The quarantine has ended already.
 	return s.acquireTarget()
 }
 
