Entries report a crash at once

The entry now has its links send a report as soon as a probe has told that an upstream ended; keepers pass evidence on at once already. TestUrgentEvidenceIsReportedAtOnce fails if ReportNow does nothing: the report comes with the next tick.

--- a/pkg/attach/attach.go
+++ b/pkg/attach/attach.go
@@ -53,7 +53,6 @@
 	updates    *ring.Ring[update]
 	view       atomic.Pointer[View]
 	freshness  freshness
-	wake       chan struct{}
 
 	mu      sync.Mutex
 	keepers []keeperAddress
@@ -85,7 +84,7 @@
 func New(opts Options) *Attachment {
 	a := &Attachment{
 		opts: opts, updates: ring.New[update](updateQueueSize, ring.RejectNew), links: map[string]*link{}, failedAt: map[string]time.Time{},
-		sources: map[string]*source{}, loads: map[string]int{}, wake: make(chan struct{}, 1),
+		sources: map[string]*source{}, loads: map[string]int{},
 	}
 	a.view.Store(&View{})
 	return a
@@ -98,6 +97,18 @@
 	a.onView, a.onEvidence, a.fillReport = onView, onEvidence, report
 }
 
+// ReportNow has each link send a report before the next one is due.
+func (a *Attachment) ReportNow() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, l := range a.links {
+		select {
+		case l.urgent <- struct{}{}:
+		default:
+		}
+	}
+}
+
 // View returns the latest view; it is never nil.
 func (a *Attachment) View() *View { return a.view.Load() }
 
@@ -116,7 +127,7 @@
 	for {
 		for _, address := range a.missingLinks(boottime.Now()) {
 			linkCtx, stop := context.WithCancel(ctx)
-			l := &link{attachment: a, address: address, stop: stop}
+			l := &link{attachment: a, address: address, stop: stop, urgent: make(chan struct{}, 1)}
 			a.mu.Lock()
 			a.links[address] = l
 			a.mu.Unlock()
--- a/pkg/attach/link.go
+++ b/pkg/attach/link.go
@@ -35,6 +35,8 @@
 	// attached is true once the keeper has sent an update.
 	attached atomic.Bool
 	stop     context.CancelFunc
+	// urgent has the next report sent at once.
+	urgent chan struct{}
 }
 
 // run serves the stream until it fails or the link's context ends. It then queues the loss
@@ -124,6 +126,7 @@
 		}
 		select {
 		case <-tick.C:
+		case <-l.urgent:
 		case <-ctx.Done():
 			return
 		}
--- a/pkg/forward/crashes.go
+++ b/pkg/forward/crashes.go
@@ -100,6 +100,14 @@
 		}
 	}
 	crashed := dispatch.IsConnectionRefused(err)
+	e.recordVerdict(check, crashed, err)
+	if crashed && e.opts.OnCrash != nil {
+		e.opts.OnCrash()
+	}
+}
+
+// recordVerdict ends a check with the error of its probe.
+func (e *Entry) recordVerdict(check *crashCheck, crashed bool, err error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	defer close(check.done)
--- a/pkg/forward/entry.go
+++ b/pkg/forward/entry.go
@@ -50,6 +50,9 @@
 	HeaderNames  HeaderNames
 	// EvidenceClock reads the time by which crash evidence ages; nil reads the boot time.
 	EvidenceClock func() time.Time
+	// OnCrash is called when this entry has found that an upstream crashed, so that the evidence
+	// is reported at once; it must not block. It may be nil.
+	OnCrash func()
 	// Mechanisms selects the mechanisms that are enabled; the zero value enables all.
 	Mechanisms mechanism.Set
 	Metrics    *telemetry.Registry
