Several requests may explain the crashes of another one together

A sound request under which an upstream crashed is isolated beside other suspects, and is in crashes by each of them. One whose caller insisted was quarantined: the crashing requests together were in all its crashes, none of them in all alone. Now other whole requests with two or more separate crashes each that are together in all of its crashes make it ambiguous: it is held, and tried again alone.

--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -27,6 +27,9 @@
 	// crashesToQuarantine is the number of separate crashes, since its last success, that
 	// quarantine a content.
 	crashesToQuarantine = 3
+	// crashesOfRival is the number of separate crashes from which a whole request may explain a part
+	// of another one's crashes.
+	crashesOfRival = 2
 	// correlationWindow is the time within which crashes count once: the loss of power or of a
 	// switch ends several upstreams together, and a frequent content is in many of them. A crash
 	// under a request that was sent after another crash is always separate from it.
@@ -441,10 +444,35 @@
 				f.Companions = append(f.Companions, other)
 			}
 		}
+		if len(f.Companions) == 0 && IsRequest(content) {
+			f.Companions = t.jointExplanation(sets, content)
+		}
 		t.findings[content] = f
 	}
 }
 
+// jointExplanation returns the other whole requests that together were in all crashes of one,
+// each in crashesOfRival or more; nil if there are none. A sound request that is isolated beside
+// several crashing ones is in crashes by each of them.
+func (t *Table) jointExplanation(sets map[string]crashSet, request string) []string {
+	unexplained := maps.Clone(sets[request])
+	var rivals []string
+	for _, other := range slices.Sorted(maps.Keys(t.suspects)) {
+		if other == request || !IsRequest(other) || t.suspects[other].Crashes < crashesOfRival {
+			continue
+		}
+		before := len(unexplained)
+		maps.DeleteFunc(unexplained, func(i incarnation, _ crashTimes) bool { _, found := sets[other][i]; return found })
+		if len(unexplained) < before {
+			rivals = append(rivals, other)
+		}
+	}
+	if len(unexplained) > 0 {
+		return nil
+	}
+	return rivals
+}
+
 // finding summarizes the crashes of a content.
 func (s crashSet) finding(content string) Finding {
 	crashed := slices.SortedFunc(maps.Keys(s), func(a, b incarnation) int {
--- a/pkg/quarantine/table_test.go
+++ b/pkg/quarantine/table_test.go
@@ -230,6 +230,8 @@
 	crashingRequest = requestPrefix + "crashing"
 	soundRequest    = requestPrefix + "sound"
 	otherRequest    = requestPrefix + "other"
+	// otherCrashingRequest crashes upstreams, too.
+	otherCrashingRequest = requestPrefix + "crashing-2"
 )
 
 // plainTable has crashes of a plain service, each an upstream with the requests that broke.
@@ -285,6 +287,10 @@
 		{"upstreams that end together count once", []step{
 			crash(1, "a", soundRequest), crash(1.02, "b", soundRequest), crash(1.04, "c", soundRequest), success(1.5, otherRequest),
 		}, 2, soundRequest, false, false, true},
+		{"beside crashes by two others: held, not quarantined", []step{
+			crash(1, "a", crashingRequest, soundRequest), other, crash(1.5, "b", crashingRequest, soundRequest),
+			crash(2, "c", otherCrashingRequest, soundRequest), crash(2.5, "d", otherCrashingRequest),
+		}, 3, soundRequest, false, true, true},
 		{"no request of the service succeeds", []step{
 			crash(1, "a", crashingRequest), crash(2, "b", crashingRequest), crash(3, "c", crashingRequest),
 		}, 3.5, crashingRequest, false, true, true},
