forward: keep a silent stream until another upstream has continued it

Cause: after 400 ms without an event (1.5 s before the first) the entry closed the connection to the upstream if another target seemed to have capacity, and only then asked for a place there, paid the retry and sent the request. If the place was gone, the other upstream refused or failed, its first event did not continue the stream, or no connection was opened, nothing was left: the attempts were used up and the caller's connection was closed. Class: an answer given up before its successor is certain.

Fix: a silent run gets a successor that runs beside it. The placer hands out the second place in one step (Placer.Claim), not after a look (HasCapacity). The run is abandoned only once the successor's first event was checked against what the caller has; whichever sends the next event first wins, the other is cancelled and its slot freed. A successor that fails leaves the run in place, up to the deadline. It counts as a send (max_attempts) and is paid from the retry budget when it begins.

--- a/pkg/forward/crashes.go
+++ b/pkg/forward/crashes.go
@@ -117,17 +117,25 @@
 	report.Changes(e.opts.EvidenceClock(), e.crashes, e.opts.Metrics, e.opts.Log)
 }
 
-// cancelWhenQuarantined returns a context for one send, which ends if the request is quarantined
-// before stop is called: an engine that has not begun the answer then never begins it.
-func (s *session) cancelWhenQuarantined() (ctx context.Context, stop func()) {
+// unansweredSend is a send to an engine that has not begun the answer.
+type unansweredSend struct {
+	promptParts []string
+	cancel      context.CancelCauseFunc
+}
+
+// cancelWhenQuarantined returns a context for one send, which ends with the given one, or if the
+// request is quarantined before stop is called: an engine that has not begun the answer then
+// never begins it.
+func (s *session) cancelWhenQuarantined(parent context.Context) (ctx context.Context, stop func()) {
 	if !s.hasPromptParts() {
-		return s.ctx, func() {}
+		return parent, func() {}
 	}
 	e := s.entry
-	ctx, cancel := context.WithCancelCause(s.ctx)
+	ctx, cancel := context.WithCancelCause(parent)
+	u := &unansweredSend{s.request.promptParts, cancel}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.unanswered[s] = cancel
+	e.unanswered[u] = struct{}{}
 	if _, quarantined := e.crashes.Check(e.opts.EvidenceClock(), s.request.promptParts); quarantined {
 		// The quarantine began after the request got its target.
 		cancel(errQuarantined)
@@ -135,7 +143,7 @@
 	return ctx, func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		delete(e.unanswered, s)
+		delete(e.unanswered, u)
 	}
 }
 
@@ -161,9 +169,9 @@
 			w.granted <- nil
 		}
 	}
-	for s, cancel := range e.unanswered {
-		if _, quarantined := e.crashes.Check(now, s.request.promptParts); quarantined {
-			cancel(errQuarantined)
+	for u := range e.unanswered {
+		if _, quarantined := e.crashes.Check(now, u.promptParts); quarantined {
+			u.cancel(errQuarantined)
 		}
 	}
 }
--- a/pkg/forward/placer.go
+++ b/pkg/forward/placer.go
@@ -236,8 +236,15 @@
 	return Placement{Reason: reason, RetryAfter: retryAfter(p.rand, w.TimeLeft, q.full(now) && p.mechanisms.Enabled(mechanism.OverloadRetryDelay))}
 }
 
-// HasCapacity reports whether a request would be placed immediately.
-func (p *Placer) HasCapacity(now time.Time, w Work) bool { return p.pick(now, &w) != nil }
+// Claim assigns a target with free capacity to a request that does not wait; nil when there is
+// none.
+func (p *Placer) Claim(now time.Time, w Work) *attach.Target {
+	s := p.pick(now, &w)
+	if s == nil {
+		return nil
+	}
+	return p.assign(now, s, p.queueOf(w), &w)
+}
 
 // Cancel removes a waiting request; false when it was granted already.
 func (p *Placer) Cancel(now time.Time, w Work) (Placement, bool) {
--- a/pkg/forward/respond.go
+++ b/pkg/forward/respond.go
@@ -68,8 +68,8 @@
 	line := e.opts.Log.Info().Str("request_id", s.request.id).Int("status", status).Str("outcome", outcome).
 		Str("class", s.request.class()).Str("account", s.request.accountName()).Int("sends", s.history.sends).
 		Dur("queued_ms", s.queueTime).Dur("first_ms", s.firstEventLatency).Dur("took_ms", time.Since(s.request.arrivedAt)).Bool("caller_left", s.ctx.Err() != nil)
-	if s.lastTarget != nil {
-		line = line.Str("target", s.lastTarget.ID).Str("group", s.lastTarget.Group).Bool("reused", s.reused)
+	if t := s.currentSend.target; t != nil {
+		line = line.Str("target", t.ID).Str("group", t.Group).Bool("reused", s.reused)
 	}
 	if s.position.started {
 		line = line.Int("events", s.position.eventCount).Str("first_event", s.position.firstID).Str("last_event", s.position.lastID)
@@ -80,15 +80,15 @@
 // logFailure logs each send that failed. For a stream the line says where the send broke off:
 // after which event, with how many bytes of the next one, and whether the caller had been sent
 // a part of the answer.
-func (e *Entry) logFailure(s *session, r *upstreamRun, err *dispatch.CallError) {
+func (e *Entry) logFailure(s *session, failed send, r *upstreamRun, err *dispatch.CallError) {
 	e.opts.Metrics.Add("sends_failed."+string(err.Reason), 1)
-	line := e.opts.Log.Info().Str("request_id", s.request.id).Str("target", s.target.ID).Str("group", s.target.Group).
+	line := e.opts.Log.Info().Str("request_id", s.request.id).Str("target", failed.target.ID).Str("group", failed.target.Group).
 		Str("reason", string(err.Reason)).Bool("sent", err.Sent).Str("at_fault", err.AtFault).AnErr("cause", err.Unwrap()).
-		Dur("after_ms", time.Since(s.request.arrivedAt)).Bool("doubtful", s.target.Suspected).
-		Int("send", s.history.sends).Bool("reused", err.Reused)
+		Dur("after_ms", time.Since(s.request.arrivedAt)).Bool("doubtful", failed.target.Suspected).
+		Int("send", failed.number).Bool("reused", err.Reused)
 	if s.request.route.Stream {
 		pending := r.pendingBytes()
-		line = line.Int("run_events", r.eventCount()).Dur("run_ms", time.Since(s.sentAt)).Str("prompt_parts", strings.Join(s.request.promptParts, ",")).Str("after_event", s.position.lastID).Int("held_bytes", pending).Bool("caller_began", s.history.firstEventSent)
+		line = line.Int("run_events", r.eventCount()).Dur("run_ms", time.Since(failed.at)).Str("prompt_parts", strings.Join(s.request.promptParts, ",")).Str("after_event", s.position.lastID).Int("held_bytes", pending).Bool("caller_began", s.history.firstEventSent)
 		if pending > 0 {
 			e.opts.Metrics.Add("streams.broken_inside_event", 1)
 		}
--- a/pkg/forward/session.go
+++ b/pkg/forward/session.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"net/http"
@@ -46,10 +45,8 @@
 	// excluded are the targets at which the request failed.
 	excluded []string
 	target   *attach.Target
-	// lastTarget is the target of the most recent send.
-	lastTarget *attach.Target
-	// sentAt is when the most recent send began.
-	sentAt time.Time
+	// currentSend is the send whose answer the caller gets, or the one that failed last.
+	currentSend send
 	// reused is true when the last answer came on a reused connection.
 	reused bool
 	// position is how far a stream has got.
@@ -135,13 +132,17 @@
 	if s.target == nil {
 		return
 	}
-	e := s.entry
-	e.mu.Lock()
-	e.deliver(e.placer.Release(boottime.Now(), s.target))
-	e.mu.Unlock()
+	s.entry.release(s.target)
 	s.target = nil
 }
 
+// release frees a slot at a target.
+func (e *Entry) release(t *attach.Target) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.deliver(e.placer.Release(boottime.Now(), t))
+}
+
 // attempt sends the request to the target. Without a failure the answer to the caller has
 // begun; with one the caller has been sent nothing. The run is nil when the upstream began no
 // answer.
@@ -172,30 +173,43 @@
 	return r, nil
 }
 
+// send is one send of a request to a target.
+type send struct {
+	target *attach.Target
+	// number counts the sends of the request from 1.
+	number int
+	at     time.Time
+}
+
+// newSend counts a send to a target that begins now.
+func (s *session) newSend(target *attach.Target) send {
+	s.history.sends++
+	return send{target: target, number: s.history.sends, at: time.Now()}
+}
+
 // send sends the request to the target and waits for the header of its answer.
 func (s *session) send() (*upstreamRun, *dispatch.CallError) {
-	s.history.sends++
-	s.lastTarget, s.sentAt = s.target, time.Now()
-	r := &upstreamRun{sentAt: s.sentAt, resumeAfter: s.position.lastID}
-	ctx, stopWatching := s.cancelWhenQuarantined()
-	resp, err := s.entry.opts.Client.Begin(ctx, s.buildCall(r.resumeAfter))
+	s.currentSend = s.newSend(s.target)
+	r := &upstreamRun{sentAt: s.currentSend.at, resumeAfter: s.position.lastID}
+	ctx, stopWatching := s.cancelWhenQuarantined(s.ctx)
+	resp, err := s.entry.opts.Client.Begin(ctx, s.buildCall(s.target, r.resumeAfter))
 	stopWatching()
 	if err != nil {
 		return nil, asCallError(err)
 	}
-	r.resp, s.reused = resp, resp.Reused()
-	r.endsWithConnection = !resp.Framed() && bytes.HasPrefix(resp.Header("Content-Type"), eventStreamType)
+	r.setResponse(resp)
+	s.reused = resp.Reused()
 	return r, nil
 }
 
-// buildCall returns the request as it is sent to the target, for the answer after an event.
-func (s *session) buildCall(after string) dispatch.Call {
+// buildCall returns the request as it is sent to a target, for the answer after an event.
+func (s *session) buildCall(target *attach.Target, after string) dispatch.Call {
 	r, names := s.request, &s.entry.opts.HeaderNames
 	lines := append([]dispatch.HeaderLine(nil), r.headerLines...)
 	left := time.Until(r.deadline)
 	lines = append(lines,
 		dispatch.HeaderLine{Name: names.TimeLeft, Value: strconv.FormatInt(max(left.Milliseconds(), 1), 10)},
-		dispatch.HeaderLine{Name: names.ExpectedUpstream, Value: s.target.ID},
+		dispatch.HeaderLine{Name: names.ExpectedUpstream, Value: target.ID},
 	)
 	if r.account != nil {
 		lines = append(lines, dispatch.HeaderLine{Name: names.Account, Value: r.account.Name})
@@ -204,7 +218,7 @@
 		lines = append(lines, dispatch.HeaderLine{Name: names.LastEvent, Value: after})
 	}
 	return dispatch.Call{
-		RequestID: r.id, Address: s.target.Address, Method: r.method, RequestTarget: r.target, Host: r.host, HeaderLines: lines,
+		RequestID: r.id, Address: target.Address, Method: r.method, RequestTarget: r.target, Host: r.host, HeaderLines: lines,
 		Body: r.body, Deadline: r.deadline, MaxIdle: s.maxConnIdle(),
 	}
 }
@@ -265,43 +279,51 @@
 // handleFailure records the failure of a send, whose run is nil when no answer began, and
 // reports whether the request may be sent again.
 func (s *session) handleFailure(r *upstreamRun, err *dispatch.CallError) bool {
+	s.recordFailure(s.currentSend, r, err)
+	e := s.entry
+	e.mu.Lock()
+	retry := s.ctx.Err() == nil && s.canRetry() && (!err.Sent || e.retryBudget.spend(s.request.service.Name))
+	e.mu.Unlock()
+	s.releaseTarget()
+	return retry
+}
+
+// recordFailure records the failure of a send, whose run is nil when no answer began.
+func (s *session) recordFailure(failed send, r *upstreamRun, err *dispatch.CallError) {
 	s.lastFailure = err
 	s.history.recordFailure(err)
-	s.excluded = append(s.excluded, s.target.ID)
-	s.entry.logFailure(s, r, err)
+	s.excluded = append(s.excluded, failed.target.ID)
+	s.entry.logFailure(s, failed, r, err)
 	now := boottime.Now()
 	e := s.entry
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	if err.Reason != dispatch.Canceled && err.Reason != dispatch.Failed {
-		s.backOffTarget(now, err)
+		s.backOffTarget(now, failed.target, err)
 	}
 	if s.suspectsCrash(r, err) {
-		e.suspectCrash(e.opts.EvidenceClock(), s.target, s.request.promptParts)
+		e.suspectCrash(e.opts.EvidenceClock(), failed.target, s.request.promptParts)
 	}
-	retry := s.ctx.Err() == nil && s.canRetry() && (!err.Sent || e.retryBudget.spend(s.request.service.Name))
-	e.mu.Unlock()
-	s.releaseTarget()
-	return retry
 }
 
 // backOffTarget records a failure against its target; the caller holds the lock.
-func (s *session) backOffTarget(now time.Time, err *dispatch.CallError) {
+func (s *session) backOffTarget(now time.Time, target *attach.Target, err *dispatch.CallError) {
 	switch {
 	case err.Reason == dispatch.Refused:
-		s.entry.placer.BackOffUntil(s.target, now.Add(refusedBackoff))
+		s.entry.placer.BackOffUntil(target, now.Add(refusedBackoff))
 		if err.AtFault != "" {
-			s.entry.reports.recordStall(now, s.target)
+			s.entry.reports.recordStall(now, target)
 		}
-	case dispatch.IsConnectionRefused(err) && s.entry.placer.AnsweredSince(s.target, now.Add(-eventGapTimeout/2)):
+	case dispatch.IsConnectionRefused(err) && s.entry.placer.AnsweredSince(target, now.Add(-eventGapTimeout/2)):
 		// Nothing listens there any more, whatever it answered before. It may be leaving with
 		// its last streams, so this is no evidence of a stall.
-		s.entry.placer.RecordFailure(now, s.target)
+		s.entry.placer.RecordFailure(now, target)
 	case !err.Sent || err.Reason == dispatch.Stalled:
 		// A connection that cannot be opened is as much evidence of a stall as a silent
 		// stream.
-		if !s.entry.placer.AnsweredSince(s.target, now.Add(-eventGapTimeout/2)) {
-			s.entry.placer.RecordFailure(now, s.target)
-			s.entry.reports.recordStall(now, s.target)
+		if !s.entry.placer.AnsweredSince(target, now.Add(-eventGapTimeout/2)) {
+			s.entry.placer.RecordFailure(now, target)
+			s.entry.reports.recordStall(now, target)
 		}
 	default:
 	}
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -29,6 +29,10 @@
 type stream struct {
 	session *session
 	run     *upstreamRun
+	// successor is the send that may replace the run, which is silent; nil if there is none.
+	successor *successor
+	// header is that of the answer's first run.
+	header []dispatch.HeaderLine
 	// pending are complete events that were not passed on yet.
 	pending []byte
 	buf     []byte
@@ -39,62 +43,46 @@
 // beginStream waits for the first event, so that a stream that fails before it can still be
 // retried elsewhere or refused.
 func (s *session) beginStream(ctx *fasthttp.RequestCtx, r *upstreamRun, header []dispatch.HeaderLine) (*upstreamRun, *dispatch.CallError) {
-	st := &stream{session: s, buf: make([]byte, readBufferBytes), outcome: "cut"}
+	st := &stream{session: s, buf: make([]byte, readBufferBytes), outcome: "cut", header: header}
 	if failure := st.awaitFirst(r); failure != nil {
-		return r, failure
+		return st.run, failure
 	}
 	s.history.firstEventSent = true
 	s.firstEventLatency = time.Since(s.request.arrivedAt)
-	copyHeader(ctx, http.StatusOK, header)
+	copyHeader(ctx, http.StatusOK, st.header)
 	ctx.Response.SetBodyStream(st, -1)
-	return r, nil
+	return st.run, nil
 }
 
 // awaitFirst waits for the first events of a run, so that a run that fails before them can
 // still be followed by another.
 func (st *stream) awaitFirst(r *upstreamRun) *dispatch.CallError {
 	st.run = r
-	st.session.setStallTimeout(r, firstEventTimeout)
-	if err := st.fill(); err != nil && !errors.Is(err, io.EOF) {
+	st.session.setStallTimeout(st, firstEventTimeout)
+	if err := st.fill(); err != nil && !isComplete(err) {
 		return asCallError(err)
 	}
-	if r.end == nil {
-		st.session.setStallTimeout(r, eventGapTimeout)
+	if st.run.end == nil {
+		st.session.setStallTimeout(st, eventGapTimeout)
 	}
 	return nil
 }
 
-// setStallTimeout bounds the gaps of a resumable stream: when it stalls, it may be resumed at
-// another target.
-func (s *session) setStallTimeout(r *upstreamRun, d time.Duration) {
+// setStallTimeout sets the time without an event after which the run of a resumable stream gets
+// a successor.
+func (s *session) setStallTimeout(st *stream, d time.Duration) {
 	if s.request.route.Idempotency != document.Resumable {
-		r.setStallTimeout(0, nil)
+		st.run.setStallTimeout(0, nil)
 		return
 	}
-	r.setStallTimeout(d, s.abandonStalled)
-}
-
-// abandonStalled reports whether a stalled stream is abandoned: only where another target has
-// free capacity and the retry budget allows it. Otherwise the stream may still continue where
-// it is.
-func (s *session) abandonStalled() bool {
-	w := s.newWork()
-	w.Excluded = append(append([]string(nil), s.excluded...), s.target.ID)
-	now := boottime.Now()
-	e := s.entry
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if !e.placer.AnsweredSince(s.target, now.Add(-eventGapTimeout/2)) {
-		e.reports.recordStall(now, s.target)
-	}
-	return s.canRetry() && e.retryBudget.available(s.request.service.Name) && e.placer.HasCapacity(now, w)
+	st.run.setStallTimeout(d, st.onSilence)
 }
 
 // Read implements io.Reader. It resumes the stream at another target when a run fails.
 func (st *stream) Read(p []byte) (int, error) {
 	for len(st.pending) == 0 {
 		err := st.fill()
-		if errors.Is(err, io.EOF) {
+		if isComplete(err) {
 			st.outcome = "whole"
 			return 0, io.EOF
 		}
@@ -109,11 +97,22 @@
 	return n, nil
 }
 
-// fill reads the next events of the run.
+// fill reads the next events of the run, or of its successor if that one is first.
 func (st *stream) fill() error {
 	events, err := st.run.nextEvents(st.buf)
+	switch {
+	case st.successor == nil:
+	case st.successor.accepted:
+		// Events that the abandoned run had read, but not yet returned, are in its successor's
+		// answer, too.
+		events, err = st.adoptSuccessor(asCallError(st.run.end))
+	case err == nil || isComplete(err):
+		st.discardSuccessor()
+	case st.successorContinues():
+		events, err = st.adoptSuccessor(asCallError(err))
+	}
 	if err != nil {
-		if errors.Is(err, io.EOF) {
+		if isComplete(err) {
 			st.recordEnd()
 		}
 		return err
@@ -223,13 +222,18 @@
 		if err = st.awaitFirst(next); err != nil {
 			continue
 		}
-		continuedAt, _ := firstIdentifier(st.pending)
-		s.entry.opts.Log.Info().Str("request_id", s.request.id).Str("target", s.target.ID).Int("send", s.history.sends).
-			Str("asked_after", next.resumeAfter).Str("went_on_at", continuedAt).Str("last_event", s.position.lastID).Msg("stream_resumed")
+		s.logResumed(next, st.pending)
 		return nil
 	}
 }
 
+// logResumed logs that a run continued the stream with the given events.
+func (s *session) logResumed(r *upstreamRun, events []byte) {
+	continuedAt, _ := firstIdentifier(events)
+	s.entry.opts.Log.Info().Str("request_id", s.request.id).Str("target", s.target.ID).Int("send", s.currentSend.number).
+		Str("asked_after", r.resumeAfter).Str("went_on_at", continuedAt).Str("last_event", s.position.lastID).Msg("stream_resumed")
+}
+
 func (s *session) checkResumed(resp *dispatch.Response) *dispatch.CallError {
 	if resp.Status() != fasthttp.StatusOK {
 		return resp.Abort(dispatch.Failed, errNotResumed)
@@ -240,6 +244,7 @@
 // Close implements io.Closer; the server calls it once the answer has ended.
 func (st *stream) Close() error {
 	s := st.session
+	st.discardSuccessor()
 	_ = st.run.resp.Abort(dispatch.Canceled, errClientDisconnected)
 	s.observe()
 	s.entry.logAnswer(s, fasthttp.StatusOK, st.outcome)
--- /dev/null
+++ b/pkg/forward/successor.go
@@ -0,0 +1,230 @@
+package forward
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/masticmount/masticmount/pkg/attach"
+	"github.com/masticmount/masticmount/pkg/boottime"
+	"github.com/masticmount/masticmount/pkg/dispatch"
+)
+
+// successorPollInterval is the time between two checks, while a run is silent, of whether its
+// successor has continued the stream.
+const successorPollInterval = 20 * time.Millisecond
+
+var errSuccessorNotNeeded = errors.New("the upstream that was silent continued its answer")
+
+// successor is the second send of a resumable stream whose run is silent. Both go on until one of
+// them sends the next event: silence does not show that an upstream has ended, and a successor
+// may be refused or fail.
+type successor struct {
+	send   send
+	run    *upstreamRun
+	cancel context.CancelCauseFunc
+	// done is closed when the fields below are set.
+	done chan struct{}
+	// header is that of the answer, events are its first ones. end is nil, io.EOF when the
+	// answer is complete, or the *dispatch.CallError of a successor that failed.
+	header []dispatch.HeaderLine
+	events []byte
+	reused bool
+	end    error
+	// accepted is true once the events were found to continue the stream.
+	accepted bool
+}
+
+// onSilence is called while the run is silent and reports whether to abandon it: only once its
+// successor has continued the stream.
+func (st *stream) onSilence() bool {
+	if st.successor == nil {
+		if st.successor = st.session.beginSuccessor(); st.successor != nil {
+			st.run.setStallTimeout(successorPollInterval, st.onSilence)
+		}
+		return false
+	}
+	select {
+	case <-st.successor.done:
+		return st.acceptSuccessor()
+	default:
+		return false
+	}
+}
+
+// beginSuccessor sends the stream to a second target if one has free capacity and the request
+// may be sent again; otherwise it returns nil.
+func (s *session) beginSuccessor() *successor {
+	if s.quarantined() != nil {
+		return nil
+	}
+	target := s.claimSuccessorTarget()
+	if target == nil {
+		return nil
+	}
+	s.entry.opts.Metrics.Add("streams.successors_begun", 1)
+	sc := &successor{send: s.newSend(target), done: make(chan struct{})}
+	sc.run = &upstreamRun{sentAt: sc.send.at, resumeAfter: s.position.lastID}
+	ctx, cancel := context.WithCancelCause(s.ctx)
+	sc.cancel = cancel
+	go sc.receive(ctx, s, s.buildCall(target, sc.run.resumeAfter))
+	return sc
+}
+
+// claimSuccessorTarget reports that the target is silent and pays for a send to another one,
+// which it returns; nil when there is none.
+func (s *session) claimSuccessorTarget() *attach.Target {
+	w := s.newWork()
+	w.Excluded = append(slices.Clone(s.excluded), s.target.ID)
+	now := boottime.Now()
+	e := s.entry
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.placer.AnsweredSince(s.target, now.Add(-eventGapTimeout/2)) {
+		e.reports.recordStall(now, s.target)
+	}
+	if !s.canRetry() || !e.retryBudget.available(s.request.service.Name) {
+		return nil
+	}
+	target := e.placer.Claim(now, w)
+	if target != nil {
+		e.retryBudget.spend(s.request.service.Name)
+	}
+	return target
+}
+
+// receive sends the call and reads the answer up to its first event.
+func (sc *successor) receive(ctx context.Context, s *session, call dispatch.Call) {
+	defer close(sc.done)
+	ctx, stopWatching := s.cancelWhenQuarantined(ctx)
+	resp, err := s.entry.opts.Client.Begin(ctx, call)
+	stopWatching()
+	if err != nil {
+		sc.end = asCallError(err)
+		return
+	}
+	sc.run.setResponse(resp)
+	sc.reused = resp.Reused()
+	if failure := s.checkSuccessor(resp); failure != nil {
+		sc.end = failure
+		return
+	}
+	sc.header = resp.HeaderLines()
+	buf := make([]byte, readBufferBytes)
+	for sc.end == nil {
+		var events []byte
+		events, sc.end = sc.run.nextEvents(buf)
+		sc.events = append(sc.events, events...)
+		if _, any := firstIdentifier(sc.events); any {
+			return
+		}
+	}
+}
+
+func (s *session) checkSuccessor(resp *dispatch.Response) *dispatch.CallError {
+	switch {
+	case len(resp.Header(s.entry.opts.HeaderNames.Signature)) == 0:
+		return resp.Abort(dispatch.Malformed, errUnsigned)
+	case len(resp.Header("Content-Encoding")) > 0:
+		return resp.Abort(dispatch.Malformed, errContentEncoded)
+	case resp.Status() != http.StatusOK:
+		return resp.Abort(dispatch.Failed, errNotResumed)
+	default:
+		return nil
+	}
+}
+
+// acceptSuccessor reports whether the successor, which is done, continues the stream. One that
+// does not is dropped, and the run stays in place.
+func (st *stream) acceptSuccessor() bool {
+	s, sc := st.session, st.successor
+	if sc.accepted {
+		return true
+	}
+	failure, failed := dispatch.CallErrorOf(sc.end)
+	if id, isEvent := firstIdentifier(sc.events); !failed && isEvent {
+		if err := s.checkNextEvent(id); err != nil {
+			failure, failed = sc.run.abort(dispatch.Malformed, err), true
+		}
+	}
+	if !failed {
+		sc.accepted = true
+		return true
+	}
+	st.successor = nil
+	s.recordFailure(sc.send, sc.run.orNil(), failure)
+	s.entry.release(sc.send.target)
+	st.session.setStallTimeout(st, eventGapTimeout)
+	return false
+}
+
+// successorContinues waits for the successor of a run that has failed and reports whether it
+// continues the stream.
+func (st *stream) successorContinues() bool {
+	<-st.successor.done
+	return st.acceptSuccessor()
+}
+
+// adoptSuccessor replaces the run, which failed or was silent, by its successor. It returns the
+// successor's first events and how its answer has ended, if it has.
+func (st *stream) adoptSuccessor(failure *dispatch.CallError) ([]byte, error) {
+	s, sc := st.session, st.successor
+	st.successor = nil
+	s.recordFailure(s.currentSend, st.run, failure)
+	s.releaseTarget()
+	s.target, s.currentSend, s.reused = sc.send.target, sc.send, sc.reused
+	st.run = sc.run
+	if !s.history.firstEventSent {
+		st.header = sc.header
+	}
+	s.setStallTimeout(st, eventGapTimeout)
+	s.entry.opts.Metrics.Add("streams.successors_adopted", 1)
+	s.logResumed(st.run, sc.events)
+	if len(sc.events) > 0 {
+		return sc.events, nil
+	}
+	return nil, sc.end
+}
+
+// discardSuccessor cancels the successor of a run that has continued or ended.
+func (st *stream) discardSuccessor() {
+	sc := st.successor
+	if sc == nil {
+		return
+	}
+	st.successor = nil
+	sc.cancel(errSuccessorNotNeeded)
+	s := st.session
+	s.entry.opts.Metrics.Add("streams.successors_discarded", 1)
+	go func() {
+		<-sc.done
+		if sc.run.resp != nil {
+			_ = sc.run.resp.Abort(dispatch.Canceled, errSuccessorNotNeeded)
+		}
+		s.entry.release(sc.send.target)
+	}()
+	if st.run.end == nil {
+		s.setStallTimeout(st, eventGapTimeout)
+	}
+}
+
+// setResponse sets the answer whose header has been read.
+func (r *upstreamRun) setResponse(resp *dispatch.Response) {
+	r.resp = resp
+	r.endsWithConnection = !resp.Framed() && bytes.HasPrefix(resp.Header("Content-Type"), eventStreamType)
+}
+
+// orNil returns nil for a run whose upstream began no answer.
+func (r *upstreamRun) orNil() *upstreamRun {
+	if r.resp == nil {
+		return nil
+	}
+	return r
+}
+
+// isComplete reports whether an answer has ended completely.
+func isComplete(err error) bool { return errors.Is(err, io.EOF) }
