grouping: a member fails by the time of its silence, not by two unanswered probes

What callers saw: an engine that was silent for a second and went on lost its group. Its streams were cut, or the group answered 503 until it was formed anew.

Cause: entries suspect a group after 0.4 s of silence; two probes, 0.2 s apart and each bounded by 0.15 s, then made a member "does not answer". The coordinator dissolved the group: the head was ordered to close and to cancel its streams, or the other members to leave, which breaks the group. A sound engine may be silent for a second or so and go on.

Change: a member fails once it has answered no probe for maxPause, 2 s. Refused connections, restarts and deregistrations count as before, at once.

Weighed: closing with "wait" instead of "cancel" (a silent head gets the order once it goes on, and takes no new requests; where a member is dead the streams wait for the stall time: the same loss later, and the members are free later); more probes instead of a time (the number depends on the pace of the plans and of the results); ending a silence by an announcement (not taken: announcements may be delayed, and an engine that is cut off in one direction would never fail by its probes).

--- a/pkg/grouping/advance.go
+++ b/pkg/grouping/advance.go
@@ -98,18 +98,6 @@
 	return p.probe(now, g)
 }
 
-// probe sends probes to the members of a suspected group.
-func (p *Planner) probe(now time.Time, g *group) []Order {
-	if now.Sub(g.suspectedAt) > suspicionTTL || now.Sub(g.probedAt) < probeInterval || p.answersEntries(now, g) {
-		return nil
-	}
-	g.probedAt = now
-	return lo.FilterMap(g.members, func(member incarnation, _ int) (Order, bool) {
-		u, known := p.member(member)
-		return Order{Kind: Probe, Upstream: member.id, StartTime: member.startTime, Address: u.Address, Group: g.name, Epoch: g.epoch}, known
-	})
-}
-
 // dissolve ends a group that has lost a member. If the head is reachable it is ordered to
 // close; otherwise the other members are ordered to leave.
 func (p *Planner) dissolve(now time.Time, g *group, reason string) []Order {
--- a/pkg/grouping/planner.go
+++ b/pkg/grouping/planner.go
@@ -51,8 +51,11 @@
 	suspicionTTL = time.Second
 	// probeInterval is the minimum time between two probes of a group's members.
 	probeInterval = 200 * time.Millisecond
-	// maxMissedProbes is the number of consecutive unanswered probes after which a member counts as failed.
-	maxMissedProbes = 2
+	// maxPause is how long a sound engine may be silent. One that answers no probe for this
+	// time counts as failed.
+	maxPause = 2 * time.Second
+	// maxProbeGap is the longest time between two unanswered probes that show one silence.
+	maxProbeGap = time.Second
 	// releasedTTL is how long the name of a released group is kept, so that delayed reports
 	// of its members do not cause its adoption.
 	releasedTTL = time.Minute
@@ -84,8 +87,8 @@
 	quarantinedUntil map[string]time.Time
 	// failedAt is the time at which an incarnation was found not to answer.
 	failedAt map[incarnation]time.Time
-	// missedProbes counts the consecutive unanswered probes of an incarnation.
-	missedProbes map[incarnation]int
+	// silences holds the incarnations that have not answered their last probe.
+	silences map[incarnation]silence
 	// answeredAt is the time of the last answer of a group to an entry, by the group's head.
 	answeredAt map[string]time.Time
 	// inFlight holds the order in flight to each engine; probes are left out.
@@ -131,7 +134,7 @@
 	return &Planner{
 		opts: opts, startedAt: now, upstreams: map[string]fleet.Upstream{}, lastReportAt: map[string]time.Time{}, reportingSince: map[string]time.Time{}, engines: map[string]*document.Engine{},
 		groups: map[string]*group{}, released: map[string]time.Time{}, quarantinedUntil: map[string]time.Time{},
-		staging: map[incarnation]stagingLoad{}, lastModel: map[incarnation]string{}, moves: map[location]*move{}, standbyAt: map[incarnation]time.Time{}, verified: map[incarnation]verification{}, failedAt: map[incarnation]time.Time{}, missedProbes: map[incarnation]int{}, answeredAt: map[string]time.Time{}, inFlight: map[string]Order{},
+		staging: map[incarnation]stagingLoad{}, lastModel: map[incarnation]string{}, moves: map[location]*move{}, standbyAt: map[incarnation]time.Time{}, verified: map[incarnation]verification{}, failedAt: map[incarnation]time.Time{}, silences: map[incarnation]silence{}, answeredAt: map[string]time.Time{}, inFlight: map[string]Order{},
 		epoch: opts.Term << epochBits, loadLimit: loadLimiter{refilledAt: now},
 	}
 }
@@ -163,7 +166,7 @@
 		}
 		if failedAt, failed := p.failedAt[inc]; failed && u.AnnouncedAt.After(failedAt) {
 			delete(p.failedAt, inc)
-			delete(p.missedProbes, inc)
+			delete(p.silences, inc)
 		}
 	}
 	for domain, at := range p.lastReportAt {
@@ -226,12 +229,11 @@
 	case ConnectionRefused:
 		p.failedAt[inc] = now
 	case Unanswered:
-		p.missedProbes[inc]++
-		if p.missedProbes[inc] >= maxMissedProbes {
+		if p.extendSilence(now, inc) >= maxPause {
 			p.failedAt[inc] = now
 		}
 	default:
-		delete(p.missedProbes, inc)
+		delete(p.silences, inc)
 		p.recordReport(inc, result.Report)
 	}
 }
@@ -295,6 +297,7 @@
 	maps.DeleteFunc(p.released, func(_ string, at time.Time) bool { return now.Sub(at) > releasedTTL })
 	maps.DeleteFunc(p.quarantinedUntil, func(_ string, until time.Time) bool { return now.After(until) })
 	maps.DeleteFunc(p.verified, func(inc incarnation, _ verification) bool { _, current := p.member(inc); return !current })
+	maps.DeleteFunc(p.silences, func(_ incarnation, s silence) bool { return now.Sub(s.lastProbe) > maxProbeGap })
 	maps.DeleteFunc(p.lastModel, func(inc incarnation, _ string) bool { _, current := p.member(inc); return !current })
 	maps.DeleteFunc(p.moves, func(_ location, m *move) bool { return now.Sub(m.since) > moveTimeout })
 	maps.DeleteFunc(p.standbyAt, func(_ incarnation, at time.Time) bool { return now.Sub(at) > releasedTTL })
