grouping: missed announcements count as an engine's end only after a sound pause

What callers saw: where engines announce themselves often, an engine that was silent for a second and went on lost its group with all requests in flight.

An engine counts as silent after 2.6 intervals without an announcement, and alone silent if others of its failure domain reported 1.3 intervals longer; with an interval of 0.3 s that is 0.78 s.

Change: the last announcement must besides be older than one interval and maxPause. With an interval of 1.2 s that is 3.2 s against 3.12 s, so deployments with slow announcements replace such engines 0.08 s later at most, apart from the time until another engine's report.

TestFrequentAnnouncementsDoNotShortenPause failed before at intervals of 100, 300 and 500 ms, for head and member (6 of 8 rows): "Should be empty, but was [leave e01 big.4.18y69 leave e02 ... join e00 big.4.34dfl ...]". It also bounds when an engine that stays silent is given up. Passed: go test ./pkg/grouping ./pkg/control.

--- a/pkg/grouping/group.go
+++ b/pkg/grouping/group.go
@@ -182,11 +182,13 @@
 // interval, and so do the first ones after it.
 const aloneSilentIntervals = 1.3
 
-// silent reports whether an engine alone, and not its whole failure domain, stopped announcing.
+// silent reports whether an engine alone, and not its whole failure domain, stopped announcing
+// for longer than a sound engine's pause.
 func (p *Planner) silent(u fleet.Upstream) bool {
 	minGap := time.Duration(aloneSilentIntervals * float64(p.opts.AnnounceInterval))
+	lastReport := p.lastReportAt[u.FailureDomain]
 	since := maxTime(u.AnnouncedAt, p.reportingSince[u.FailureDomain])
-	return u.Silent && p.lastReportAt[u.FailureDomain].Sub(since) > minGap
+	return u.Silent && lastReport.Sub(since) > minGap && lastReport.Sub(u.AnnouncedAt) > p.opts.AnnounceInterval+maxPause
 }
 
 // answersEntries reports whether a group answered an entry recently and after the last
--- a/pkg/grouping/silence_test.go
+++ b/pkg/grouping/silence_test.go
@@ -177,3 +177,28 @@
 		})
 	}
 }
+
+// Guards against taking a sound engine's pause for its end where engines announce themselves so
+// often that it misses several announcements.
+func TestFrequentAnnouncementsDoNotShortenPause(t *testing.T) {
+	for _, role := range []string{"head", "member"} {
+		for _, every := range []time.Duration{tick, 300 * time.Millisecond, 500 * time.Millisecond, time.Second} {
+			t.Run(fmt.Sprintf("%s/%v", role, every), func(t *testing.T) {
+				s, _, engine := suspected(t, role)
+				s.announceInterval = every
+				s.elect(Options{Term: 5})
+				s.run(5 * time.Second)
+				before := len(s.orders)
+				s.partitioned[engine.ID] = true
+				s.run(1600 * time.Millisecond)
+				delete(s.partitioned, engine.ID)
+				s.run(5 * time.Second)
+				assert.Empty(t, s.changes(before))
+				before = len(s.orders)
+				s.partitioned[engine.ID] = true
+				s.run(max(2*time.Second, 2*every) + 2*every + 2*tick)
+				assert.NotEmpty(t, s.changes(before), "it stays silent")
+			})
+		}
+	}
+}
