forward: a planned stop refuses what it cannot answer, before the process exits

What callers saw: of requests that still waited for a target, connected to one or had no byte of their answer when the time of a planned stop ended, the connection closed without an answer or a refusal.

Cause: Finish waited for the requests in flight until its context ended, and then returned the number left; the process exited and cut them. Nothing told the requests that the end was near.

Change: 0.3 s before the end the sessions whose callers have been sent nothing are ended: 503 (not run, retry at once) where no upstream was reached, 502 (unknown) where one may have run the request. New requests are refused by then, as before (stopReserve is longer). Streams that have begun continue to the end. The log's caller_left says only that the client disconnected.

A missing synctest.Wait in the test of changes (a race of the test, seen with -race) is added.

--- a/pkg/forward/entry.go
+++ b/pkg/forward/entry.go
@@ -70,6 +70,7 @@
 	// unanswered are the sends of requests with prompt parts to engines that have not begun the
 	// answer, and how to cancel them.
 	unanswered map[*session]context.CancelCauseFunc
+	unbegun    unbegunSessions
 	lastWorkID uint64
 	random     *rand.Rand
 	reports    reports
@@ -94,7 +95,7 @@
 	seed := uint64(now.UnixNano())
 	e := &Entry{
 		opts: opts, startedAt: now, waiters: map[uint64]waiter{}, retryBudget: newRetryBudget(), numberings: map[string]*numbering{},
-		crashes: quarantine.NewTable(), crashChecks: map[incarnation]*crashCheck{}, unanswered: map[*session]context.CancelCauseFunc{},
+		crashes: quarantine.NewTable(), crashChecks: map[incarnation]*crashCheck{}, unanswered: map[*session]context.CancelCauseFunc{}, unbegun: unbegunSessions{sessions: map[*session]struct{}{}},
 		random: rand.New(rand.NewPCG(seed, 1)), placer: NewPlacer(opts.FailureDomain, rand.New(rand.NewPCG(seed, 2))),
 	}
 	e.reports.init()
--- a/pkg/forward/respond.go
+++ b/pkg/forward/respond.go
@@ -1,7 +1,9 @@
 package forward
 
 import (
+	"context"
 	"encoding/json"
+	"errors"
 	"strconv"
 	"strings"
 	"time"
@@ -49,7 +51,7 @@
 		Str("class", r.class()).Str("account", r.accountName()).Dur("config_age_ms", min(e.opts.ConfigAge(), time.Hour))
 	if s != nil {
 		line = line.Int("sends", s.history.sends).Bool("may_have_run", s.history.mayHaveRun).Dur("queued_ms", s.queueTime).
-			Bool("caller_left", s.ctx.Err() != nil)
+			Bool("caller_left", s.clientDisconnected())
 	}
 	if s != nil && s.finding != nil {
 		line = line.Str("prompt_parts", strings.Join(s.request.promptParts, ","))
@@ -67,7 +69,7 @@
 	}
 	line := e.opts.Log.Info().Str("request_id", s.request.id).Int("status", status).Str("outcome", outcome).
 		Str("class", s.request.class()).Str("account", s.request.accountName()).Int("sends", s.history.sends).
-		Dur("queued_ms", s.queueTime).Dur("first_ms", s.firstEventLatency).Dur("took_ms", time.Since(s.request.arrivedAt)).Bool("caller_left", s.ctx.Err() != nil)
+		Dur("queued_ms", s.queueTime).Dur("first_ms", s.firstEventLatency).Dur("took_ms", time.Since(s.request.arrivedAt)).Bool("caller_left", s.clientDisconnected())
 	if s.lastTarget != nil {
 		line = line.Str("target", s.lastTarget.ID).Str("group", s.lastTarget.Group).Bool("reused", s.reused)
 	}
@@ -101,6 +103,11 @@
 	return telemetry.Series{Name: name, Account: s.request.accountName(), Class: s.request.class()}
 }
 
+// clientDisconnected reports whether the client closed its connection.
+func (s *session) clientDisconnected() bool {
+	return errors.Is(context.Cause(s.ctx), errClientDisconnected)
+}
+
 // observe records the times of an answered request.
 func (s *session) observe() {
 	metrics := s.entry.opts.Metrics
--- a/pkg/forward/session.go
+++ b/pkg/forward/session.go
@@ -84,6 +84,7 @@
 		conn.Watch(func() { s.cancel(errClientDisconnected) })
 	}
 	e.mu.Lock()
+	e.unbegun.add(s)
 	e.retryBudget.recordRequest(r.service.Name)
 	if r.modelName != "" {
 		e.reports.recordArrival(r.modelName, r.groupTime)
@@ -105,16 +106,23 @@
 			return
 		}
 		if !s.handleFailure(run, err) {
-			refusal := s.quarantined()
-			if refusal == nil {
-				refusal = s.history.refusal(err.Reason, s.retryAfter())
-			}
-			s.refuse(ctx, refusal)
+			s.refuse(ctx, s.failureRefusal(err))
 			return
 		}
 	}
 }
 
+// failureRefusal is the answer to a request that is not sent again after a failure.
+func (s *session) failureRefusal(err *dispatch.CallError) *fault.Error {
+	if s.stopped() {
+		return s.stopRefusal()
+	}
+	if refusal := s.quarantined(); refusal != nil {
+		return refusal
+	}
+	return s.history.refusal(err.Reason, s.retryAfter())
+}
+
 func (s *session) refuse(ctx *fasthttp.RequestCtx, refusal *fault.Error) {
 	s.entry.refuse(ctx, s.request, s, refusal)
 	s.finish()
@@ -126,10 +134,19 @@
 		s.clientConn.Unwatch()
 	}
 	s.releaseTarget()
+	s.beginAnswer()
 	s.cancel(nil)
 	s.entry.inFlight.Add(-1)
 }
 
+// beginAnswer records that the caller is sent an answer: a planned stop lets it continue to its
+// end.
+func (s *session) beginAnswer() {
+	s.entry.mu.Lock()
+	defer s.entry.mu.Unlock()
+	s.entry.unbegun.remove(s)
+}
+
 // releaseTarget frees the request's slot at its target.
 func (s *session) releaseTarget() {
 	if s.target == nil {
@@ -157,7 +174,11 @@
 	// the end.
 	status, header := r.resp.Status(), r.resp.HeaderLines()
 	if s.request.route.Stream && status == http.StatusOK {
-		return s.beginStream(ctx, r, header)
+		run, failure := s.beginStream(ctx, r, header)
+		if failure == nil {
+			s.beginAnswer()
+		}
+		return run, failure
 	}
 	body, err := r.resp.ReadAll()
 	if err != nil {
--- a/pkg/forward/stop.go
+++ b/pkg/forward/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/masticmount/masticmount/pkg/fault"
@@ -37,6 +38,58 @@
 // the retry immediately.
 const stopRetry = 50 * time.Millisecond
 
+// errStopping is the cause of the end of a request that a planned stop could not wait for.
+var errStopping = errors.New("this node stopped")
+
+// unbegunSessions are the sessions whose callers have been sent nothing. The entry's lock guards
+// them.
+type unbegunSessions struct {
+	sessions map[*session]struct{}
+	// ended is true once a planned stop ended them.
+	ended bool
+}
+
+// add adds a session, and ends it if the others were.
+func (u *unbegunSessions) add(s *session) {
+	u.sessions[s] = struct{}{}
+	if u.ended {
+		s.cancel(errStopping)
+	}
+}
+
+func (u *unbegunSessions) remove(s *session) { delete(u.sessions, s) }
+
+// end ends all sessions, so that their callers are refused.
+func (u *unbegunSessions) end() {
+	u.ended = true
+	for s := range u.sessions {
+		s.cancel(errStopping)
+	}
+}
+
+// refusalTime is the part of a planned stop in which requests without an answer are refused. It
+// is shorter than stopReserve, so that none is accepted in it.
+const refusalTime = 300 * time.Millisecond
+
+// refuseUnbegun refuses the requests whose callers have been sent nothing.
+func (e *Entry) refuseUnbegun() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.unbegun.end()
+}
+
+// stopped reports whether a planned stop ended the request.
+func (s *session) stopped() bool { return errors.Is(context.Cause(s.ctx), errStopping) }
+
+// stopRefusal is the answer to a request that a planned stop ended.
+func (s *session) stopRefusal() *fault.Error {
+	if s.history.mayHaveRun {
+		return fault.New(fault.UpstreamFailed, "check whether the request ran before retrying it",
+			"this node stopped before the answer began").WithOutcome(fault.Unknown)
+	}
+	return fault.New(fault.Stopping, "retry over a new connection", "this node is stopping").WithRetryAfter(stopRetry)
+}
+
 // Drain waits for the requests in flight. It returns the number left when ctx ended.
 func (e *Entry) Drain(ctx context.Context) int {
 	ticker := time.NewTicker(drainPollInterval)
@@ -60,8 +113,13 @@
 
 // Finish answers the requests that callers have sent and closes their connections, until ctx
 // ends. A request may arrive after the last one was answered and before its connection was
-// closed: it is answered like the others. It returns the number of requests that are left.
+// closed: it is answered like the others. Requests whose answer has not begun shortly before the
+// end of ctx are refused. It returns the number of requests that are left.
 func (e *Entry) Finish(ctx context.Context) int {
+	if end, ends := ctx.Deadline(); ends {
+		timer := time.AfterFunc(time.Until(end)-refusalTime, e.refuseUnbegun)
+		defer timer.Stop()
+	}
 	for {
 		left := e.Drain(ctx)
 		closeCtx, cancel := context.WithTimeout(ctx, closeTimeout)
--- a/pkg/forward/unanswered_test.go
+++ b/pkg/forward/unanswered_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -14,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/masticmount/masticmount/pkg/attach"
+	"github.com/masticmount/masticmount/pkg/disconnect"
 	"github.com/masticmount/masticmount/pkg/document"
 	"github.com/masticmount/masticmount/pkg/fault"
 )
@@ -105,6 +107,7 @@
 					defer func() { _ = conn.Close() }()
 					h.send(conn, "POST", s.target, "text")
 					<-time.After(eventGapTimeout / 4)
+					synctest.Wait()
 					h.changedView(change)
 					resp, body, err := h.receive(conn)
 					require.NoError(t, err)
@@ -300,3 +303,96 @@
 		})
 	})
 }
+
+// finishing stops the entry within a grace period. It returns the connection of a caller that was
+// open before, and the number of requests that are left at the end.
+func (h *harness) finishing(grace time.Duration, send func(conn net.Conn)) (caller net.Conn, left <-chan int) {
+	listener := &chanListener{conns: make(chan net.Conn, 1), closed: make(chan struct{})}
+	go func() { _ = h.entry.Serve(disconnect.WrapListener(listener)) }()
+	caller, server := net.Pipe()
+	listener.conns <- server
+	send(caller)
+	synctest.Wait()
+	h.entry.BeginStop(time.Now().Add(grace))
+	unfinished := make(chan int, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), grace)
+		defer cancel()
+		unfinished <- h.entry.Finish(ctx)
+	}()
+	return caller, unfinished
+}
+
+// Guards against requests that the exit of a stopping process cuts before their answer has begun.
+func TestPlannedStopAnswersRequestsThatItCannotFinish(t *testing.T) {
+	const grace = 2 * time.Second
+	check := func(t *testing.T, h *harness, u *unanswered, headers ...string) {
+		began := time.Now()
+		conn, left := h.finishing(grace, func(conn net.Conn) { h.send(conn, "POST", u.target, "text", headers...) })
+		u.check(h, conn)
+		assert.Less(t, time.Since(began), grace, "before the process exits")
+		assert.Zero(t, <-left)
+		_ = conn.Close()
+		h.assertNothingHeld()
+		// Lets the idle workers of fasthttp exit.
+		<-time.After(time.Minute)
+	}
+	for _, u := range silentEndings(http.StatusBadGateway) {
+		if u.status == http.StatusOK {
+			continue
+		}
+		t.Run(u.name, func(t *testing.T) {
+			inBubble(t, map[string]script{"a:1": u.upstream, "b:1": u.upstream}, func(h *harness) { check(t, h, &u) })
+		})
+	}
+	late := []struct {
+		name      string
+		upstreams map[string]script
+		prepare   func(h *harness) (end func())
+	}{
+		{"waiting", map[string]script{"a:1": waitForClose("")}, (*harness).occupied},
+		{"connecting", map[string]script{"a:1": waitForClose(""), "b:1": waitForClose(""), "c:1": waitForClose(""), "d:1": waitForClose("")}, func(h *harness) func() {
+			end := h.occupied()
+			h.dialError = func(string) error {
+				<-time.After(grace / 8)
+				return errors.New("no route to host")
+			}
+			return end
+		}},
+	}
+	for _, row := range late {
+		t.Run(row.name, func(t *testing.T) {
+			inBubble(t, row.upstreams, func(h *harness) {
+				defer row.prepare(h)()
+				sentBefore := len(h.received)
+				began := time.Now()
+				conn, left := h.finishing(grace, func(net.Conn) {})
+				<-time.After(grace - stopReserve - 3*plainServiceTime)
+				h.send(conn, "POST", "/repeat/x", "text")
+				(&unanswered{status: http.StatusServiceUnavailable, outcome: fault.NotRun}).check(h, conn)
+				assert.Less(t, time.Since(began), grace, "before the process exits")
+				assert.Len(t, h.received, sentBefore, "it was not sent")
+				_ = conn.Close()
+				<-left
+				<-time.After(time.Minute)
+			})
+		})
+	}
+}
+
+// Guards against cutting a stream before the end of a planned stop, with the requests whose
+// answer has not begun.
+func TestPlannedStopLetsBegunStreamContinue(t *testing.T) {
+	const grace = 2 * time.Second
+	upstream := begins(fmt.Sprintf(streamHead, "p")+chunk(event(1)), grace-refusalTime/3, chunk(event(2))+"0\r\n\r\n")
+	inBubble(t, map[string]script{"a:1": upstream}, func(h *harness) {
+		conn, left := h.finishing(grace, func(conn net.Conn) { h.send(conn, "POST", "/stream/x", "text") })
+		resp, body, err := h.receive(conn)
+		require.NoError(t, err)
+		assert.Equal(t, 200, resp.StatusCode)
+		assert.Equal(t, event(1)+event(2), body)
+		assert.Zero(t, <-left)
+		_ = conn.Close()
+		<-time.After(time.Minute)
+	})
+}
--- a/pkg/forward/wait.go
+++ b/pkg/forward/wait.go
@@ -155,6 +155,9 @@
 }
 
 func (s *session) placementRefusal(p Placement) *fault.Error {
+	if s.stopped() {
+		return s.stopRefusal()
+	}
 	if s.lastFailure != nil {
 		return s.history.refusal(s.lastFailure.Reason, p.RetryAfter)
 	}
