forward: a stopped entry sends no request on

What callers saw: a request on a kept connection that arrived after the stop had answered all others was read, sent to an upstream and cut by the exit of the process.

Cause: Finish returned once nothing was in flight, but callers' connections could still be open: the server closes idle ones, but not one that was opened less than some seconds ago, and none at all in the second round of Finish, as it holds no listener any more. The server went on serving them until the process ended, after its workers and the readiness listener had stopped (up to 0.3 s). checkStop judges by the time that is left of the grace period, which may be long.

Change: once Finish finds nothing in flight, requests are refused (503, not run, retry at once); it looks again after that, so that one counted before is answered.

TestStoppedEntrySendsNothingOn failed before: "expected: 503, actual: 200; expected: "not-run", actual: ""; Should be empty, but was [a request at the upstream]".

--- a/pkg/forward/entry.go
+++ b/pkg/forward/entry.go
@@ -81,6 +81,9 @@
 	inFlight  atomic.Int64
 	// stopAt is when a planned stop ends, in Unix nanoseconds; 0 while none is planned.
 	stopAt atomic.Int64
+	// finished is true once a planned stop has answered all requests: the process is about to
+	// exit.
+	finished atomic.Bool
 }
 
 // New returns an entry that is not serving yet.
--- a/pkg/forward/stop.go
+++ b/pkg/forward/stop.go
@@ -25,10 +25,10 @@
 	stopReserve = 500 * time.Millisecond
 )
 
-// checkStop refuses a request that the end of a planned stop would cut off.
+// checkStop refuses a request that the end of a planned stop would cut off, or the exit after it.
 func (e *Entry) checkStop(r *request) *fault.Error {
 	left, begun := e.stopTimeLeft(r.arrivedAt)
-	if !begun || stopMargin*r.serviceTime+stopReserve < left {
+	if !e.finished.Load() && (!begun || stopMargin*r.serviceTime+stopReserve < left) {
 		return nil
 	}
 	return fault.New(fault.Stopping, "retry over a new connection", "this node is stopping").WithRetryAfter(stopRetry)
@@ -113,8 +113,8 @@
 
 // Finish answers the requests that callers have sent and closes their connections, until ctx
 // ends. A request may arrive after the last one was answered and before its connection was
-// closed: it is answered like the others. Requests whose answer has not begun shortly before the
-// end of ctx are refused. It returns the number of requests that are left.
+// closed: it is answered like the others. Those that arrive later are refused, and shortly before
+// the end of ctx those whose answer has not begun. It returns the number of requests that are left.
 func (e *Entry) Finish(ctx context.Context) int {
 	if end, ends := ctx.Deadline(); ends {
 		timer := time.AfterFunc(time.Until(end)-refusalTime, e.refuseUnbegun)
@@ -131,6 +131,11 @@
 		if e.inFlight.Load() > 0 {
 			continue
 		}
+		e.finished.Store(true)
+		if e.inFlight.Load() > 0 {
+			// It was counted before the others are refused.
+			continue
+		}
 		if err != nil {
 			e.opts.Log.Info().Err(err).Msg("connections_left")
 		}
--- a/pkg/forward/unanswered_test.go
+++ b/pkg/forward/unanswered_test.go
@@ -396,3 +396,18 @@
 		<-time.After(time.Minute)
 	})
 }
+
+// Guards against requests that are sent on, and cut, while the process exits: its connections
+// stay open after the last request was answered.
+func TestStoppedEntrySendsNothingOn(t *testing.T) {
+	const grace = 5 * time.Second
+	inBubble(t, map[string]script{"a:1": slowAnswer(runTime, answer(200, "text"))}, func(h *harness) {
+		conn, left := h.finishing(grace, func(net.Conn) {})
+		assert.Zero(t, <-left)
+		h.send(conn, "POST", "/once/x", "text")
+		(&unanswered{status: http.StatusServiceUnavailable, outcome: fault.NotRun}).check(h, conn)
+		assert.Empty(t, h.received)
+		_ = conn.Close()
+		<-time.After(time.Minute)
+	})
+}
