forward: a planned stop waits until answers are written

What callers saw: the answer to a caller that reads slowly was cut off by the exit of a stopping process, though the upstream had given it whole.

Cause: a request counted as in flight until its handler ended, and the server writes the answer after that. Finish then waited 0.4 s at most for the connection to close, and not at all in a second round.

Change: Drain and Finish wait for the connections whose answer is not written to its end or which are not closed, as the server's ConnState reports. A caller that does not read delays the stop until the end of the grace period, as a request in flight does.

TestPlannedStopWaitsForAnswerToBeWritten failed before for whole answers, an upstream's failure and a refusal: "stopped before the answer was written" (3 of 4 rows; a stream's handler ends with its body).

--- a/pkg/forward/entry.go
+++ b/pkg/forward/entry.go
@@ -79,6 +79,7 @@
 
 	startedAt time.Time
 	inFlight  atomic.Int64
+	unwritten unwrittenAnswers
 	// stopAt is when a planned stop ends, in Unix nanoseconds; 0 while none is planned.
 	stopAt atomic.Int64
 	// finished is true once a planned stop has answered all requests: the process is about to
@@ -108,7 +109,7 @@
 		Handler: e.serve, ReadBufferSize: maxHeaderBytes, MaxRequestBodySize: maxBodyBytes,
 		ReadTimeout: readTimeout, IdleTimeout: idleTimeout, NoDefaultServerHeader: true, NoDefaultDate: true,
 		NoDefaultContentType: true, DisablePreParseMultipartForm: true, CloseOnShutdown: true,
-		Logger: serverLog{opts.Log, opts.Metrics},
+		Logger: serverLog{opts.Log, opts.Metrics}, ConnState: e.unwritten.observe,
 	}
 	return e
 }
--- a/pkg/forward/session.go
+++ b/pkg/forward/session.go
@@ -64,6 +64,7 @@
 // serve handles one request.
 func (e *Entry) serve(ctx *fasthttp.RequestCtx) {
 	e.inFlight.Add(1)
+	e.unwritten.add(ctx.Conn())
 	r, refusal := e.resolve(ctx)
 	if _, stopping := e.stopTimeLeft(r.arrivedAt); stopping || !e.Ready() {
 		// The caller's next connection reaches another entry.
--- a/pkg/forward/stop.go
+++ b/pkg/forward/stop.go
@@ -3,8 +3,12 @@
 import (
 	"context"
 	"errors"
+	"net"
+	"sync"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"github.com/masticmount/masticmount/pkg/fault"
 )
 
@@ -90,15 +94,35 @@
 	return fault.New(fault.Stopping, "retry over a new connection", "this node is stopping").WithRetryAfter(stopRetry)
 }
 
-// Drain waits for the requests in flight. It returns the number left when ctx ended.
+// unwrittenAnswers are the callers' connections whose answer is not written to its end. It is
+// safe for concurrent use.
+type unwrittenAnswers struct{ conns sync.Map }
+
+func (u *unwrittenAnswers) add(c net.Conn) { u.conns.Store(c, struct{}{}) }
+
+// observe records that the server has written a connection's answer or closed the connection.
+func (u *unwrittenAnswers) observe(c net.Conn, state fasthttp.ConnState) {
+	if state != fasthttp.StateActive {
+		u.conns.Delete(c)
+	}
+}
+
+func (u *unwrittenAnswers) count() int {
+	n := 0
+	u.conns.Range(func(any, any) bool { n++; return true })
+	return n
+}
+
+// Drain waits for the requests in flight and until their answers are written. It returns the
+// number left when ctx ended.
 func (e *Entry) Drain(ctx context.Context) int {
 	ticker := time.NewTicker(drainPollInterval)
 	defer ticker.Stop()
-	for e.inFlight.Load() > 0 {
+	for e.unwritten.count() > 0 {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
-			return int(e.inFlight.Load())
+			return e.unwritten.count()
 		}
 	}
 	return 0
@@ -128,11 +152,11 @@
 		if ctx.Err() != nil {
 			return left
 		}
-		if e.inFlight.Load() > 0 {
+		if e.unwritten.count() > 0 {
 			continue
 		}
 		e.finished.Store(true)
-		if e.inFlight.Load() > 0 {
+		if e.unwritten.count() > 0 {
 			// It was counted before the others are refused.
 			continue
 		}
--- a/pkg/forward/unanswered_test.go
+++ b/pkg/forward/unanswered_test.go
@@ -411,3 +411,26 @@
 		<-time.After(time.Minute)
 	})
 }
+
+// Guards against a process that exits while it writes an answer to a caller that reads slowly.
+func TestPlannedStopWaitsForAnswerToBeWritten(t *testing.T) {
+	const grace, pause = 5 * time.Second, 2 * time.Second
+	stream := fmt.Sprintf(streamHead, "p") + chunk(event(1)) + chunk(event(2)) + "0\r\n\r\n"
+	for target, text := range map[string]string{"/once/x": answer(200, "text"), "/stream/x": stream, "/nowhere/": "", "/repeat/x": answer(500, "failed")} {
+		t.Run(target, func(t *testing.T) {
+			inBubble(t, map[string]script{"a:1": alwaysAnswer(text)}, func(h *harness) {
+				conn, left := h.finishing(grace, func(conn net.Conn) { h.send(conn, "POST", target, "text") })
+				<-time.After(pause)
+				select {
+				case <-left:
+					t.Error("stopped before the answer was written")
+				default:
+				}
+				_, _, err := h.receive(conn)
+				require.NoError(t, err)
+				_ = conn.Close()
+				<-time.After(time.Minute)
+			})
+		})
+	}
+}
