--- a/pkg/forward/unanswered_test.go
+++ b/pkg/forward/unanswered_test.go
@@ -434,3 +434,66 @@
 		})
 	}
 }
+
+// Guards against streams that end because the configuration changed while they waited to be
+// resumed. Where all upstreams are removed the stream ends, and must not look complete.
+func TestStreamIsResumedAfterConfigurationChange(t *testing.T) {
+	const breakAfter, busyFor = 100 * time.Millisecond, 300 * time.Millisecond
+	stream := fmt.Sprintf(streamHead, "p")
+	rest := stream + chunk(event(2)) + "0\r\n\r\n"
+	broken := func(req *http.Request, _ string, conn net.Conn) (string, bool) {
+		if req.Header.Get("Last-Event-Id") != "" {
+			return rest, true
+		}
+		_, _ = io.WriteString(conn, stream+chunk(event(1)))
+		<-time.After(breakAfter)
+		return "", false
+	}
+	busy := func(req *http.Request, body string, conn net.Conn) (string, bool) {
+		if req.Header.Get("Last-Event-Id") != "" {
+			return rest, true
+		}
+		return slowAnswer(busyFor, answer(200, "first"))(req, body, conn)
+	}
+	for name, change := range configurationChanges {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, map[string]script{"a:1": waitForClose("")}, func(h *harness) {
+				target := h.view.Targets[0]
+				target.Slots = 1
+				h.upstreams = map[string]script{"a:1": broken, "b:1": busy}
+				useOnly := func(address string) {
+					target.ID, target.Address = address, address
+					h.view.Targets = append(h.view.Targets, target)
+					h.entry.UpdateView(h.view)
+				}
+				h.view.Targets = nil
+				useOnly("b:1")
+				first, second := h.open(), h.open()
+				defer func() { _, _ = first.Close(), second.Close() }()
+				h.send(first, "POST", "/once/x", "first")
+				synctest.Wait()
+				useOnly("a:1")
+				h.send(second, "POST", "/stream/x", "second")
+				go func() {
+					<-time.After(2 * breakAfter)
+					synctest.Wait()
+					assert.Len(h.t, h.entry.waiters, 1, "it waits to be resumed")
+					h.changedView(change)
+				}()
+				resp, body, err := h.receive(second)
+				assert.Equal(h.t, 200, resp.StatusCode)
+				if len(h.view.Targets) == 0 {
+					assert.ErrorIs(h.t, err, io.ErrUnexpectedEOF)
+					assert.Equal(h.t, event(1), body)
+				} else {
+					require.NoError(h.t, err)
+					assert.Equal(h.t, event(1)+event(2), body)
+				}
+				resp, _, err = h.receive(first)
+				require.NoError(h.t, err)
+				assert.Equal(h.t, 200, resp.StatusCode)
+				h.assertNothingHeld()
+			})
+		})
+	}
+}
