--- /dev/null
+++ b/pkg/forward/stop.go
@@ -0,0 +1,168 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/masticmount/masticmount/pkg/fault"
+)
+
+// BeginStop begins a planned stop that ends at a given time: from now on every answer closes
+// its connection, and requests that cannot be answered before the end are refused.
+func (e *Entry) BeginStop(end time.Time) { e.stopAt.Store(end.UnixNano()) }
+
+// stopTimeLeft reports whether a planned stop has begun, and the time until it ends.
+func (e *Entry) stopTimeLeft(now time.Time) (left time.Duration, begun bool) {
+	end := e.stopAt.Load()
+	return time.Duration(end - now.UnixNano()), end != 0
+}
+
+// A request is accepted during a planned stop if stopMargin times its expected service time,
+// and stopReserve for the network, fit into the time that is left.
+const (
+	stopMargin  = 2
+	stopReserve = 500 * time.Millisecond
+)
+
+// checkStop refuses a request that the end of a planned stop would cut off, or the exit after it.
+func (e *Entry) checkStop(r *request) *fault.Error {
+	left, begun := e.stopTimeLeft(r.arrivedAt)
+	if !e.finished.Load() && (!begun || stopMargin*r.serviceTime+stopReserve < left) {
+		return nil
+	}
+	return fault.New(fault.Stopping, "retry over a new connection", "this node is stopping").WithRetryAfter(stopRetry)
+}
+
+// stopRetry is the Retry-After of such a refusal. It is short, as other nodes can serve
+// the retry immediately.
+const stopRetry = 50 * time.Millisecond
+
+// errStopping is the cause of the end of a request that a planned stop could not wait for.
+var errStopping = errors.New("this node stopped")
+
+// unbegunSessions are the sessions whose callers have been sent nothing. The entry's lock guards
+// them.
+type unbegunSessions struct {
+	sessions map[*session]struct{}
+	// ended is true once a planned stop ended them.
+	ended bool
+}
+
+// add adds a session, and ends it if the others were.
+func (u *unbegunSessions) add(s *session) {
+	u.sessions[s] = struct{}{}
+	if u.ended {
+		s.cancel(errStopping)
+	}
+}
+
+func (u *unbegunSessions) remove(s *session) { delete(u.sessions, s) }
+
+// end ends all sessions, so that their callers are refused.
+func (u *unbegunSessions) end() {
+	u.ended = true
+	for s := range u.sessions {
+		s.cancel(errStopping)
+	}
+}
+
+// refusalTime is the part of a planned stop in which requests without an answer are refused. It
+// is shorter than stopReserve, so that none is accepted in it.
+const refusalTime = 300 * time.Millisecond
+
+// refuseUnbegun refuses the requests whose callers have been sent nothing.
+func (e *Entry) refuseUnbegun() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.unbegun.end()
+}
+
+// stopped reports whether a planned stop ended the request.
+func (s *session) stopped() bool { return errors.Is(context.Cause(s.ctx), errStopping) }
+
+// stopRefusal is the answer to a request that a planned stop ended.
+func (s *session) stopRefusal() *fault.Error {
+	if s.history.mayHaveRun {
+		return fault.New(fault.UpstreamFailed, "check whether the request ran before retrying it",
+			"this node stopped before the answer began").WithOutcome(fault.Unknown)
+	}
+	return fault.New(fault.Stopping, "retry over a new connection", "this node is stopping").WithRetryAfter(stopRetry)
+}
+
+// unwrittenAnswers are the callers' connections whose answer is not written to its end. It is
+// safe for concurrent use.
+type unwrittenAnswers struct{ conns sync.Map }
+
+func (u *unwrittenAnswers) add(c net.Conn) { u.conns.Store(c, struct{}{}) }
+
+// observe records that the server has written a connection's answer or closed the connection.
+func (u *unwrittenAnswers) observe(c net.Conn, state fasthttp.ConnState) {
+	if state != fasthttp.StateActive {
+		u.conns.Delete(c)
+	}
+}
+
+func (u *unwrittenAnswers) count() int {
+	n := 0
+	u.conns.Range(func(any, any) bool { n++; return true })
+	return n
+}
+
+// Drain waits for the requests in flight and until their answers are written. It returns the
+// number left when ctx ended.
+func (e *Entry) Drain(ctx context.Context) int {
+	ticker := time.NewTicker(drainPollInterval)
+	defer ticker.Stop()
+	for e.unwritten.count() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return e.unwritten.count()
+		}
+	}
+	return 0
+}
+
+// drainPollInterval is the time between two checks for requests in flight.
+const drainPollInterval = 50 * time.Millisecond
+
+// closeTimeout bounds one wait for callers' connections to close: reading a request that has
+// been sent takes less.
+const closeTimeout = 400 * time.Millisecond
+
+// Finish answers the requests that callers have sent and closes their connections, until ctx
+// ends. A request may arrive after the last one was answered and before its connection was
+// closed: it is answered like the others. Those that arrive later are refused, and shortly before
+// the end of ctx those whose answer has not begun. It returns the number of requests that are left.
+func (e *Entry) Finish(ctx context.Context) int {
+	if end, ends := ctx.Deadline(); ends {
+		timer := time.AfterFunc(time.Until(end)-refusalTime, e.refuseUnbegun)
+		defer timer.Stop()
+	}
+	for {
+		left := e.Drain(ctx)
+		closeCtx, cancel := context.WithTimeout(ctx, closeTimeout)
+		err := e.server.ShutdownWithContext(closeCtx)
+		cancel()
+		if ctx.Err() != nil {
+			return left
+		}
+		if e.unwritten.count() > 0 {
+			continue
+		}
+		e.finished.Store(true)
+		if e.unwritten.count() > 0 {
+			// It was counted before the others are refused.
+			continue
+		}
+		if err != nil {
+			e.opts.Log.Info().Err(err).Msg("connections_left")
+		}
+		return 0
+	}
+}
