forward: a silent stream gets a further successor when the first one is silent, too

Cause: at most one successor was begun, and it was waited for without a bound.

Fix: the stream keeps a list of successors. When the latest one has been silent for firstEventTimeout another one is begun, within max_attempts, the retry budget and free capacity, both while the run is silent and after it has failed. The first whose events continue the stream replaces it, the others are cancelled.

--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -29,8 +29,8 @@
 type stream struct {
 	session *session
 	run     *upstreamRun
-	// successor is the send that may replace the run, which is silent; nil if there is none.
-	successor *successor
+	// successors may replace the run while it is silent.
+	successors successors
 	// header is that of the answer's first run.
 	header []dispatch.HeaderLine
 	// pending are complete events that were not passed on yet.
@@ -101,13 +101,13 @@
 func (st *stream) fill() error {
 	events, err := st.run.nextEvents(st.buf)
 	switch {
-	case st.successor == nil:
-	case st.successor.accepted:
+	case len(st.successors.pending) == 0:
+	case st.successors.accepted != nil:
 		// Events that the abandoned run had read, but not yet returned, are in its successor's
 		// answer, too.
 		events, err = st.adoptSuccessor(asCallError(st.run.end))
 	case err == nil || isComplete(err):
-		st.discardSuccessor()
+		st.discardSuccessors()
 	case st.successorContinues():
 		events, err = st.adoptSuccessor(asCallError(err))
 	}
@@ -244,7 +244,7 @@
 // Close implements io.Closer; the server calls it once the answer has ended.
 func (st *stream) Close() error {
 	s := st.session
-	st.discardSuccessor()
+	st.discardSuccessors()
 	_ = st.run.resp.Abort(dispatch.Canceled, errClientDisconnected)
 	s.observe()
 	s.entry.logAnswer(s, fasthttp.StatusOK, st.outcome)
--- a/pkg/forward/successor.go
+++ b/pkg/forward/successor.go
@@ -20,9 +20,9 @@
 
 var errSuccessorNotNeeded = errors.New("the upstream that was silent continued its answer")
 
-// successor is the second send of a resumable stream whose run is silent. Both go on until one of
-// them sends the next event: silence does not show that an upstream has ended, and a successor
-// may be refused or fail.
+// successor is a further send of a resumable stream whose run is silent. The run and its
+// successors go on until one of them sends the next event: silence does not show that an upstream
+// has ended, and a successor may be refused, fail or fall silent, too.
 type successor struct {
 	send   send
 	run    *upstreamRun
@@ -35,51 +35,94 @@
 	events []byte
 	reused bool
 	end    error
-	// accepted is true once the events were found to continue the stream.
-	accepted bool
 }
 
-// onSilence is called while the run is silent and reports whether to abandon it: only once its
+// isDone reports whether the successor has sent its first event or has ended.
+func (sc *successor) isDone() bool {
+	select {
+	case <-sc.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// successors are the sends that may replace a silent run.
+type successors struct {
+	pending []*successor
+	// accepted is the one whose events continue the stream; nil while there is none.
+	accepted *successor
+	// wake is signaled when one is done.
+	wake chan struct{}
+}
+
+// onSilence is called while the run is silent and reports whether to abandon it: only once a
 // successor has continued the stream.
 func (st *stream) onSilence() bool {
-	if st.successor == nil {
-		if st.successor = st.session.beginSuccessor(); st.successor != nil {
-			st.run.setStallTimeout(successorPollInterval, st.onSilence)
+	st.checkSuccessors()
+	if len(st.successors.pending) > 0 {
+		st.run.setStallTimeout(successorPollInterval, st.onSilence)
+	}
+	return st.successors.accepted != nil
+}
+
+// checkSuccessors accepts the first successor that continues the stream, drops those that failed,
+// and begins one if there is none or the latest one is silent, too.
+func (st *stream) checkSuccessors() {
+	all := &st.successors
+	for _, sc := range slices.Clone(all.pending) {
+		if sc.isDone() && st.acceptOrDrop(sc) {
+			return
 		}
-		return false
 	}
-	select {
-	case <-st.successor.done:
-		return st.acceptSuccessor()
-	default:
-		return false
+	if n := len(all.pending); n > 0 && time.Since(all.pending[n-1].send.at) < firstEventTimeout {
+		return
+	}
+	if sc := st.beginSuccessor(); sc != nil {
+		all.pending = append(all.pending, sc)
 	}
 }
 
-// beginSuccessor sends the stream to a second target if one has free capacity and the request
+// beginSuccessor sends the stream to a further target if one has free capacity and the request
 // may be sent again; otherwise it returns nil.
-func (s *session) beginSuccessor() *successor {
+func (st *stream) beginSuccessor() *successor {
+	s := st.session
 	if s.quarantined() != nil {
 		return nil
 	}
-	target := s.claimSuccessorTarget()
+	target := st.claimSuccessorTarget()
 	if target == nil {
 		return nil
 	}
 	s.entry.opts.Metrics.Add("streams.successors_begun", 1)
+	if st.successors.wake == nil {
+		st.successors.wake = make(chan struct{}, 1)
+	}
 	sc := &successor{send: s.newSend(target), done: make(chan struct{})}
 	sc.run = &upstreamRun{sentAt: sc.send.at, resumeAfter: s.position.lastID}
 	ctx, cancel := context.WithCancelCause(s.ctx)
 	sc.cancel = cancel
-	go sc.receive(ctx, s, s.buildCall(target, sc.run.resumeAfter))
+	call, wake := s.buildCall(target, sc.run.resumeAfter), st.successors.wake
+	go func() {
+		sc.receive(ctx, s, call)
+		close(sc.done)
+		select {
+		case wake <- struct{}{}:
+		default:
+		}
+	}()
 	return sc
 }
 
 // claimSuccessorTarget reports that the target is silent and pays for a send to another one,
 // which it returns; nil when there is none.
-func (s *session) claimSuccessorTarget() *attach.Target {
+func (st *stream) claimSuccessorTarget() *attach.Target {
+	s := st.session
 	w := s.newWork()
 	w.Excluded = append(slices.Clone(s.excluded), s.target.ID)
+	for _, sc := range st.successors.pending {
+		w.Excluded = append(w.Excluded, sc.send.target.ID)
+	}
 	now := boottime.Now()
 	e := s.entry
 	e.mu.Lock()
@@ -99,7 +142,6 @@
 
 // receive sends the call and reads the answer up to its first event.
 func (sc *successor) receive(ctx context.Context, s *session, call dispatch.Call) {
-	defer close(sc.done)
 	ctx, stopWatching := s.cancelWhenQuarantined(ctx)
 	resp, err := s.entry.opts.Client.Begin(ctx, call)
 	stopWatching()
@@ -138,13 +180,10 @@
 	}
 }
 
-// acceptSuccessor reports whether the successor, which is done, continues the stream. One that
-// does not is dropped, and the run stays in place.
-func (st *stream) acceptSuccessor() bool {
-	s, sc := st.session, st.successor
-	if sc.accepted {
-		return true
-	}
+// acceptOrDrop accepts a successor, which is done, if it continues the stream. Otherwise it drops
+// it, and the run stays in place.
+func (st *stream) acceptOrDrop(sc *successor) (accepted bool) {
+	s := st.session
 	failure, failed := dispatch.CallErrorOf(sc.end)
 	if id, isEvent := firstIdentifier(sc.events); !failed && isEvent {
 		if err := s.checkNextEvent(id); err != nil {
@@ -152,28 +191,41 @@
 		}
 	}
 	if !failed {
-		sc.accepted = true
+		st.successors.accepted = sc
 		return true
 	}
-	st.successor = nil
+	st.successors.pending = slices.DeleteFunc(st.successors.pending, func(other *successor) bool { return other == sc })
 	s.recordFailure(sc.send, sc.run.orNil(), failure)
 	s.entry.release(sc.send.target)
-	st.session.setStallTimeout(st, eventGapTimeout)
+	s.setStallTimeout(st, eventGapTimeout)
 	return false
 }
 
-// successorContinues waits for the successor of a run that has failed and reports whether it
-// continues the stream.
+// successorContinues waits for the successors of a run that has failed and reports whether one of
+// them continues the stream.
 func (st *stream) successorContinues() bool {
-	<-st.successor.done
-	return st.acceptSuccessor()
+	for len(st.successors.pending) > 0 {
+		st.checkSuccessors()
+		if st.successors.accepted != nil {
+			return true
+		}
+		if len(st.successors.pending) == 0 {
+			break
+		}
+		select {
+		case <-st.successors.wake:
+		case <-time.After(firstEventTimeout):
+		}
+	}
+	return false
 }
 
-// adoptSuccessor replaces the run, which failed or was silent, by its successor. It returns the
-// successor's first events and how its answer has ended, if it has.
+// adoptSuccessor replaces the run, which failed or was silent, by the accepted successor. It
+// returns the successor's first events and how its answer has ended, if it has.
 func (st *stream) adoptSuccessor(failure *dispatch.CallError) ([]byte, error) {
-	s, sc := st.session, st.successor
-	st.successor = nil
+	s, sc := st.session, st.successors.accepted
+	st.successors.pending = slices.DeleteFunc(st.successors.pending, func(other *successor) bool { return other == sc })
+	st.discardSuccessors()
 	s.recordFailure(s.currentSend, st.run, failure)
 	s.releaseTarget()
 	s.target, s.currentSend, s.reused = sc.send.target, sc.send, sc.reused
@@ -190,24 +242,22 @@
 	return nil, sc.end
 }
 
-// discardSuccessor cancels the successor of a run that has continued or ended.
-func (st *stream) discardSuccessor() {
-	sc := st.successor
-	if sc == nil {
-		return
+// discardSuccessors cancels the successors of a run that has continued or ended.
+func (st *stream) discardSuccessors() {
+	s, discarded := st.session, st.successors.pending
+	st.successors.pending, st.successors.accepted = nil, nil
+	for _, sc := range discarded {
+		sc.cancel(errSuccessorNotNeeded)
+		s.entry.opts.Metrics.Add("streams.successors_discarded", 1)
+		go func() {
+			<-sc.done
+			if sc.run.resp != nil {
+				_ = sc.run.resp.Abort(dispatch.Canceled, errSuccessorNotNeeded)
+			}
+			s.entry.release(sc.send.target)
+		}()
 	}
-	st.successor = nil
-	sc.cancel(errSuccessorNotNeeded)
-	s := st.session
-	s.entry.opts.Metrics.Add("streams.successors_discarded", 1)
-	go func() {
-		<-sc.done
-		if sc.run.resp != nil {
-			_ = sc.run.resp.Abort(dispatch.Canceled, errSuccessorNotNeeded)
-		}
-		s.entry.release(sc.send.target)
-	}()
-	if st.run.end == nil {
+	if len(discarded) > 0 && st.run.end == nil {
 		s.setStallTimeout(st, eventGapTimeout)
 	}
 }
