gateway: keep a silent stream until another group has continued it

What callers saw: a stream whose engine paused for more than 5 s ended with an error event, although the engine went on, whenever the group that was to continue it had no place, refused or failed.

Cause: dispatch.Stream aborted the connection after StallTimeout, and only then did attempt.Machine ask for another slot.

Change: silence is a doubt, no failure (attempt.Suspected). The machine starts one successor beside the running attempt, within MaxAttempts; whoever brings the next token first goes on, the other is canceled. If the running attempt fails meanwhile, its successor is awaited. A successor that fails changes nothing for the running attempt. Why it works: the connection of the silent stream is closed only by the step that holds the successor's next token; both sides are decided under session.mu.

Ruled out: charging a successor to the retry budget (a stream behind a cut link would no longer be continued once the budget is spent; a resumed stream was not charged before either).

--- a/pkg/dispatch/call.go
+++ b/pkg/dispatch/call.go
@@ -48,8 +48,8 @@
 	FreshConnection bool
 	// MaxIdle, if above 0, limits how long a reused connection may have been idle.
 	MaxIdle time.Duration
-	// StallTimeout bounds the time between events of a stream after its first token;
-	// 0 means that only the deadline applies.
+	// StallTimeout is the time between events of a stream, after its first token, after
+	// which the stream counts as silent, see Stream.OnStall; 0 means never.
 	StallTimeout time.Duration
 }
 
--- a/pkg/dispatch/conn.go
+++ b/pkg/dispatch/conn.go
@@ -45,6 +45,9 @@
 	timeout   time.Duration
 	onTimeout func() bool
 	deadline  time.Time
+	// since, if set, is the time from which the timeout counts in place of the start of a
+	// read. It moves on with each timeout.
+	since time.Time
 }
 
 // errIdleTimeout is the read error after onTimeout has returned true.
@@ -82,19 +85,28 @@
 // which reading continues thus does not disturb the parsing of a partly read response.
 func (c *countingConn) readWithIdleTimeout(p []byte) (int, error) {
 	for {
-		until := time.Now().Add(c.idle.timeout)
+		start := c.idle.since
+		if start.IsZero() {
+			start = time.Now()
+		}
+		until, read := start.Add(c.idle.timeout), c.readWithGrace
 		atDeadline := !until.Before(c.idle.deadline)
 		if atDeadline {
-			until = c.idle.deadline
+			until, read = c.idle.deadline, c.Conn.Read
+		} else {
+			until = until.Add(-c.grace)
 		}
 		_ = c.SetReadDeadline(until)
-		n, err := c.Conn.Read(p)
+		n, err := read(p)
 		if n > 0 || atDeadline || !isTimeout(err) {
 			return n, err
 		}
 		if c.idle.onTimeout() {
 			return 0, errIdleTimeout
 		}
+		if !c.idle.since.IsZero() {
+			c.idle.since = time.Now()
+		}
 	}
 }
 
--- a/pkg/dispatch/errors.go
+++ b/pkg/dispatch/errors.go
@@ -21,7 +21,8 @@
 	WriteFailed Reason = "write-failed"
 	// TimedOut means that the deadline passed.
 	TimedOut Reason = "timed-out"
-	// Stalled means that no data arrived within the stall or idle timeout.
+	// Stalled means that no data arrived within the idle timeout, or that another engine
+	// continued a silent stream.
 	Stalled Reason = "stalled"
 	// Truncated means that the response was truncated.
 	Truncated Reason = "cut-off"
--- a/pkg/dispatch/stream.go
+++ b/pkg/dispatch/stream.go
@@ -13,7 +13,7 @@
 	// lastChunkTimeout bounds the wait for the end of a body after [DONE] or a refusal.
 	lastChunkTimeout = 20 * time.Millisecond
 	// stallGrace is the last part of the stall timeout. It is waited for by a second read,
-	// so that data which arrived during a pause of this process is still read.
+	// so that data which arrived during a pause of this process ends the silence.
 	stallGrace = 500 * time.Millisecond
 )
 
@@ -34,10 +34,12 @@
 	// nextPosition is the expected position of the next token.
 	nextPosition    int
 	hasFinishReason bool
-	// stallTimeout bounds the time between events; 0 before the first token and
-	// without a stall timeout.
+	// stallTimeout is the time after which the stream counts as silent; 0 before the
+	// first token and without a stall timeout.
 	stallTimeout  time.Duration
 	stallDisabled bool
+	// onStall is called when the stream is silent; it may be nil.
+	onStall func()
 	// done is true after [DONE]; closed is true once the exchange has released its
 	// connection.
 	done, closed bool
@@ -69,7 +71,7 @@
 // caller already has are skipped; a gap in their positions is a failure.
 func (s *Stream) Next() (Event, error) {
 	for s.endErr == nil {
-		s.setReadDeadline()
+		s.startIdleTimeout()
 		raw, err := s.events.next()
 		if err != nil {
 			return Event{}, s.readFailed(err)
@@ -128,37 +130,47 @@
 		}
 		err = io.ErrUnexpectedEOF
 	}
-	reason := reasonOf(s.exchange.ctx, err, Truncated)
-	if reason == TimedOut && s.stallTimeout > 0 && time.Now().Before(s.exchange.call.Deadline) {
-		reason = Stalled
-	}
-	return s.abort(reason, err)
+	return s.abort(reasonOf(s.exchange.ctx, err, Truncated), err)
 }
 
+// OnStall sets a function that Next calls each time the stream has been silent for the
+// stall timeout. The stream goes on: silence does not show that its engine has failed.
+func (s *Stream) OnStall(onStall func()) { s.onStall = onStall }
+
 // DisableStallTimeout disables the stall timeout, for a stream that cannot be resumed on
 // another engine.
 func (s *Stream) DisableStallTimeout() {
 	if s.endErr != nil {
 		return
 	}
-	s.stallDisabled, s.stallTimeout, s.exchange.conn.raw.grace = true, 0, 0
+	s.stallDisabled, s.stallTimeout = true, 0
+	s.stopIdleTimeout()
 	_ = s.exchange.conn.SetReadDeadline(s.exchange.call.Deadline)
 }
 
-// setReadDeadline sets the deadline of the next read from the stall timeout, but not later
-// than the deadline of the call.
-func (s *Stream) setReadDeadline() {
+func (s *Stream) stopIdleTimeout() {
+	s.exchange.conn.raw.idle, s.exchange.conn.raw.grace = idleTimeout{}, 0
+}
+
+// startIdleTimeout starts the stall timeout of the next event. Bytes that are no event, such
+// as comments, do not extend it.
+func (s *Stream) startIdleTimeout() {
 	if s.stallTimeout == 0 {
 		return
 	}
-	deadline := time.Now().Add(s.stallTimeout)
-	if !deadline.Before(s.exchange.call.Deadline) {
-		s.exchange.conn.raw.grace = 0
-		_ = s.exchange.conn.SetReadDeadline(s.exchange.call.Deadline)
-		return
+	raw := s.exchange.conn.raw
+	if raw.idle.timeout == 0 {
+		raw.grace = stallGrace
+		raw.idle = idleTimeout{timeout: s.stallTimeout, onTimeout: s.stalled, deadline: s.exchange.call.Deadline}
+	}
+	raw.idle.since = time.Now()
+}
+
+func (s *Stream) stalled() (abort bool) {
+	if s.onStall != nil {
+		s.onStall()
 	}
-	s.exchange.conn.raw.grace = stallGrace
-	_ = s.exchange.conn.SetReadDeadline(deadline.Add(-stallGrace))
+	return false
 }
 
 func (s *Stream) abort(reason Reason, cause error) *CallError {
@@ -180,7 +192,7 @@
 		return
 	}
 	s.closed = true
-	s.exchange.conn.raw.grace = 0
+	s.stopIdleTimeout()
 	_ = s.exchange.conn.SetReadDeadline(time.Now().Add(lastChunkTimeout))
 	if !s.events.atEOF() {
 		s.exchange.echoed = false
--- a/pkg/gateway/attempt/attempt.go
+++ b/pkg/gateway/attempt/attempt.go
@@ -69,6 +69,18 @@
 	GroupBroken struct{}
 	// ClientDisconnected means that the client disconnected.
 	ClientDisconnected struct{}
+	// Suspected means that the running stream may not go on: it is silent, or its group
+	// is no longer whole. Its attempt still runs.
+	Suspected struct{}
+	// SuccessorContinued means that the successor received the next token of the stream;
+	// the attempt that it replaces has been canceled.
+	SuccessorContinued struct{ Group string }
+	// SuccessorFailed means that the successor ended before that.
+	SuccessorFailed struct {
+		// Group is empty if the successor was assigned none.
+		Group  string
+		NotRun bool
+	}
 )
 
 func (Arrived) isEvent()            {}
@@ -84,6 +96,9 @@
 func (Preempted) isEvent()          {}
 func (GroupBroken) isEvent()        {}
 func (ClientDisconnected) isEvent() {}
+func (Suspected) isEvent()          {}
+func (SuccessorContinued) isEvent() {}
+func (SuccessorFailed) isEvent()    {}
 
 // Action is an output of the state machine, carried out by its driver.
 type Action interface{ isAction() }
@@ -113,6 +128,21 @@
 	Refuse struct{ Err *fault.Error }
 	// Discard ends the request without a response.
 	Discard struct{}
+	// StartSuccessor starts a second attempt beside the running one, which continues the
+	// stream on another group.
+	StartSuccessor struct {
+		// ResumeFrom is the number of tokens already delivered.
+		ResumeFrom int
+		// Exclude lists the group of the running attempt and those on which the request
+		// has failed.
+		Exclude []string
+	}
+	// AwaitSuccessor waits until the successor has continued or failed.
+	AwaitSuccessor struct{}
+	// AdoptSuccessor makes the successor the running attempt.
+	AdoptSuccessor struct{}
+	// CancelSuccessor aborts the successor and releases its slot.
+	CancelSuccessor struct{}
 )
 
 func (Claim) isAction()    {}
@@ -125,6 +155,11 @@
 func (Refuse) isAction()   {}
 func (Discard) isAction()  {}
 
+func (StartSuccessor) isAction()  {}
+func (AwaitSuccessor) isAction()  {}
+func (AdoptSuccessor) isAction()  {}
+func (CancelSuccessor) isAction() {}
+
 // Settlement is the final state of a claim.
 type Settlement string
 
--- a/pkg/gateway/attempt/machine.go
+++ b/pkg/gateway/attempt/machine.go
@@ -14,6 +14,8 @@
 	phaseClaiming
 	phaseQueued
 	phaseRunning
+	// phaseAwaiting means that the running attempt has ended and its successor has not.
+	phaseAwaiting
 	phaseEnded
 )
 
@@ -32,6 +34,8 @@
 	restartStream
 	// abandonAlways frees the key after any failure.
 	abandonAlways
+	// giveUpSuspected ends a suspected attempt before another one has continued its stream.
+	giveUpSuspected
 )
 
 // Machine is the state machine of one request. It is not safe for concurrent use.
@@ -50,9 +54,16 @@
 	// reset.
 	mayHaveRun bool
 	delivered  int
+	// begun is true once any part was delivered.
+	begun bool
 	// unnumbered is true once a part without a token position was delivered.
 	unnumbered bool
 	claimed    bool
+	// hasSuccessor is true while a successor runs beside the attempt.
+	hasSuccessor bool
+	// lastFailure is the failure of the attempt whose successor is awaited; nil if the
+	// attempt was interrupted.
+	lastFailure *Failed
 }
 
 // New returns the state machine of a request.
@@ -68,6 +79,9 @@
 // MayHaveRun reports whether any attempt may have reached an upstream.
 func (m *Machine) MayHaveRun() bool { return m.mayHaveRun }
 
+// Begun reports whether any part of the answer was delivered to the caller.
+func (m *Machine) Begun() bool { return m.begun }
+
 // Delivered returns the number of tokens delivered to the caller.
 func (m *Machine) Delivered() int { return m.delivered }
 
@@ -94,9 +108,7 @@
 	case Failed:
 		return m.failed(e)
 	case Delivered:
-		m.delivered += e.Tokens
-		m.unnumbered = m.unnumbered || e.Unnumbered
-		return nil
+		return m.deliver(e)
 	case Answered:
 		return m.answered()
 	case Preempted:
@@ -105,6 +117,12 @@
 		return m.groupBroken()
 	case ClientDisconnected:
 		return m.clientDisconnected()
+	case Suspected:
+		return m.suspected()
+	case SuccessorContinued:
+		return m.successorContinued(e.Group)
+	case SuccessorFailed:
+		return m.successorFailed(e)
 	default:
 		return nil
 	}
@@ -158,14 +176,25 @@
 	}
 	m.mayHaveRun = m.mayHaveRun || !e.NotRun
 	actions := []Action{Release{Failed: true}}
-	if e.Final || m.retries+1 >= m.req.MaxAttempts || !m.canRetry() {
-		return append(actions, m.refuse(e.Err)...)
+	if m.hasSuccessor && !e.Final {
+		m.phase, m.lastFailure = phaseAwaiting, &e
+		return append(actions, AwaitSuccessor{})
+	}
+	return append(actions, m.retry(e)...)
+}
+
+// retry reschedules the request after a failure, or ends it.
+func (m *Machine) retry(e Failed) []Action {
+	if e.Final || !m.hasRetry() || !m.canRetry() {
+		return m.refuse(e.Err)
 	}
 	m.retries++
 	m.exclude = append(m.exclude, m.group)
-	return append(actions, m.acquire())
+	return []Action{m.acquire()}
 }
 
+func (m *Machine) hasRetry() bool { return m.retries+1 < m.req.MaxAttempts }
+
 // groupBroken reschedules the request after its group lost a member. The request may itself be
 // the reason, so the groups that break before they deliver a token of it are bounded.
 func (m *Machine) groupBroken() []Action {
@@ -202,6 +231,10 @@
 	if !m.canRetry() {
 		return m.endInterrupted(fault.New(fault.UpstreamFailed, "send the request again", "%s", detail).WithRetryAfter(retryAfter))
 	}
+	if m.hasSuccessor {
+		m.phase, m.lastFailure = phaseAwaiting, nil
+		return []Action{Cancel{}, Release{}, AwaitSuccessor{}}
+	}
 	return []Action{Cancel{}, Release{}, m.acquire()}
 }
 
@@ -264,6 +297,10 @@
 
 func (m *Machine) finish(last Action) []Action {
 	m.phase = phaseEnded
+	if m.hasSuccessor {
+		m.hasSuccessor = false
+		return []Action{CancelSuccessor{}, last}
+	}
 	return []Action{last}
 }
 
@@ -284,6 +321,14 @@
 		return "claim"
 	case Cancel:
 		return "cancel"
+	case StartSuccessor:
+		return fmt.Sprintf("start-successor resume-from=%d exclude=%v", a.ResumeFrom, a.Exclude)
+	case AwaitSuccessor:
+		return "await-successor"
+	case AdoptSuccessor:
+		return "adopt-successor"
+	case CancelSuccessor:
+		return "cancel-successor"
 	case Answer:
 		return "answer"
 	default:
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -75,6 +75,8 @@
 	app      *fiber.App
 	monitor  *groupMonitor
 	inFlight inFlightTracker
+	// stallTimeout is the constant of that name, except in tests.
+	stallTimeout time.Duration
 }
 
 // New returns a gateway with the defaults filled in for options that are zero.
@@ -82,7 +84,7 @@
 	opts.DefaultDeadline = cmp.Or(opts.DefaultDeadline, defaultDeadline)
 	opts.MaxBodyBytes = cmp.Or(opts.MaxBodyBytes, defaultMaxBodyBytes)
 	opts.ReadTimeout = cmp.Or(opts.ReadTimeout, defaultReadTimeout)
-	g := &Gateway{opts: opts, monitor: newGroupMonitor(opts.View)}
+	g := &Gateway{opts: opts, monitor: newGroupMonitor(opts.View), stallTimeout: stallTimeout}
 	g.app = fiber.New(fiber.Config{
 		BodyLimit: opts.MaxBodyBytes, ReadBufferSize: maxHeaderBytes, ReadTimeout: opts.ReadTimeout, IdleTimeout: idleTimeout,
 		ErrorHandler: g.handleError,
--- a/pkg/gateway/group_monitor.go
+++ b/pkg/gateway/group_monitor.go
@@ -13,6 +13,7 @@
 	errGroupBroke         = errors.New("the group is no longer whole")
 	errPreempted          = errors.New("the slot was preempted")
 	errClientDisconnected = errors.New("the client disconnected")
+	errSuperseded         = errors.New("another attempt continued the stream")
 )
 
 // maxStaleChecks is the number of checks for which a stale view is tolerated.
--- a/pkg/gateway/hedge.go
+++ b/pkg/gateway/hedge.go
@@ -18,7 +18,7 @@
 	results := make(chan result, 2)
 	s.attempts++
 	primaryCall := s.addressCall(call, primary, s.attempts)
-	go func() { results <- s.sendUntilFirstToken(primary, primaryCall) }()
+	go func() { results <- s.sendUntilFirstToken(primary, primaryCall, 0) }()
 	hedgeTimer := time.NewTimer(primary.assignment.HedgeAfter)
 	defer hedgeTimer.Stop()
 	select {
@@ -38,7 +38,7 @@
 			return
 		}
 		sl := s.newSlot(hedgeCtx, assignment)
-		results <- s.sendUntilFirstToken(sl, s.addressCall(call, sl, number))
+		results <- s.sendUntilFirstToken(sl, s.addressCall(call, sl, number), 0)
 	}()
 	return firstSuccess(primary, results, cancelHedge)
 }
@@ -96,8 +96,8 @@
 }
 
 // sendUntilFirstToken makes one attempt and reads a stream up to its first token.
-func (s *session) sendUntilFirstToken(sl *slot, call dispatch.Call) result {
-	r := s.send(sl, call, 0)
+func (s *session) sendUntilFirstToken(sl *slot, call dispatch.Call, from int) result {
+	r := s.send(sl, call, from)
 	for r.stream != nil {
 		event, err := r.stream.Next()
 		if err != nil {
--- a/pkg/gateway/session.go
+++ b/pkg/gateway/session.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/samber/lo"
@@ -17,17 +18,18 @@
 const (
 	// maxAttempts limits the attempts of a request, see attempt.Request.
 	maxAttempts = 3
-	// stallTimeout limits the gap between events of a stream that can be resumed on
-	// another group.
+	// stallTimeout is the gap between events after which a stream counts as silent.
 	stallTimeout = 5 * time.Second
 )
 
 // session is the life cycle of one request. It passes events to the request's
 // attempt.Machine and executes the resulting actions. It is used by one goroutine
-// at a time.
+// at a time, except for suspect and the successor.
 type session struct {
-	g       *Gateway
-	req     *request
+	g   *Gateway
+	req *request
+	// mu guards the steps of machine, and successor, attempts, replay and slot.streaming.
+	mu      sync.Mutex
 	machine *attempt.Machine
 	// ctx is canceled with errClientDisconnected when the client disconnects.
 	// Attempts that are not interruptible do not depend on it.
@@ -41,6 +43,10 @@
 	slot         *slot
 	attempts     int
 	stream       *dispatch.Stream
+	// successor runs beside the attempt of slot; nil if there is none.
+	successor *successor
+	// adopted is the result of a successor that becomes the running attempt.
+	adopted result
 	// completed is a stream that ended with [DONE]. It is closed after the client got
 	// the end of the stream, because closing waits for the last chunk.
 	completed *dispatch.Stream
@@ -88,6 +94,7 @@
 	}
 	s.closeAttempt()
 	s.releaseSlot(false)
+	s.cancelSuccessor()
 	if s.completed != nil {
 		s.completed.Close()
 	}
@@ -104,7 +111,7 @@
 func (s *session) run(event attempt.Event) {
 	for event != nil {
 		var next attempt.Event
-		for _, action := range s.machine.Step(event) {
+		for _, action := range s.step(event) {
 			if e := s.execute(action); e != nil {
 				next = e
 			}
@@ -113,6 +120,12 @@
 	}
 }
 
+func (s *session) step(event attempt.Event) []attempt.Action {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.machine.Step(event)
+}
+
 func (s *session) execute(action attempt.Action) attempt.Event {
 	switch a := action.(type) {
 	case attempt.Claim:
@@ -131,7 +144,14 @@
 		s.answer, s.refusal = nil, a.Err
 	case attempt.Discard:
 		s.discarded = true
-	case attempt.Answer:
+	case attempt.AwaitSuccessor:
+		return s.awaitSuccessor()
+	case attempt.AdoptSuccessor:
+		s.adoptSuccessor()
+	case attempt.CancelSuccessor:
+		s.cancelSuccessor()
+	case attempt.Answer, attempt.StartSuccessor:
+		// suspect carries StartSuccessor out.
 	}
 	return nil
 }
@@ -193,7 +213,7 @@
 		return s.failureEvent(r.err)
 	}
 	if r.stream != nil {
-		s.stream, s.buffered = r.stream, r.events
+		s.openStream(r)
 		return nil
 	}
 	if cause := s.interruptionEvent(); cause != nil {
@@ -209,6 +229,22 @@
 	return attempt.Answered{}
 }
 
+// openStream makes the stream of a result the one that the client gets.
+func (s *session) openStream(r result) {
+	s.stream, s.buffered = r.stream, r.events
+	s.mu.Lock()
+	r.slot.streaming = true
+	s.mu.Unlock()
+	r.stream.OnStall(func() { s.stalled(r.slot) })
+}
+
+// markStreamEnded makes doubts about the slot's stream that come late have no effect.
+func (s *session) markStreamEnded() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slot.streaming = false
+}
+
 // result is the result of one attempt.
 type result struct {
 	slot    *slot
@@ -237,7 +273,7 @@
 func (s *session) buildCall(resumeFrom int) (dispatch.Call, error) {
 	call := s.req.call
 	if s.numbered {
-		call.StallTimeout = stallTimeout
+		call.StallTimeout = s.g.stallTimeout
 	}
 	if resumeFrom == 0 {
 		return call, nil
@@ -274,7 +310,7 @@
 			return s.cancellationEvent(callErr, cause)
 		}
 	}
-	s.reportFailure(callErr)
+	s.reportFailure(s.slot, callErr)
 	callerFault := faultOfCall(callErr)
 	final := callErr.Reason == dispatch.TimedOut || !time.Now().Before(s.req.deadline)
 	return attempt.Failed{Err: callerFault, NotRun: callErr.NotRun(), Final: final}
@@ -304,20 +340,21 @@
 	}
 }
 
-func (s *session) reportFailure(callErr *dispatch.CallError) {
+func (s *session) reportFailure(sl *slot, callErr *dispatch.CallError) {
 	s.g.opts.Log.Warn().Str("request_id", s.req.id).Str("upstream", callErr.Address).Str("reason", string(callErr.Reason)).
 		Bool("sent", callErr.Sent).Err(callErr).Msg("attempt_failed")
 	report := s.g.opts.ReportFailure
-	if report == nil || s.slot == nil || callErr.Reason == dispatch.Refused || callErr.Reason == dispatch.Canceled {
+	if report == nil || sl == nil || callErr.Reason == dispatch.Refused || callErr.Reason == dispatch.Canceled {
 		return
 	}
-	report(s.slot.assignment.Group.Members[0].ID, string(callErr.Reason))
+	report(sl.assignment.Group.Members[0].ID, string(callErr.Reason))
 }
 
 func (s *session) closeAttempt() {
 	if s.stream != nil {
 		s.stream.Close()
 		s.stream, s.buffered = nil, nil
+		s.markStreamEnded()
 	}
 	if s.slot != nil {
 		s.slot.stop()
--- a/pkg/gateway/slot.go
+++ b/pkg/gateway/slot.go
@@ -14,6 +14,10 @@
 type slot struct {
 	assignment scheduling.Assignment
 	ctx        context.Context
+	// cancel cancels the context with a cause.
+	cancel context.CancelCauseFunc
+	// streaming is true while the client gets the stream of this slot; guarded by session.mu.
+	streaming bool
 	// stop cancels the context and stops the monitoring of the group.
 	stop func()
 	// started is the time of the dispatch; zero before.
@@ -27,14 +31,15 @@
 
 func (s *session) newSlot(parent context.Context, assignment scheduling.Assignment) *slot {
 	if !s.machine.Interruptible() {
-		return &slot{assignment: assignment, ctx: context.Background(), stop: func() {}}
+		return &slot{assignment: assignment, ctx: context.Background(), cancel: func(error) {}, stop: func() {}}
 	}
 	ctx, cancel := context.WithCancelCause(parent)
+	sl := &slot{assignment: assignment, ctx: ctx, cancel: cancel}
 	unwatch := s.g.monitor.watch(assignment.Group, cancel)
-	sl := &slot{assignment: assignment, ctx: ctx, stop: sync.OnceFunc(func() {
+	sl.stop = sync.OnceFunc(func() {
 		unwatch()
 		cancel(nil)
-	})}
+	})
 	if assignment.Preempted != nil {
 		go sl.watchPreemption(cancel)
 	}
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -87,13 +87,16 @@
 func (s *session) nextEvent() (dispatch.Event, error) {
 	for s.stream != nil {
 		event, err := s.nextAttemptEvent()
-		if err == nil {
-			if s.recordDelivery(event) {
-				return event, nil
-			}
+		if err == nil && s.hasContinuedSuccessor() {
+			err = errSuperseded
+		}
+		if err != nil {
+			s.finishStream(err)
 			continue
 		}
-		s.finishStream(err)
+		if s.recordDelivery(event) {
+			return event, nil
+		}
 	}
 	if s.refusal == nil && s.answer == nil && !s.discarded && s.machine.Ended() {
 		return dispatch.Event{}, io.EOF
@@ -115,19 +118,38 @@
 func (s *session) finishStream(err error) {
 	stream := s.stream
 	s.stream = nil
+	s.markStreamEnded()
 	if errors.Is(err, io.EOF) {
 		s.completed = stream
 		s.run(attempt.Answered{})
 		return
 	}
 	stream.Close()
+	if s.hasContinuedSuccessor() {
+		s.reportFailure(s.slot, &dispatch.CallError{Reason: dispatch.Stalled, Address: s.slot.assignment.Group.Address(), Sent: true})
+		s.run(s.awaitSuccessor())
+		return
+	}
 	s.run(s.failureEvent(err))
 }
 
 // recordDelivery records an event before it is written to the client. It returns
 // false if the client already has the event.
 func (s *session) recordDelivery(event dispatch.Event) bool {
+	s.mu.Lock()
 	effect := s.replay.record(event)
+	var actions []attempt.Action
+	if !effect.duplicate {
+		tokens := 0
+		if event.Token {
+			tokens = 1
+		}
+		actions = s.machine.Step(attempt.Delivered{Tokens: tokens, Unnumbered: effect.unnumbered})
+	}
+	s.mu.Unlock()
+	for _, action := range actions {
+		s.execute(action)
+	}
 	if effect.duplicate {
 		return false
 	}
@@ -135,11 +157,6 @@
 		s.slot.pinned.Store(true)
 		s.stream.DisableStallTimeout()
 	}
-	tokens := 0
-	if event.Token {
-		tokens = 1
-	}
-	s.machine.Step(attempt.Delivered{Tokens: tokens, Unnumbered: effect.unnumbered})
 	s.observeToken(time.Now())
 	return true
 }
