gateway: keep the stream of a group that looks broken until another one has continued it

What callers saw: a stream whose group was no longer whole in the entry's view ended with an error event, although the head of the group went on, whenever no other group continued it.

Cause: groupMonitor canceled every attempt of such a group at once; the slot that was to follow could be refused or fail.

Change: for a stream of which the client has a part, the break is a doubt like silence (attempt.Suspected): a successor starts beside it. Before that the attempt is canceled as before, and its request waits for another group or is refused; events that were read but not delivered by then are dropped, since the client would get them without the rest. Groups that break before the first token stay bounded as they were. Why it works: nothing closes the connection of a stream that has begun but the successor's next token, its own end, or its client.

--- a/pkg/gateway/answer_given_up_test.go
+++ b/pkg/gateway/answer_given_up_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/masticmount/masticmount/pkg/domain"
 	"github.com/masticmount/masticmount/pkg/fakes"
 	"github.com/masticmount/masticmount/pkg/scheduling"
 )
@@ -93,6 +95,39 @@
 	}
 }
 
+// Guards against streams that are cut although the head of their group still answers: a group
+// that was no longer whole was given up before another one continued its stream.
+func TestStreamOfBrokenGroupIsNotGivenUpBeforeItsSuccessorIsCertain(t *testing.T) {
+	for name, addSuccessor := range failingSuccessors() {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := newSuccessorHarness(t)
+			addSuccessor(h)
+			resp := h.open(context.Background(), http.MethodPost, chatPath, chatRequest(true, 12))
+			prefix := readUntil(t, resp.unread, "w4 ")
+			h.changeGroup("g1", func(g *domain.Group) { g.Whole = false })
+			h.requireCompleteStream(h.readRemaining(resp, prefix), 12)
+			require.Zero(t, h.gw.Drain(context.Background()))
+		})
+	}
+}
+
+// Guards against a status without a stream: a group that breaks before its first token has no
+// successor here, so the request is refused.
+func TestRequestOfBrokenGroupIsRefusedBeforeItsAnswerBegins(t *testing.T) {
+	for _, stream := range []bool{true, false} {
+		h := newHarness(t)
+		var once sync.Once
+		h.addEngine("g1", fakes.Faults{}, func(ctx context.Context, _ int) {
+			once.Do(func() { h.changeGroup("g1", func(g *domain.Group) { g.Whole = false }) })
+			<-ctx.Done()
+		})
+		a := h.chat(stream, 12)
+		require.Equal(t, http.StatusServiceUnavailable, a.status, a.body)
+		require.Equal(t, "unknown", a.outcome)
+	}
+}
+
 // Guards against a silent stream that waits for its engine although another group continues it.
 func TestSilentStreamIsContinuedByAnotherGroup(t *testing.T) {
 	h := newSuccessorHarness(t)
--- a/pkg/gateway/slot.go
+++ b/pkg/gateway/slot.go
@@ -35,7 +35,7 @@
 	}
 	ctx, cancel := context.WithCancelCause(parent)
 	sl := &slot{assignment: assignment, ctx: ctx, cancel: cancel}
-	unwatch := s.g.monitor.watch(assignment.Group, cancel)
+	unwatch := s.g.monitor.watch(assignment.Group, func(cause error) { s.suspect(sl, cause) })
 	sl.stop = sync.OnceFunc(func() {
 		unwatch()
 		cancel(nil)
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -87,8 +87,8 @@
 func (s *session) nextEvent() (dispatch.Event, error) {
 	for s.stream != nil {
 		event, err := s.nextAttemptEvent()
-		if err == nil && s.hasContinuedSuccessor() {
-			err = errSuperseded
+		if err == nil {
+			err = s.interruptionOf()
 		}
 		if err != nil {
 			s.finishStream(err)
@@ -104,6 +104,21 @@
 	return dispatch.Event{}, errRequestEnded
 }
 
+// interruptionOf returns why an event that was read must not be delivered, or nil. The events of a
+// canceled attempt are dropped if the client has none of them yet: it could get no more of them.
+func (s *session) interruptionOf() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.successor != nil && s.successor.continued:
+		return errSuperseded
+	case !s.machine.Begun() && s.slot.ctx.Err() != nil:
+		return &dispatch.CallError{Reason: dispatch.Canceled, Address: s.slot.assignment.Group.Address(), Sent: true}
+	default:
+		return nil
+	}
+}
+
 func (s *session) nextAttemptEvent() (dispatch.Event, error) {
 	if len(s.buffered) > 0 {
 		event := s.buffered[0]
