gateway, node: refuse the requests that are left at the end of a planned stop

What callers saw: requests that waited in the queue or for their claim, or whose answer had not begun or not ended, lost their connection when stop.timeout passed: neither an answer nor a refusal, and no outcome.

Cause: Drain only counts what is left; nothing ended these requests before the process did. A waiting request could get the scheduler's own refusal only after the listeners were closed, 5 s later, in a race with the end of the process.

Evidence: the new tests with RefuseRemaining that cancels nothing, which is what the stop did before:

--- FAIL: TestStopRefusesWaitingRequests (5.00s): requests that get neither an answer nor a refusal: should be zero, but was 1 --- FAIL: TestStopRefusesRequestsWithoutAnswer (5.00s): should be zero, but was 1 --- FAIL: TestStopEndsStreamsWithError (5.00s): should be zero, but was 1 --- FAIL: TestStopReportsUnknownOutcomeOfNonIdempotentRequest (5.01s): should be zero, but was 1

Change: the gateway's context is the parent of all requests and of all attempts, non-idempotent ones too. In the last second of stop.timeout (a tenth at most) it is canceled: the state machine ends each request with a final failure or a refusal, so the outcome accounts for all attempts and the claim is settled, and streams that have begun get an error event. Why it works: the node waits for these endings within stop.timeout before it closes the listeners.

Partial: a refusal waits for the settlement of its claim, up to 3 s without a majority of keepers, which is longer than the time for it; and a client that does not read its answer is still cut.

--- a/pkg/gateway/claim.go
+++ b/pkg/gateway/claim.go
@@ -20,9 +20,12 @@
 // claim commits a claim on the request's key; the request is dispatched only after
 // it is committed.
 func (s *session) claim() attempt.Event {
-	ctx, cancel := context.WithDeadline(context.Background(), s.req.deadline)
+	ctx, cancel := context.WithDeadline(s.g.ctx, s.req.deadline)
 	defer cancel()
 	decision, err := s.g.opts.Claims.Claim(ctx, s.claimKey(), fingerprint(s.req))
+	if err != nil && s.stopping() {
+		return attempt.ClaimFailed{Err: stoppingError().WithCause(err)}
+	}
 	if err != nil {
 		return attempt.ClaimFailed{Err: fault.From(err)}
 	}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -75,6 +75,9 @@
 	app      *fiber.App
 	monitor  *groupMonitor
 	inFlight inFlightTracker
+	// ctx is canceled with errStopping by RefuseRemaining.
+	ctx    context.Context
+	cancel context.CancelCauseFunc
 	// stallTimeout is the constant of that name, except in tests.
 	stallTimeout time.Duration
 }
@@ -85,6 +88,7 @@
 	opts.MaxBodyBytes = cmp.Or(opts.MaxBodyBytes, defaultMaxBodyBytes)
 	opts.ReadTimeout = cmp.Or(opts.ReadTimeout, defaultReadTimeout)
 	g := &Gateway{opts: opts, monitor: newGroupMonitor(opts.View), stallTimeout: stallTimeout}
+	g.ctx, g.cancel = context.WithCancelCause(context.Background())
 	g.app = fiber.New(fiber.Config{
 		BodyLimit: opts.MaxBodyBytes, ReadBufferSize: maxHeaderBytes, ReadTimeout: opts.ReadTimeout, IdleTimeout: idleTimeout,
 		ErrorHandler: g.handleError,
--- a/pkg/gateway/group_monitor.go
+++ b/pkg/gateway/group_monitor.go
@@ -13,6 +13,7 @@
 	errGroupBroke         = errors.New("the group is no longer whole")
 	errPreempted          = errors.New("the slot was preempted")
 	errClientDisconnected = errors.New("the client disconnected")
+	errStopping           = errors.New("the entry is stopping")
 	errSuperseded         = errors.New("another attempt continued the stream")
 )
 
--- a/pkg/gateway/inflight.go
+++ b/pkg/gateway/inflight.go
@@ -34,8 +34,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.stopping {
-		return nil, fault.New(fault.Stopping, "send the request again; another entry will accept it", "this entry is stopping").
-			WithRetryAfter(stoppingRetryAfter)
+		return nil, stoppingError()
 	}
 	if t.bytes+bytes > maxBytesInFlight {
 		return nil, fault.New(fault.Overloaded, "retry after the time in Retry-After", "the requests in flight use too much memory").
@@ -46,6 +45,11 @@
 	return sync.OnceFunc(func() { t.untrack(bytes) }), nil
 }
 
+func stoppingError() *fault.Error {
+	return fault.New(fault.Stopping, "send the request again; another entry will accept it", "this entry is stopping").
+		WithRetryAfter(stoppingRetryAfter)
+}
+
 func (t *inFlightTracker) untrack(bytes int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -89,6 +93,14 @@
 	}
 }
 
+// RefuseRemaining ends the requests that are still in flight after Drain: those without an answer
+// are refused with their outcome, streams end with an error event. It waits until that is done
+// or ctx is done, and returns the number of requests still in flight.
+func (g *Gateway) RefuseRemaining(ctx context.Context) (remaining int) {
+	g.cancel(errStopping)
+	return g.Drain(ctx)
+}
+
 // InFlight returns the number of requests in flight.
 func (g *Gateway) InFlight() int {
 	g.inFlight.mu.Lock()
--- a/pkg/gateway/session.go
+++ b/pkg/gateway/session.go
@@ -62,7 +62,7 @@
 }
 
 func newSession(g *Gateway, req *request, untrack func()) *session {
-	ctx, cancel := context.WithCancelCause(context.Background())
+	ctx, cancel := context.WithCancelCause(g.ctx)
 	numbered := req.streamed() && req.chat.Choices <= 1
 	return &session{
 		g: g, req: req, ctx: ctx, cancel: cancel, untrack: untrack, timings: g.newTimings(req), numbered: numbered,
@@ -167,13 +167,17 @@
 		if s.disconnected() {
 			return attempt.ClientDisconnected{}
 		}
-		return attempt.SlotRefused{Err: fault.From(err)}
+		return attempt.SlotRefused{Err: s.refusalOf(err)}
 	}
 	s.slot = s.newSlot(s.ctx, assignment)
 	if s.disconnected() {
 		s.releaseSlot(false)
 		return attempt.ClientDisconnected{}
 	}
+	if s.stopping() {
+		s.releaseSlot(false)
+		return attempt.SlotRefused{Err: stoppingError()}
+	}
 	return attempt.SlotAssigned{Group: assignment.Group.Name}
 }
 
@@ -187,6 +191,17 @@
 	}
 }
 
+// refusalOf returns the error for the client after the scheduler has refused the request.
+func (s *session) refusalOf(err error) *fault.Error {
+	if s.stopping() {
+		return stoppingError().WithCause(err)
+	}
+	return fault.From(err)
+}
+
+// stopping reports whether the requests in flight are being refused.
+func (s *session) stopping() bool { return s.g.ctx.Err() != nil }
+
 func (s *session) disconnected() bool { return errors.Is(context.Cause(s.ctx), errClientDisconnected) }
 
 // dispatch sends the request to its group. It returns nil after a stream was
@@ -309,6 +324,9 @@
 		if cause := s.interruptionEvent(); cause != nil {
 			return s.cancellationEvent(callErr, cause)
 		}
+		if s.stopping() {
+			return attempt.Failed{Err: stoppingError().WithCause(callErr), NotRun: callErr.NotRun(), Final: true}
+		}
 	}
 	s.reportFailure(s.slot, callErr)
 	callerFault := faultOfCall(callErr)
--- a/pkg/gateway/slot.go
+++ b/pkg/gateway/slot.go
@@ -31,7 +31,8 @@
 
 func (s *session) newSlot(parent context.Context, assignment scheduling.Assignment) *slot {
 	if !s.machine.Interruptible() {
-		return &slot{assignment: assignment, ctx: context.Background(), cancel: func(error) {}, stop: func() {}}
+		ctx, cancel := context.WithCancelCause(s.g.ctx)
+		return &slot{assignment: assignment, ctx: ctx, cancel: func(error) {}, stop: func() { cancel(nil) }}
 	}
 	ctx, cancel := context.WithCancelCause(parent)
 	sl := &slot{assignment: assignment, ctx: ctx, cancel: cancel}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -114,7 +114,7 @@
 
 	<-ctx.Done()
 	n.OnStop(StopStep{Name: "steward", Stop: func(context.Context) { dom.ReleaseLease() }})
-	n.stop(gw.Drain)
+	n.stop(func(ctx context.Context) int { return n.drain(ctx, gw) })
 	_ = gw.App().ShutdownWithTimeout(closeTimeout)
 	_ = adm.App().ShutdownWithTimeout(closeTimeout)
 	stopBackground()
--- a/pkg/node/stop.go
+++ b/pkg/node/stop.go
@@ -37,3 +37,30 @@
 	}
 	n.log.Info().Msg("requests_finished")
 }
+
+// refusalTime is the part at the end of the stop timeout in which the requests that are still in
+// flight are refused; a tenth of it at most.
+const refusalTime = time.Second
+
+// drainer ends the requests in flight.
+type drainer interface {
+	// Drain waits until they have ended or ctx is done.
+	Drain(ctx context.Context) (left int)
+	// RefuseRemaining refuses those that have not ended, until ctx is done.
+	RefuseRemaining(ctx context.Context) (left int)
+}
+
+// drain waits for the requests in flight and refuses those that would not end before ctx does, so
+// that each gets an answer or a refusal. It returns the number of those that got neither.
+func (n *Node) drain(ctx context.Context, requests drainer) (left int) {
+	timeout := n.settings.Stop.Timeout.Std()
+	deadline, _ := ctx.Deadline()
+	drainCtx, cancel := context.WithDeadline(ctx, deadline.Add(-min(refusalTime, timeout/10)))
+	defer cancel()
+	left = requests.Drain(drainCtx)
+	if left == 0 {
+		return 0
+	}
+	n.log.Warn().Int("requests", left).Msg("requests_refused_at_stop")
+	return requests.RefuseRemaining(ctx)
+}
