gateway: a preempted stream stays resumable

Cause: the preemption and the delivery were not ordered. The attempt was canceled while events that had been read already were still delivered; one without a position made the stream unresumable after its slot was gone.

Change: both happen under the session's lock. Either the event is first and pins the slot, so that it is not preempted, or the preemption is first and the event is dropped; the resumed attempt brings it again.

--- a/pkg/gateway/slot.go
+++ b/pkg/gateway/slot.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/masticmount/masticmount/pkg/scheduling"
@@ -25,8 +24,8 @@
 	firstToken time.Duration
 	tokens     int
 	// pinned is true once the stream cannot be resumed on another group; it is then
-	// no longer preempted.
-	pinned atomic.Bool
+	// no longer preempted. It is guarded by session.mu.
+	pinned bool
 }
 
 func (s *session) newSlot(parent context.Context, assignment scheduling.Assignment) *slot {
@@ -42,21 +41,28 @@
 		cancel(nil)
 	})
 	if assignment.Preempted != nil {
-		go sl.watchPreemption(cancel)
+		go s.watchPreemption(sl)
 	}
 	return sl
 }
 
-func (sl *slot) watchPreemption(cancel context.CancelCauseFunc) {
+func (s *session) watchPreemption(sl *slot) {
 	select {
 	case <-sl.assignment.Preempted:
-		if !sl.pinned.Load() {
-			cancel(errPreempted)
-		}
+		s.preempt(sl)
 	case <-sl.ctx.Done():
 	}
 }
 
+// preempt cancels the attempt, unless its stream cannot be resumed.
+func (s *session) preempt(sl *slot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !sl.pinned {
+		sl.cancel(errPreempted)
+	}
+}
+
 // releaseSlot returns the slot to the scheduler with a report of the attempt.
 func (s *session) releaseSlot(failed bool) {
 	if s.slot != nil {
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -87,15 +87,15 @@
 func (s *session) nextEvent() (dispatch.Event, error) {
 	for s.stream != nil {
 		event, err := s.nextAttemptEvent()
+		deliver := false
 		if err == nil {
-			err = s.interruptionOf()
+			deliver, err = s.recordDelivery(event)
+		}
+		if deliver {
+			return event, nil
 		}
 		if err != nil {
 			s.finishStream(err)
-			continue
-		}
-		if s.recordDelivery(event) {
-			return event, nil
 		}
 	}
 	if s.refusal == nil && s.answer == nil && !s.discarded && s.machine.Ended() {
@@ -104,21 +104,6 @@
 	return dispatch.Event{}, errRequestEnded
 }
 
-// interruptionOf returns why an event that was read must not be delivered, or nil. The events of a
-// canceled attempt are dropped if the client has none of them yet: it could get no more of them.
-func (s *session) interruptionOf() error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	switch {
-	case s.successor != nil && s.successor.continued:
-		return errSuperseded
-	case !s.machine.Begun() && s.slot.ctx.Err() != nil:
-		return &dispatch.CallError{Reason: dispatch.Canceled, Address: s.slot.assignment.Group.Address(), Sent: true}
-	default:
-		return nil
-	}
-}
-
 func (s *session) nextAttemptEvent() (dispatch.Event, error) {
 	if len(s.buffered) > 0 {
 		event := s.buffered[0]
@@ -148,30 +133,44 @@
 	s.run(s.failureEvent(err))
 }
 
-// recordDelivery records an event before it is written to the client. It returns
-// false if the client already has the event.
-func (s *session) recordDelivery(event dispatch.Event) bool {
-	s.mu.Lock()
-	effect := s.replay.record(event)
-	var actions []attempt.Action
-	if !effect.duplicate {
-		tokens := 0
-		if event.Token {
-			tokens = 1
-		}
-		actions = s.machine.Step(attempt.Delivered{Tokens: tokens, Unnumbered: effect.unnumbered})
+// recordDelivery records an event before it is written to the client. It returns false if the
+// client already has the event, and an error if the attempt was canceled.
+func (s *session) recordDelivery(event dispatch.Event) (deliver bool, err error) {
+	effect, actions, err := s.stepDelivery(event)
+	if err != nil || effect.duplicate {
+		return false, err
 	}
-	s.mu.Unlock()
 	for _, action := range actions {
 		s.execute(action)
 	}
-	if effect.duplicate {
-		return false
-	}
 	if effect.unnumbered && s.stream != nil {
-		s.slot.pinned.Store(true)
 		s.stream.DisableStallTimeout()
 	}
 	s.observeToken(time.Now())
-	return true
+	return true, nil
+}
+
+// stepDelivery records an event, unless the attempt was canceled and the event would prevent
+// that the stream is resumed: it is the first one, or has no position.
+func (s *session) stepDelivery(event dispatch.Event) (delivery, []attempt.Action, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.successor != nil && s.successor.continued {
+		return delivery{}, nil, errSuperseded
+	}
+	before := s.replay
+	effect := s.replay.record(event)
+	if effect.duplicate {
+		return effect, nil, nil
+	}
+	if s.slot.ctx.Err() != nil && (effect.unnumbered || !s.machine.Begun()) {
+		s.replay = before
+		return delivery{}, nil, &dispatch.CallError{Reason: dispatch.Canceled, Address: s.slot.assignment.Group.Address(), Sent: true}
+	}
+	s.slot.pinned = s.slot.pinned || effect.unnumbered
+	tokens := 0
+	if event.Token {
+		tokens = 1
+	}
+	return effect, s.machine.Step(attempt.Delivered{Tokens: tokens, Unnumbered: effect.unnumbered}), nil
 }
