gateway: return a complete answer although its slot was lost meanwhile

What callers saw: a whole answer that arrived in the moment in which its group broke or its slot was preempted was thrown away; the request ran again elsewhere or was refused.

Cause: handleResult looked at the interruption before the answer.

Evidence: the new test on the code before:

--- FAIL: TestCompleteAnswerOutlastsLossOfSlot: Object expected to be of type attempt.Answered, but was attempt.Preempted

Change: an answer that is whole is returned, unless it is a 5xx, which may be the consequence of the interruption (a broken group answers 503).

--- a/pkg/gateway/preemption_test.go
+++ b/pkg/gateway/preemption_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net/http"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -54,3 +55,21 @@
 	s.preempt(s.slot)
 	require.NoError(t, s.slot.ctx.Err(), "a stream that cannot be resumed keeps its slot")
 }
+
+// Guards against a complete answer that is thrown away because its slot was lost when it arrived.
+func TestCompleteAnswerOutlastsLossOfSlot(t *testing.T) {
+	body := []byte(`{"choices":[{"finish_reason":"stop"}]}`)
+	for _, cause := range []error{errPreempted, errGroupBroke, errStopping} {
+		s := newRunningSession(t, newHarness(t))
+		s.req.chat.Stream = false
+		s.slot.cancel(cause)
+		event := s.handleResult(result{slot: s.slot, answer: &dispatch.BufferedResponse{Status: http.StatusOK, Body: body}})
+		require.IsType(t, attempt.Answered{}, event, cause)
+		require.NotNil(t, s.answer)
+	}
+	s := newRunningSession(t, newHarness(t))
+	s.req.chat.Stream = false
+	s.slot.cancel(errGroupBroke)
+	event := s.handleResult(result{slot: s.slot, answer: &dispatch.BufferedResponse{Status: http.StatusServiceUnavailable}})
+	require.IsType(t, attempt.GroupBroken{}, event, "the failure of a broken group is no answer")
+}
--- a/pkg/gateway/session.go
+++ b/pkg/gateway/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"strconv"
 	"sync"
 	"time"
@@ -231,7 +232,7 @@
 		s.openStream(r)
 		return nil
 	}
-	if cause := s.interruptionEvent(); cause != nil {
+	if cause := s.interruptionEvent(); cause != nil && !keepsAnswer(cause, r.answer) {
 		return cause
 	}
 	if s.req.streamed() && s.replay.started {
@@ -244,6 +245,13 @@
 	return attempt.Answered{}
 }
 
+// keepsAnswer reports whether an answer that has arrived is returned although its attempt was
+// interrupted. A 5xx may be the consequence of the interruption.
+func keepsAnswer(cause attempt.Event, answer *dispatch.BufferedResponse) bool {
+	_, disconnected := cause.(attempt.ClientDisconnected)
+	return !disconnected && answer.Status < http.StatusInternalServerError
+}
+
 // openStream makes the stream of a result the one that the client gets.
 func (s *session) openStream(r result) {
 	s.stream, s.buffered = r.stream, r.events
