scheduling: an estimate, a full queue or a moment without a group ends no answer that has begun

What callers saw: a stream whose slot was taken back for short work, or whose group broke, ended with an error event well before its deadline, as its resumption was refused: by an estimate that is wrong for long answers, by a full queue, or because no group was whole at that moment.

Cause: the scheduler treated the resumption like a new request, which is better refused early. Here a part of the answer is with the caller, and the slot was given up before its successor was certain.

Change: a resumed request waits until its deadline, is never evicted, and waits for a group too unless it has failed on one (then the others may be gone for good).

--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -25,8 +25,8 @@
 	Tokens float64
 	// Long puts the request into the queue for long requests.
 	Long bool
-	// Resumed puts the request before others of its worth, since a refusal would
-	// waste the work already done.
+	// Resumed puts the request before others of its worth and keeps it from being
+	// evicted: its client has a part of the answer.
 	Resumed bool
 
 	sequence uint64
@@ -69,14 +69,17 @@
 func (q *Queue) LenShort() int { return q.short.items }
 
 // Push adds a request. A full queue evicts the request of the lowest worth with the
-// latest deadline, which may be the new one, and returns it.
+// latest deadline, which may be the new one, and returns it. Resumed requests are not
+// evicted and are added above the limit if all others are resumed, too.
 func (q *Queue) Push(it *Item) (refused *Item) {
 	if len(q.items) >= q.opts.Limit {
 		refused = q.evictionCandidate(it)
 		if refused == it {
 			return it
 		}
-		q.Remove(refused.ID)
+		if refused != nil {
+			q.Remove(refused.ID)
+		}
 	}
 	q.sequence++
 	it.sequence = q.sequence
@@ -158,17 +161,26 @@
 }
 
 // evictionCandidate returns the request to evict from a full queue for an arriving
-// one, which may be the arriving one itself.
+// one, which may be the arriving one itself, or nil if all are resumed.
 func (q *Queue) evictionCandidate(arriving *Item) *Item {
-	victim := arriving
+	var victim *Item
+	if !arriving.Resumed {
+		victim = arriving
+	}
 	for _, s := range []*sizeQueue{&q.long, &q.short} {
-		if len(s.levels) == 0 {
-			continue
+		if candidate := s.evictionCandidate(); candidate != nil && (victim == nil || evictedBefore(candidate, victim)) {
+			victim = candidate
 		}
-		lowestLevel := s.levels[len(s.levels)-1]
-		for _, a := range lowestLevel.accounts {
+	}
+	return victim
+}
+
+// evictionCandidate returns the request to evict, or nil if all are resumed.
+func (s *sizeQueue) evictionCandidate() (victim *Item) {
+	for i := len(s.levels) - 1; i >= 0 && victim == nil; i-- {
+		for _, a := range s.levels[i].accounts {
 			for _, candidate := range a.heap {
-				if evictedBefore(candidate, victim) {
+				if !candidate.Resumed && (victim == nil || evictedBefore(candidate, victim)) {
 					victim = candidate
 				}
 			}
--- a/pkg/scheduling/core.go
+++ b/pkg/scheduling/core.go
@@ -184,11 +184,12 @@
 		c.emit(Refuse{e.ID, refusal})
 		return
 	}
-	if !c.table.Available(e.Request.Route, &e.Request.Request) {
+	j := c.newJob(now, e)
+	if !j.awaitsGroup() && !c.table.Available(e.Request.Route, &e.Request.Request) {
+		c.dropIfIdle(j.pool)
 		c.emit(Refuse{e.ID, noWholeGroupError(e.Request.Route)})
 		return
 	}
-	j := c.newJob(now, e)
 	if refusal := c.checkFeasibleWhenIdle(now, j); refusal != nil {
 		c.dropIfIdle(j.pool)
 		c.emit(Refuse{e.ID, refusal})
@@ -231,6 +232,10 @@
 	return j
 }
 
+// awaitsGroup reports whether a request may wait while no group is whole: it lost its group or
+// its slot, not by a failure of its own, and its client has a part of the answer.
+func (j *job) awaitsGroup() bool { return j.item.Resumed && len(j.request.Exclude) == 0 }
+
 // predict returns the expected remaining size. A request that has outlived the
 // median is expected to run as long again, since sizes are heavy-tailed.
 func (c *Core) predict(req *Request) admission.Prediction {
--- a/pkg/scheduling/dispatch.go
+++ b/pkg/scheduling/dispatch.go
@@ -236,12 +236,12 @@
 	var infeasible []*job
 	p.queue.Each(func(it *admission.Item, ahead float64) {
 		j := c.jobs[ID(it.ID)]
-		if groups == 0 || !c.estimate(now, j, ahead).feasible() {
+		if groups == 0 && !j.awaitsGroup() || !j.isWorthKeeping(c.estimate(now, j, ahead)) {
 			infeasible = append(infeasible, j)
 		}
 	})
 	for _, j := range infeasible {
-		if groups == 0 {
+		if groups == 0 && !j.awaitsGroup() {
 			c.discard(j)
 			c.emit(Refuse{j.id, noWholeGroupError(j.request.Route)})
 			continue
--- a/pkg/scheduling/estimate.go
+++ b/pkg/scheduling/estimate.go
@@ -44,11 +44,7 @@
 func (p *pool) earliestCompletion(now time.Time, interval time.Duration) time.Duration {
 	earliest := time.Duration(-1)
 	for _, j := range p.running {
-		expected, elapsed := time.Duration(j.median*float64(interval)), now.Sub(j.started)
-		left := expected - elapsed
-		if left <= 0 {
-			left = elapsed
-		}
+		left := j.remainingService(now, interval)
 		if earliest < 0 || left < earliest {
 			earliest = left
 		}
@@ -58,6 +54,25 @@
 
 func (e estimate) feasible() bool { return e.wait+e.service <= e.timeLeft }
 
+// isWorthKeeping reports whether a request with the estimate may wait. An estimate does not
+// end an answer of which the client has a part; only its deadline does.
+func (j *job) isWorthKeeping(e estimate) bool {
+	if j.item.Resumed {
+		return e.timeLeft > 0
+	}
+	return e.feasible()
+}
+
+// remainingService returns the expected service time that a running request still needs. One that
+// has outlived the expectation is expected to run as long again.
+func (j *job) remainingService(now time.Time, interval time.Duration) time.Duration {
+	elapsed := now.Sub(j.started)
+	if left := time.Duration(j.median*float64(interval)) - elapsed; left > 0 {
+		return left
+	}
+	return elapsed
+}
+
 // retryAfter returns the time until the queue has drained so far that the request
 // would meet its deadline.
 func (e estimate) retryAfter() time.Duration { return max(e.wait+e.service-e.timeLeft, minRetryAfter) }
@@ -70,7 +85,7 @@
 	}
 	e := c.estimate(now, j, 0)
 	e.wait = 0
-	if !e.feasible() {
+	if !j.isWorthKeeping(e) {
 		return fault.New(fault.DeadlinePassed, "allow more time, or ask for fewer tokens",
 			"the request takes about %v and its deadline is in %v", e.service.Round(time.Millisecond), e.timeLeft.Round(time.Millisecond))
 	}
@@ -86,10 +101,14 @@
 		return
 	}
 	e := c.estimate(now, j, j.pool.queue.Ahead(&j.item))
-	if e.feasible() || c.opts.faults.keepInfeasible {
+	if j.isWorthKeeping(e) || c.opts.faults.keepInfeasible {
 		return
 	}
 	c.discard(j)
+	if j.item.Resumed {
+		c.emit(Refuse{j.id, resumptionTooLateError()})
+		return
+	}
 	c.emit(Refuse{j.id, fault.New(fault.Overloaded, "retry after the time given",
 		"the request would finish in %v and its deadline is in %v",
 		(e.wait + e.service).Round(time.Millisecond), e.timeLeft.Round(time.Millisecond)).WithRetryAfter(e.retryAfter())})
@@ -101,6 +120,10 @@
 		WithRetryAfter(max(e.wait, minRetryAfter))
 }
 
+func resumptionTooLateError() *fault.Error {
+	return fault.New(fault.DeadlinePassed, "allow more time", "no slot was free to resume the answer before its deadline")
+}
+
 func noWholeGroupError(route *state.Route) *fault.Error {
 	return fault.New(fault.NoWholeGroup, "retry later; operators: see 'masticmount status' for groups that lack members",
 		"no whole group serves route %q", route.Name).WithRetryAfter(noGroupRetryAfter)
