scheduling: preempt no request that could not be resumed in time

What callers saw: a stream near its deadline lost its slot to short work and ended unfinished when the deadline passed in the queue, though it would have ended in time in its slot.

Cause: the victim was chosen by worth and running time only.

Change: a victim must be expected to end before its deadline after the work that goes before it. One that has outlived the expectation is expected to run as long again, as in the estimates of waiting requests.

--- a/pkg/scheduling/dispatch.go
+++ b/pkg/scheduling/dispatch.go
@@ -185,7 +185,7 @@
 			continue
 		}
 		usage.long++
-		if j.state != running || !j.preemptible || now.Sub(j.started) < minRun {
+		if j.state != running || !j.preemptible || now.Sub(j.started) < minRun || !c.canResume(now, j) {
 			continue
 		}
 		if usage.victim == nil || j.preemptedBefore(usage.victim, now, interval) {
--- a/pkg/scheduling/estimate.go
+++ b/pkg/scheduling/estimate.go
@@ -63,6 +63,15 @@
 	return e.feasible()
 }
 
+// canResume reports whether a running request, if it is preempted now, is expected to end
+// before its deadline all the same.
+func (c *Core) canResume(now time.Time, j *job) bool {
+	interval := c.table.TimePerToken(j.pool.key.service)
+	slots := float64(len(j.pool.running)) + c.table.Capacity(now, j.pool.route, j.pool.key.service).Free
+	wait := time.Duration(j.pool.queue.Ahead(&j.item) * float64(interval) / slots)
+	return wait+j.remainingService(now, interval) <= j.request.Deadline.Sub(now)
+}
+
 // remainingService returns the expected service time that a running request still needs. One that
 // has outlived the expectation is expected to run as long again.
 func (j *job) remainingService(now time.Time, interval time.Duration) time.Duration {
