gateway: a failed answer of one attempt ends no other that still runs

What callers saw: a hedged request got the 5xx of one attempt while the other would have answered.

Cause: firstSuccess took any answer for a success and canceled the other attempt.

Evidence: the new test on the code before:

--- FAIL: TestFailedAnswerEndsNoOtherAttempt: expected: 200, actual: 503, a failure, then an answer

Change: a 5xx is returned only if the other attempt has no better answer. One that is not hedged is returned at once, as before.

--- a/pkg/gateway/hedge.go
+++ b/pkg/gateway/hedge.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/masticmount/masticmount/pkg/dispatch"
@@ -43,11 +44,17 @@
 	return firstSuccess(primary, results, cancelHedge)
 }
 
+// succeeded reports whether the attempt has an answer that another attempt need not be awaited
+// for: a 5xx is returned only if the other one fails, too.
+func (r result) succeeded() bool {
+	return r.err == nil && (r.answer == nil || r.answer.Status < http.StatusInternalServerError)
+}
+
 // firstSuccess returns the first success of two attempts and cancels the other one.
 // The context of a winning hedge stays open until the session ends.
 func firstSuccess(primary *slot, results <-chan result, cancelHedge func()) result {
 	first := <-results
-	if first.err == nil {
+	if first.succeeded() {
 		if first.slot == primary {
 			cancelHedge()
 		} else {
@@ -57,11 +64,15 @@
 		return first
 	}
 	second := <-results
-	if second.err == nil {
+	if second.succeeded() || first.err != nil && second.err == nil {
 		discard(first)
 		return second
 	}
 	cancelHedge()
+	if first.err == nil {
+		discard(second)
+		return first
+	}
 	return failureToReport(primary, first, second)
 }
 
--- a/pkg/gateway/hedge_test.go
+++ b/pkg/gateway/hedge_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"net/http"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/masticmount/masticmount/pkg/dispatch"
 	"github.com/masticmount/masticmount/pkg/fakes"
 	"github.com/masticmount/masticmount/pkg/fault"
 	"github.com/masticmount/masticmount/pkg/scheduling"
@@ -127,6 +129,42 @@
 	scheduler.inUse.Wait()
 }
 
+// Guards against an attempt that is given up for the failure of its hedge, or the other way round: a
+// 5xx is an answer only if neither attempt has a better one.
+func TestFailedAnswerEndsNoOtherAttempt(t *testing.T) {
+	answered := func(status int) result { return result{answer: &dispatch.BufferedResponse{Status: status}} }
+	for name, test := range map[string]struct {
+		first, second result
+		want          int
+	}{
+		"a failure, then an answer":    {answered(503), answered(200), 200},
+		"an answer":                    {answered(404), answered(200), 404},
+		"two failures":                 {answered(503), answered(500), 503},
+		"a failure, then a broken one": {answered(503), result{err: &dispatch.CallError{Reason: dispatch.Truncated, Sent: true}}, 503},
+		"a broken one, then a failure": {result{err: &dispatch.CallError{Reason: dispatch.Truncated, Sent: true}}, answered(503), 503},
+	} {
+		for _, hedgeFirst := range []bool{false, true} {
+			var released atomic.Int32
+			primary, hedge := newTestSlot("primary", &released), newTestSlot("hedge", &released)
+			first, second := test.first, test.second
+			first.slot, second.slot = primary, hedge
+			if hedgeFirst {
+				first.slot, second.slot = hedge, primary
+			}
+			results := make(chan result, 2)
+			results <- first
+			results <- second
+			r := firstSuccess(primary, results, func() {})
+			require.NoError(t, r.err, name)
+			require.Equal(t, test.want, r.answer.Status, name)
+			for released.Load() == 0 {
+				runtime.Gosched()
+			}
+			require.EqualValues(t, 1, released.Load(), "%s: only the other slot is released", name)
+		}
+	}
+}
+
 func TestNonIdempotentRequestIsNotHedged(t *testing.T) {
 	scheduler := &hedgingScheduler{}
 	h := newHedgingHarness(t, scheduler)
