Soak: sound upstreams fall silent for 0.8 to 1.6 s and go on; nothing that they run may be given up

New checks (LOST): a request with neither an answer nor a refusal 0.5 s after a living entry got it; a stream or a plain request whose upstream did not end, and whose caller did not get it whole. Excused: the caller left or its link broke, the deadline passed, the run, its engine, a member of its group or its link ended, the entry was killed, or a planned stop reached the last sixth of its grace period.

--- a/cmd/mastic-soak/callers.go
+++ b/cmd/mastic-soak/callers.go
@@ -24,6 +24,7 @@
 
 // answer is what a caller received; status 0 if the connection failed.
 type answer struct {
+	exchange
 	status int
 	body   string
 }
@@ -70,7 +71,10 @@
 	if number/2%2 == 0 {
 		transport = &http.Transport{DisableKeepAlives: true}
 	}
-	a := send(transport, c.region.entries[number%len(c.region.entries)], id, path)
+	x := exchange{entry: c.region.entries[number%len(c.region.entries)], sentAt: time.Now(), deadline: callTimeout}
+	a := send(transport, x.entry, id, path)
+	x.endedAt = time.Now()
+	a.exchange = x
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.received == nil {
@@ -102,7 +106,7 @@
 	if err != nil {
 		return answer{}
 	}
-	return answer{resp.StatusCode, strings.TrimSpace(string(body))}
+	return answer{status: resp.StatusCode, body: strings.TrimSpace(string(body))}
 }
 
 // run sends requests until a time.
--- a/cmd/mastic-soak/concurrentfaults.go
+++ b/cmd/mastic-soak/concurrentfaults.go
@@ -18,6 +18,7 @@
 type concurrentFaults struct {
 	region     *region
 	engines    *engineSet
+	service    *plainService
 	entryLinks []*link
 }
 
@@ -25,8 +26,7 @@
 func (c *concurrentFaults) run(seed uint64, until time.Time) {
 	var all sync.WaitGroup
 	for name, count := range map[string]int{"entries": entrySequences, "engines": engineSequences, "links": linkSequences} {
-		for i := range count {
-			f := &faultSequence{faults: faults{region: c.region, random: randomSource(seed, fmt.Sprintf("%s %d", name, i))}, concurrent: c}
+		for _, f := range c.sequences(seed, name, count) {
 			kinds := map[string][]func(){
 				"entries": {f.kill, f.term, f.freeze, f.killTwo},
 				"engines": {f.silence, f.restart, f.drain},
@@ -35,9 +35,20 @@
 			all.Go(func() { f.runSequence(until, kinds[name]) })
 		}
 	}
+	all.Go(func() { c.runSilences(seed, until) })
 	all.Wait()
 }
 
+// sequences returns the fault sequences of a kind, each with its own random source.
+func (c *concurrentFaults) sequences(seed uint64, name string, count int) []*faultSequence {
+	var all []*faultSequence
+	for i := range count {
+		random := randomSource(seed, fmt.Sprintf("%s %d", name, i))
+		all = append(all, &faultSequence{faults: faults{region: c.region, random: random}, concurrent: c})
+	}
+	return all
+}
+
 // faultSequence injects the faults of one sequence.
 type faultSequence struct {
 	faults
--- a/cmd/mastic-soak/engines.go
+++ b/cmd/mastic-soak/engines.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -61,6 +62,10 @@
 	silent, draining atomic.Bool
 	mu               sync.Mutex
 	conns            map[net.Conn]bool
+	// pauses are the silences of a sound engine.
+	pauses silence
+	// endTimes are when its incarnation, or that of a member of its group, ended.
+	endTimes []time.Time
 }
 
 func newEngineSet(r *region, seed uint64, single, grouped int) (*engineSet, error) {
@@ -104,10 +109,11 @@
 
 func (e *engine) accept() {
 	for {
-		conn, err := e.listener.Accept()
+		accepted, err := e.listener.Accept()
 		if err != nil {
 			return
 		}
+		conn := &pausableConn{accepted, &e.pauses}
 		e.mu.Lock()
 		e.conns[conn] = true
 		e.mu.Unlock()
@@ -120,10 +126,26 @@
 	e.startTime.Store(time.Now().UnixMilli())
 	e.seq.Store(0)
 	e.group.restart()
-	e.resetConns()
+	e.recordEnd()
 	for _, other := range e.set.all {
-		other.group.memberLost(time.Now(), e.id)
+		if other.group.memberLost(time.Now(), e.id) {
+			other.recordEnd()
+		}
 	}
+	e.resetConns()
+}
+
+func (e *engine) recordEnd() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.endTimes = append(e.endTimes, time.Now())
+}
+
+// endedBetween reports whether the engine or its group ended between two times.
+func (e *engine) endedBetween(from, to time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.ContainsFunc(e.endTimes, func(t time.Time) bool { return !t.Before(from) && !t.After(to) })
 }
 
 func (e *engine) resetConns() {
@@ -136,6 +158,9 @@
 
 // reset closes a connection and discards unsent data.
 func reset(conn net.Conn) {
+	if pausable, ok := conn.(*pausableConn); ok {
+		conn = pausable.Conn
+	}
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		// Fails only if the connection is already closed.
 		_ = tcp.SetLinger(0)
@@ -247,6 +272,7 @@
 	tick := time.NewTicker(announceInterval)
 	defer tick.Stop()
 	for turn := 0; ; turn++ {
+		e.pauses.wait()
 		if !e.silent.Load() {
 			e.heartbeat(client, e.set.region.keepers[turn%keeperCount])
 		}
--- a/cmd/mastic-soak/link.go
+++ b/cmd/mastic-soak/link.go
@@ -49,6 +49,9 @@
 	mu           sync.Mutex
 	random       *rand.Rand
 	conns        map[*linkConn]bool
+	// byAddress holds the latest connection of each address of a client or of the link's own
+	// side towards the server.
+	byAddress map[string]*linkConn
 	// isDown is true while the link refuses connections, stopped once it does so for good.
 	isDown, stopped bool
 }
@@ -58,7 +61,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &link{listener: listener, target: target, random: random, faultsActive: faultsActive, conns: map[*linkConn]bool{}}
+	l := &link{listener: listener, target: target, random: random, faultsActive: faultsActive, conns: map[*linkConn]bool{}, byAddress: map[string]*linkConn{}}
 	go l.accept(listener)
 	return l, nil
 }
@@ -100,10 +103,18 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for c := range l.conns {
+		c.harmed.Store(true)
 		c.reset()
 	}
 }
 
+// connOf returns the connection of a client's address, or of the address that the server sees.
+func (l *link) connOf(address net.Addr) *linkConn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.byAddress[address.String()]
+}
+
 // linkConn is one connection through a link.
 type linkConn struct {
 	link           *link
@@ -112,14 +123,16 @@
 	fault          linkFault
 	bytes          atomic.Int64
 	triggered      atomic.Bool
-	faultAfter     int64
-	faultTime      time.Duration
-	delays         [2]*rand.Rand
-	once           sync.Once
-	dropDown       atomic.Bool
-	dropUp         atomic.Bool
-	done           chan struct{}
-	directions     sync.WaitGroup
+	// harmed is true once a fault broke the connection or lost data.
+	harmed     atomic.Bool
+	faultAfter int64
+	faultTime  time.Duration
+	delays     [2]*rand.Rand
+	once       sync.Once
+	dropDown   atomic.Bool
+	dropUp     atomic.Bool
+	done       chan struct{}
+	directions sync.WaitGroup
 }
 
 func (l *link) proxy(client net.Conn) {
@@ -144,6 +157,7 @@
 		c.delays[i] = rand.New(rand.NewPCG(l.random.Uint64(), uint64(i)))
 	}
 	l.conns[c] = true
+	l.byAddress[client.RemoteAddr().String()], l.byAddress[server.LocalAddr().String()] = c, c
 	l.mu.Unlock()
 	c.directions.Go(func() { c.copy(c.client, c.server, &c.dropUp, c.delays[0]) })
 	c.directions.Go(func() { c.copy(c.server, c.client, &c.dropDown, c.delays[1]) })
@@ -222,6 +236,7 @@
 // trigger starts the fault. For linkReset, forward resets the connection after it has
 // written the current data; the other faults reset it after faultTime.
 func (c *linkConn) trigger() {
+	c.harmed.Store(true)
 	switch c.fault {
 	case linkReset:
 		c.dropDown.Store(true)
--- a/cmd/mastic-soak/main.go
+++ b/cmd/mastic-soak/main.go
@@ -24,6 +24,7 @@
 	Grouped         int           `arg:"--grouped" default:"6" help:"number of engines that form groups; 0 for none"`
 	GroupsMustServe bool          `arg:"--groups-must-serve" help:"count it as a violation if streams of groups are not served at the start or the end"`
 	Callers         int           `arg:"--callers" default:"24" help:"number of callers of streams"`
+	OnlySilences    bool          `arg:"--only-silences" help:"inject only silences of sound upstreams, planned restarts and changes of the configuration"`
 	KeepAll         bool          `arg:"--keep" help:"also keep the folders of seeds without a violation"`
 }
 
@@ -103,13 +104,13 @@
 		return nil, err
 	}
 	c := &callers{region: r}
-	streams := &streamCallers{engines: engines, entryAddresses: addresses(entryLinks), kinds: streamKinds(args.Grouped > 0)}
+	streams := &streamCallers{engines: engines, entryAddresses: addresses(entryLinks), entryLinks: entryLinks, entries: r.entries, kinds: streamKinds(args.Grouped > 0)}
 	if !c.waitServed(startTimeout) || !streams.waitServed("start", streamKinds(false)) {
 		return &result{folder: folder, violations: []string{"the region does not serve at the start"}}, nil
 	}
 	groupsServed := args.Grouped == 0 || streams.waitServed("start-groups", groupKinds())
-	service.faultsActive.Store(true)
-	engines.faultsActive.Store(true)
+	service.faultsActive.Store(!args.OnlySilences)
+	engines.faultsActive.Store(!args.OnlySilences)
 	before := streams.counts.finished.Load()
 	until := time.Now().Add(args.Faults)
 	var all sync.WaitGroup
@@ -119,13 +120,18 @@
 	if args.Grouped > 0 && seed%crashSeedStep == 0 {
 		all.Go(func() { streams.runCrashing(until) })
 	}
-	all.Go(func() { (&concurrentFaults{region: r, engines: engines, entryLinks: entryLinks}).run(seed, until) })
-	(&faults{region: r, service: service, random: faultSource(seed)}).run(until)
+	injected := &concurrentFaults{region: r, engines: engines, service: service, entryLinks: entryLinks}
+	if args.OnlySilences {
+		injected.runSilences(seed, until)
+	} else {
+		all.Go(func() { injected.run(seed, until) })
+		(&faults{region: r, service: service, random: faultSource(seed)}).run(until)
+	}
 	all.Wait()
 	served := streams.counts.finished.Load() - before
 	service.faultsActive.Store(false)
 	engines.faultsActive.Store(false)
-	violations := service.violations(c.answers())
+	violations := append(service.violations(c.answers()), service.givenUp(c.answers())...)
 	if !c.waitServed(endTimeout) {
 		violations = append(violations, "requests are not served again after the faults")
 	}
@@ -145,6 +151,7 @@
 	violations = append(violations, op.violations()...)
 	violations = append(violations, streams.violations()...)
 	violations = append(violations, streams.executedDespiteRefusal()...)
+	violations = append(violations, streams.givenUp()...)
 	violations = append(violations, engines.runs.violations()...)
 	fmt.Printf("seed %d: %s; failures: %s; crashes by a prompt: %d\n", seed, &streams.counts, engines.runs.failureCounts(), engines.crashes.arrivals.Load())
 	logged, err := r.logViolations()
--- a/cmd/mastic-soak/membership.go
+++ b/cmd/mastic-soak/membership.go
@@ -105,14 +105,17 @@
 	return m.group != "" && m.rank == 0 && m.state == groupOpen && m.model == model
 }
 
-// memberLost marks the group as broken if the engine is its head and the member is in it.
-func (m *membership) memberLost(now time.Time, member string) {
+// memberLost marks the group as broken if the engine is its head and the member is in it. It
+// reports whether the member is in the engine's group.
+func (m *membership) memberLost(now time.Time, member string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.applyDue(now)
-	if m.rank == 0 && m.state == groupOpen && slices.Contains(m.members, member) {
+	isMember := slices.Contains(m.members, member)
+	if m.rank == 0 && m.state == groupOpen && isMember {
 		m.state, m.nextState = groupBroken, ""
 	}
+	return isMember
 }
 
 // execute carries out an order on the engine with the ID self and returns the HTTP status
--- a/cmd/mastic-soak/plainservice.go
+++ b/cmd/mastic-soak/plainservice.go
@@ -15,9 +15,11 @@
 // plainService is a fake plain service with two upstreams. It counts the runs of each
 // request.
 type plainService struct {
-	region    *region
-	mu        sync.Mutex
-	runs      map[string]int
+	region *region
+	mu     sync.Mutex
+	runs   map[string]int
+	// broken counts the runs whose connection the upstream closed instead of an answer.
+	broken    map[string]int
 	total     int
 	upstreams []*upstream
 	// faultsActive is true while faults are injected; then one answer in dropOneIn is lost.
@@ -38,15 +40,19 @@
 	dropsAnswers, refuses atomic.Bool
 	// silent suspends announcements.
 	silent atomic.Bool
+	// pauses are the silences of a sound upstream.
+	pauses silence
 }
 
 const (
 	upstreamCount = 2
 	dropOneIn     = 40
+	// headerTimeout is longer than all silences, so that none ends a connection.
+	headerTimeout = 10 * time.Second
 )
 
 func newPlainService(r *region) *plainService {
-	s := &plainService{region: r, runs: map[string]int{}, done: make(chan struct{})}
+	s := &plainService{region: r, runs: map[string]int{}, broken: map[string]int{}, done: make(chan struct{})}
 	for i := range upstreamCount {
 		u := &upstream{service: s, id: fmt.Sprintf("desk-%d", i), startTime: time.Now().UnixMilli()}
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -54,8 +60,8 @@
 			panic(err)
 		}
 		u.addr = listener.Addr().String()
-		u.server = &http.Server{Handler: u, ReadHeaderTimeout: time.Second}
-		go func() { _ = u.server.Serve(listener) }()
+		u.server = &http.Server{Handler: u, ReadHeaderTimeout: headerTimeout}
+		go func() { _ = u.server.Serve(&pausableListener{listener, &u.pauses}) }()
 		s.upstreams = append(s.upstreams, u)
 		s.workers.Go(u.announce)
 	}
@@ -72,20 +78,25 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	if lost := u.service.recordRun(id); lost || u.dropsAnswers.Load() {
+	if u.service.recordRun(id, u.dropsAnswers.Load()) {
 		panic(http.ErrAbortHandler)
 	}
 	// The error is ignored: the client may have disconnected.
 	_, _ = fmt.Fprintf(w, "ran %s", id)
 }
 
-// recordRun counts a run and reports whether its answer is to be dropped.
-func (s *plainService) recordRun(id string) (lost bool) {
+// recordRun counts a run and reports whether its answer is to be dropped: where the upstream
+// drops its answers, and once in dropOneIn runs.
+func (s *plainService) recordRun(id string, drop bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.runs[id]++
 	s.total++
-	return s.faultsActive.Load() && s.total%dropOneIn == 0
+	drop = drop || s.faultsActive.Load() && s.total%dropOneIn == 0
+	if drop {
+		s.broken[id]++
+	}
+	return drop
 }
 
 // announce sends announcements to the keepers in rotation.
@@ -99,6 +110,7 @@
 		case <-u.service.done:
 			return
 		}
+		u.pauses.wait()
 		if u.silent.Load() {
 			continue
 		}
--- a/cmd/mastic-soak/plainservice_test.go
+++ b/cmd/mastic-soak/plainservice_test.go
@@ -14,8 +14,8 @@
 		`again-5 got a wrong answer: "ran again-4"`,
 		"once-6 was answered but did not run",
 	}, s.violations(map[string]answer{
-		"once-1": {200, "ran once-1"}, "once-2": {502, ""}, "once-3": {503, ""}, "again-4": {200, "ran again-4"},
-		"again-5": {200, "ran again-4"}, "once-6": {200, "ran once-6"}, "once-7": {0, ""}, "once-8": {503, ""},
+		"once-1": {status: 200, body: "ran once-1"}, "once-2": {status: 502, body: ""}, "once-3": {status: 503, body: ""}, "again-4": {status: 200, body: "ran again-4"},
+		"again-5": {status: 200, body: "ran again-4"}, "once-6": {status: 200, body: "ran once-6"}, "once-7": {status: 0, body: ""}, "once-8": {status: 503, body: ""},
 	}))
 }
 
--- a/cmd/mastic-soak/region.go
+++ b/cmd/mastic-soak/region.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -32,6 +33,8 @@
 	stopping bool
 	// faultMu is held while a fault is injected into the node.
 	faultMu sync.Mutex
+	// received are the signals that disturbed the node.
+	received []disturbance
 }
 
 // region holds all processes of the system under test.
@@ -91,7 +94,7 @@
 		"internal_port_range": []int{peerPort, peerPort + 3}, "seeds": seeds, "bootstrap": bootstrap,
 		"limits": map[string]int{"memory_mb": 256}, "data_dir": filepath.Join(n.folder, "data"),
 		"heartbeat_interval_ms": announceInterval.Milliseconds(), "fault_tolerance": map[string]int{"machines": 1},
-		"bounds": map[string]float64{"grace_s": 4, "revoke_ms": 5000, "stall_ms": 4000},
+		"bounds": map[string]float64{"grace_s": stopGrace.Seconds(), "revoke_ms": 5000, "stall_ms": 4000},
 	})
 	if err != nil {
 		return err
@@ -122,6 +125,7 @@
 		err := process.Wait()
 		n.mu.Lock()
 		stopping := n.stopping
+		n.endDisturbances()
 		n.mu.Unlock()
 		if !stopping {
 			r.mu.Lock()
@@ -163,10 +167,30 @@
 func (n *node) signal(s syscall.Signal) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if s == syscall.SIGCONT {
+		n.endDisturbances()
+	} else {
+		n.received = append(n.received, disturbance{signal: s, from: time.Now()})
+	}
 	// Fails only if the process has already exited.
 	_ = n.process.Process.Signal(s)
 }
 
+// endDisturbances records that the disturbances have ended; the caller holds the lock.
+func (n *node) endDisturbances() {
+	for i := range n.received {
+		if n.received[i].to.IsZero() {
+			n.received[i].to = time.Now()
+		}
+	}
+}
+
+func (n *node) disturbances() []disturbance {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.Clone(n.received)
+}
+
 // stopWith sends the process a signal and waits for its exit; after stopTimeout it kills
 // the process.
 func (n *node) stopWith(s syscall.Signal) {
@@ -186,7 +210,7 @@
 }
 
 // stopTimeout bounds a planned stop: twice the grace period of the settings.
-const stopTimeout = 8 * time.Second
+const stopTimeout = 2 * stopGrace
 
 // wipe deletes a keeper's data.
 func (n *node) wipe() error {
--- a/cmd/mastic-soak/runlog.go
+++ b/cmd/mastic-soak/runlog.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"time"
 )
 
 // streamRun is one run of a stream on an engine, with what it sent.
@@ -19,7 +20,14 @@
 	base    int
 	events  []string
 	framing framing
-	mu      sync.Mutex
+	// began is when the run began; path is its connection on the engine's link.
+	began time.Time
+	path  *linkConn
+	// fails is true if the run's plan has a failure; engineEnded reports whether the engine or
+	// its group ended between two times.
+	fails       bool
+	engineEnded func(from, to time.Time) bool
+	mu          sync.Mutex
 	// sent is the number of bytes of the events passed to the network.
 	sent int
 	// end describes how the run ended.
@@ -39,6 +47,11 @@
 	r.end = how
 }
 
+// upstreamEnded reports whether the engine or its link ended the run, up to a time.
+func (r *streamRun) upstreamEnded(until time.Time) bool {
+	return r.fails || r.path == nil || r.path.harmed.Load() || r.engineEnded(r.began, until)
+}
+
 // sentPart returns the sent bytes of an event, and whether they are the complete event.
 func (r *streamRun) sentPart(id int) (part string, complete bool) {
 	r.mu.Lock()
--- a/cmd/mastic-soak/streamcallers.go
+++ b/cmd/mastic-soak/streamcallers.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -53,6 +54,8 @@
 	engines *engineSet
 	// entryAddresses are the addresses of the links in front of the entries.
 	entryAddresses []string
+	entryLinks     []*link
+	entries        []*node
 	// kinds are requested in rotation.
 	kinds  []*streamKind
 	counts streamCounts
@@ -61,6 +64,8 @@
 	// notExecuted are the requests that must run at most once and whose answers state that
 	// they were not executed.
 	notExecuted []*attempt
+	// incomplete are the requests without a complete stream.
+	incomplete []*attempt
 }
 
 func (s *streamCallers) violations() []string {
@@ -196,6 +201,11 @@
 		s.notExecuted = append(s.notExecuted, a)
 		s.mu.Unlock()
 	}
+	if a.ending != endedComplete || a.status != http.StatusOK {
+		s.mu.Lock()
+		s.incomplete = append(s.incomplete, a)
+		s.mu.Unlock()
+	}
 	n := &s.counts
 	n.attempts.Add(1)
 	n.events.Add(int64(a.lastEvent() - a.after))
@@ -217,7 +227,12 @@
 // attempt sends one request and records its answer.
 func (c *streamCaller) attempt(a *attempt, disconnect bool) {
 	a.ending = endedBroken
+	a.entry, a.deadline = c.callers.entries[c.entry], streamTimeout
 	err := c.exchange(a, disconnect)
+	a.endedAt, a.callerLeft = time.Now(), errors.Is(err, os.ErrDeadlineExceeded)
+	if c.conn != nil {
+		a.path = c.callers.entryLinks[c.entry].connOf(c.conn.conn.LocalAddr())
+	}
 	malformed, ok := protocolErrorOf(err)
 	switch {
 	case ok:
@@ -246,6 +261,7 @@
 	if err := c.conn.send(a); err != nil {
 		return err
 	}
+	a.sentAt = time.Now()
 	h, err := c.conn.readHead()
 	if err != nil {
 		return err
--- a/cmd/mastic-soak/streamcheck.go
+++ b/cmd/mastic-soak/streamcheck.go
@@ -29,6 +29,13 @@
 	echoedID, signature string
 	body                strings.Builder
 	ending              ending
+	exchange
+	// path is the caller's connection on the entry's link.
+	path *linkConn
+	// callerLeft is true if the caller gave up waiting.
+	callerLeft bool
+	// lastSender is the number of the run that sent the last event; 0 for none.
+	lastSender int
 	// malformed describes bytes that are not a valid answer.
 	malformed string
 }
@@ -61,6 +68,9 @@
 	case a.status == http.StatusOK:
 		c.checkStream()
 	}
+	if c.sender != nil {
+		a.lastSender = c.sender.number
+	}
 	return c.found
 }
 
