Soak: engines fall silent while all others of their service are full; orders cancel streams

An engine cuts its streams at an order to close that cancels, or to leave its group, as the published protocol says; before, the soak could not see groups being dissolved under their streams. A run that an order cancelled counts as one whose upstream did not end.

--- a/cmd/mastic-soak/engines.go
+++ b/cmd/mastic-soak/engines.go
@@ -58,10 +58,13 @@
 	// startTime, in Unix milliseconds, and seq are reset with each incarnation.
 	startTime, seq atomic.Int64
 	inFlight       atomic.Int32
-	// silent suspends announcements; draining announces the state draining.
-	silent, draining atomic.Bool
-	mu               sync.Mutex
-	conns            map[net.Conn]bool
+	// silent suspends announcements; draining announces the state draining; isFull refuses all
+	// requests, which reports do not show.
+	silent, draining, isFull atomic.Bool
+	mu                       sync.Mutex
+	conns                    map[net.Conn]bool
+	// streams are the runs in progress.
+	streams map[net.Conn]*streamRun
 	// pauses are the silences of a sound engine.
 	pauses silence
 	// endTimes are when its incarnation, or that of a member of its group, ended.
@@ -75,7 +78,7 @@
 		if err != nil {
 			return nil, fmt.Errorf("engine %d: %w", i, err)
 		}
-		e := &engine{set: es, id: fmt.Sprintf("engine-%d", i), service: engineService, listener: listener, conns: map[net.Conn]bool{}}
+		e := &engine{set: es, id: fmt.Sprintf("engine-%d", i), service: engineService, listener: listener, conns: map[net.Conn]bool{}, streams: map[net.Conn]*streamRun{}}
 		if i >= single {
 			e.service = groupService
 		}
@@ -135,6 +138,28 @@
 	e.resetConns()
 }
 
+// beginStream registers a run in progress and returns the function that ends it.
+func (e *engine) beginStream(conn net.Conn, r *streamRun) (end func()) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.streams[conn] = r
+	return func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		delete(e.streams, conn)
+	}
+}
+
+// cancelStreams breaks all runs in progress, as an order asked for.
+func (e *engine) cancelStreams() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for conn, r := range e.streams {
+		r.setEnd(endCancelled)
+		reset(conn)
+	}
+}
+
 func (e *engine) recordEnd() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -218,6 +243,8 @@
 		return e.refuse(conn, id, http.StatusServiceUnavailable)
 	case hasCrashingPart(req):
 		return e.crash(conn, id)
+	case e.isFull.Load():
+		return e.refuse(conn, id, http.StatusServiceUnavailable)
 	case e.inFlight.Add(1) > engineSlots:
 		e.inFlight.Add(-1)
 		return e.refuse(conn, id, http.StatusServiceUnavailable)
@@ -321,7 +348,11 @@
 		if err := json.Unmarshal([]byte(body), &o); err != nil {
 			e.set.runs.addUnexpected(fmt.Sprintf("%s got a malformed order: %v", e.id, err))
 		}
+		cancels := e.group.cancelsStreams(o)
 		status, fields = e.group.execute(time.Now(), o, e.id), map[string]any{}
+		if cancels && status == http.StatusOK {
+			e.cancelStreams()
+		}
 	default:
 		status = http.StatusNotFound
 	}
--- a/cmd/mastic-soak/enginestreams.go
+++ b/cmd/mastic-soak/enginestreams.go
@@ -36,6 +36,7 @@
 		r.status = http.StatusInternalServerError
 	}
 	l.add(r)
+	defer e.beginStream(conn, r)()
 	if !p.fails {
 		return e.write(conn, r, &p)
 	}
@@ -133,7 +134,7 @@
 		head += "Connection: close\r\n"
 	}
 	if _, err := conn.Write([]byte(head + "\r\n")); err != nil {
-		r.setEnd("client disconnected")
+		r.recordClientDisconnect()
 		return err
 	}
 	for rest := text[:p.cut]; rest != ""; {
@@ -141,7 +142,7 @@
 		rest = rest[len(piece):]
 		r.addSent(len(piece))
 		if _, err := conn.Write([]byte(p.frame(piece, rest == ""))); err != nil {
-			r.setEnd("client disconnected")
+			r.recordClientDisconnect()
 			return err
 		}
 		if rest != "" {
--- a/cmd/mastic-soak/givenup.go
+++ b/cmd/mastic-soak/givenup.go
@@ -18,7 +18,7 @@
 	// unreadTime is the time after which an entry has read a request: a connection that ends
 	// sooner without an answer may have been closed before the entry read the request.
 	unreadTime = 500 * time.Millisecond
-	// rejectionTime bounds the time in which an entry rejects the first event of a run.
+	// rejectionTime bounds the time from a run's first event to the entry's answer that rejects it.
 	rejectionTime = 300 * time.Millisecond
 )
 
@@ -70,10 +70,13 @@
 	})
 }
 
-// isUnverifiable reports whether the entry rejected a stream that its caller resumed: an entry that
-// has not seen yet by which step the service numbers its events takes the next one for a gap.
-func (a *attempt) isUnverifiable() bool {
-	return a.after > 0 && a.kind.step > 1 && a.status == http.StatusBadGateway && a.endedAt.Sub(a.sentAt) < rejectionTime
+// isRejected reports whether the entry rejected the first event of a stream that its caller
+// resumed: an entry that has not seen yet by which step the service numbers its events takes the
+// next one for a gap.
+func (a *attempt) isRejected(runs []*streamRun) bool {
+	return a.after > 0 && a.kind.step > 1 && a.status == http.StatusBadGateway && slices.ContainsFunc(runs, func(r *streamRun) bool {
+		return r.beganSending(a.endedAt.Add(-rejectionTime), a.endedAt)
+	})
 }
 
 // givenUp describes a stream that ended although an upstream still ran it, or a request that got
@@ -81,7 +84,7 @@
 func (a *attempt) givenUp(runs []*streamRun) string {
 	switch {
 	case a.ending == endedComplete && a.status == http.StatusOK, a.ending == endedDisconnected, a.callerLeft,
-		a.path != nil && a.path.harmed.Load(), a.isExcused(), a.isUnverifiable():
+		a.path != nil && a.path.harmed.Load(), a.isExcused(), a.isRejected(runs):
 		return ""
 	}
 	for _, r := range runs {
--- a/cmd/mastic-soak/membership.go
+++ b/cmd/mastic-soak/membership.go
@@ -27,6 +27,7 @@
 // order is the body of a keeper's order to an engine.
 type order struct {
 	Op       string   `json:"op"`
+	Mode     string   `json:"mode"`
 	Group    string   `json:"group"`
 	Epoch    uint64   `json:"epoch"`
 	Model    string   `json:"model"`
@@ -160,6 +161,14 @@
 	}
 }
 
+// cancelsStreams reports whether an order ends the streams that the engine serves as the head of its
+// group.
+func (m *membership) cancelsStreams(o order) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.matches(o) && m.rank == 0 && (o.Op == "leave" || o.Op == "close" && o.Mode == "cancel")
+}
+
 // matches reports whether an order names the engine's current group and epoch.
 func (m *membership) matches(o order) bool {
 	return m.group != "" && o.Group == m.group && o.Epoch == m.epoch
--- a/cmd/mastic-soak/membership_test.go
+++ b/cmd/mastic-soak/membership_test.go
@@ -49,3 +49,20 @@
 	assert.Equal(t, 200, m.execute(now, order{Op: "leave", Group: "g", Epoch: 1}, "b"))
 	assert.Equal(t, 409, m.execute(now, order{Op: "leave", Group: "g", Epoch: 1}, "b"))
 }
+
+func TestOrdersThatCancelStreams(t *testing.T) {
+	for name, row := range map[string]struct {
+		order   order
+		rank    int
+		cancels bool
+	}{
+		"close, waiting":      {order{Op: "close", Mode: "wait", Group: "g", Epoch: 2}, 0, false},
+		"close, cancelling":   {order{Op: "close", Mode: "cancel", Group: "g", Epoch: 2}, 0, true},
+		"leave":               {order{Op: "leave", Group: "g", Epoch: 2}, 0, true},
+		"leave, not the head": {order{Op: "leave", Group: "g", Epoch: 2}, 1, false},
+		"of another epoch":    {order{Op: "leave", Group: "g", Epoch: 1}, 0, false},
+	} {
+		m := membership{group: "g", epoch: 2, rank: row.rank}
+		assert.Equal(t, row.cancels, m.cancelsStreams(row.order), name)
+	}
+}
--- a/cmd/mastic-soak/runlog.go
+++ b/cmd/mastic-soak/runlog.go
@@ -28,8 +28,10 @@
 	fails       bool
 	engineEnded func(from, to time.Time) bool
 	mu          sync.Mutex
-	// sent is the number of bytes of the events passed to the network.
-	sent int
+	// sent is the number of bytes of the events passed to the network, firstSentAt when the
+	// first of them were.
+	sent        int
+	firstSentAt time.Time
 	// end describes how the run ended.
 	end string
 }
@@ -38,9 +40,32 @@
 func (r *streamRun) addSent(bytes int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.sent == 0 {
+		r.firstSentAt = time.Now()
+	}
 	r.sent += bytes
 }
 
+// beganSending reports whether the run sent its first bytes between two times.
+func (r *streamRun) beganSending(from, to time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.firstSentAt.Before(from) && !r.firstSentAt.After(to)
+}
+
+// endCancelled is how a run ended that an order of a keeper cancelled.
+const endCancelled = "cancelled by an order"
+
+// recordClientDisconnect records that the client closed the connection, unless an order ended the
+// run.
+func (r *streamRun) recordClientDisconnect() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.end != endCancelled {
+		r.end = "client disconnected"
+	}
+}
+
 func (r *streamRun) setEnd(how string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/cmd/mastic-soak/silence.go
+++ b/cmd/mastic-soak/silence.go
@@ -99,7 +99,7 @@
 	var all sync.WaitGroup
 	for _, f := range c.sequences(seed, "silences", silenceSequences) {
 		all.Go(func() {
-			f.runSequence(until, []func(){f.pauseSome, f.pauseSeries, f.pauseSome, f.pauseSeries, f.hangup, f.term})
+			f.runSequence(until, []func(){f.pauseSome, f.pauseSeries, f.pauseBesideFull, f.pauseBesideFull, f.hangup, f.term})
 		})
 	}
 	all.Wait()
@@ -139,5 +139,20 @@
 	}
 }
 
+// pauseBesideFull silences one engine while all others of its service refuse requests.
+func (f *faultSequence) pauseBesideFull() {
+	silent := f.engine()
+	setFull := func(full bool) {
+		for _, e := range f.concurrent.engines.all {
+			e.isFull.Store(full && e != silent && e.service == silent.service)
+		}
+	}
+	d := f.silenceTime()
+	silent.pauses.begin(d)
+	setFull(true)
+	time.Sleep(d)
+	setFull(false)
+}
+
 // hangup tells an entry that its settings file may have changed.
 func (f *faultSequence) hangup() { f.entry().signal(syscall.SIGHUP) }
