--- a/pkg/forward/crashes.go
+++ b/pkg/forward/crashes.go
@@ -64,10 +64,10 @@
 	return err.Sent && err.Reason == dispatch.Truncated && r.eventCount() <= beginningEvents
 }
 
-// newSuspect describes a request whose send broke with the given run. An engine sends the header of
+// newSuspect describes a request whose given send broke with the given run. An engine sends the header of
 // its answer when it begins it; a plain upstream only when the answer is made.
-func (s *session) newSuspect(r *upstreamRun) suspect {
-	found := suspect{requestID: s.request.id, content: s.request.content, at: s.entry.opts.EvidenceClock(), ran: time.Since(s.sentAt)}
+func (s *session) newSuspect(failed send, r *upstreamRun) suspect {
+	found := suspect{requestID: s.request.id, content: s.request.content, at: s.entry.opts.EvidenceClock(), ran: time.Since(failed.at)}
 	if r != nil || s.request.service.Engine == nil {
 		found.contents = s.request.contents
 	}
@@ -171,18 +171,25 @@
 	report.Changes(e.opts.EvidenceClock(), e.crashes, e.opts.Metrics, e.opts.Log)
 }
 
-// cancelWhenQuarantined returns a context for one send, which ends if the request is quarantined
-// before stop is called: an upstream that has not begun to run it then never does. A run-once
-// request is left to its upstream, as it could not be sent again.
-func (s *session) cancelWhenQuarantined() (ctx context.Context, stop func()) {
+// unansweredSend is a send to an upstream that has not begun the answer.
+type unansweredSend struct {
+	contents []string
+	cancel   context.CancelCauseFunc
+}
+
+// cancelWhenQuarantined returns a context for one send, which ends with the given one, or if the
+// request is quarantined before stop is called: an upstream that has not begun to run it then never
+// does. A run-once request is left to its upstream, as it could not be sent again.
+func (s *session) cancelWhenQuarantined(parent context.Context) (ctx context.Context, stop func()) {
 	if s.request.route.Idempotency == document.AtMostOnce {
-		return s.ctx, func() {}
+		return parent, func() {}
 	}
 	e := s.entry
-	ctx, cancel := context.WithCancelCause(s.ctx)
+	ctx, cancel := context.WithCancelCause(parent)
+	u := &unansweredSend{s.request.contents, cancel}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.unanswered[s] = cancel
+	e.unanswered[u] = struct{}{}
 	if _, quarantined := e.crashes.Check(e.opts.EvidenceClock(), s.request.contents); quarantined {
 		// The quarantine began after the request got its target.
 		cancel(errQuarantined)
@@ -190,7 +197,7 @@
 	return ctx, func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		delete(e.unanswered, s)
+		delete(e.unanswered, u)
 	}
 }
 
@@ -211,9 +218,9 @@
 			w.granted <- nil
 		}
 	}
-	for s, cancel := range e.unanswered {
-		if _, quarantined := e.crashes.Check(now, s.request.contents); quarantined {
-			cancel(errQuarantined)
+	for u := range e.unanswered {
+		if _, quarantined := e.crashes.Check(now, u.contents); quarantined {
+			u.cancel(errQuarantined)
 		}
 	}
 }
--- a/pkg/forward/runs_test.go
+++ b/pkg/forward/runs_test.go
@@ -12,6 +12,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -101,14 +102,18 @@
 	mayEndBroken bool
 	// plan sets the events, writes and end of a run.
 	plan func(r *engineRun)
+	// mu guards runs and the plan: a silent run and its successors begin beside each other.
+	mu   sync.Mutex
 	runs []*engineRun
 }
 
 // serve is the script of all upstreams; each request is the next run.
 func (s *sequence) serve(req *http.Request, _ string, conn net.Conn) (string, bool) {
+	s.mu.Lock()
 	r := &engineRun{number: len(s.runs) + 1, lastEventID: req.Header.Get("Last-Event-Id"), status: http.StatusOK}
 	s.plan(r)
 	s.runs = append(s.runs, r)
+	s.mu.Unlock()
 	if r.connEnd == reset {
 		conn.(*upstreamSide).entrySide.reset.Store(true)
 	}
