Isolation: large services, and upstreams that were wrongly taken for ended

An upstream that refused one entry's connections (a cut that refuses) was ranked behind all others at every entry for the hour that evidence counts: it is known to have ended for 10 s, and counts as alive once it answers. After many upstreams of a large service ended together, an entry's suspects went one at a time: one for each eight healthy upstreams now. The check of each target against all crashes is a look-up.

--- a/pkg/forward/crashes.go
+++ b/pkg/forward/crashes.go
@@ -208,7 +208,7 @@
 // or became suspects, and the unanswered sends of quarantined ones; the caller holds the lock.
 func (e *Entry) applyQuarantines(now time.Time) {
 	report.Changes(now, e.crashes, e.opts.Metrics, e.opts.Log)
-	e.placer.MarkCrashed(e.crashes.Crashed)
+	e.markCrashed(now)
 	for id, w := range e.waiters {
 		if !e.mustExamine(now, &w) {
 			continue
@@ -225,6 +225,11 @@
 	}
 }
 
+// markCrashed has the placer know which incarnations have ended; the caller holds the lock.
+func (e *Entry) markCrashed(now time.Time) {
+	e.placer.MarkCrashed(func(id string, startTime uint64) bool { return e.crashes.Crashed(now, id, startTime) })
+}
+
 // mustExamine reports whether a waiting request was quarantined, or became a suspect that waits for a
 // target of ordinary requests.
 func (e *Entry) mustExamine(now time.Time, w *waiter) bool {
--- a/pkg/forward/crashing_requests_simulation_test.go
+++ b/pkg/forward/crashing_requests_simulation_test.go
@@ -99,6 +99,10 @@
 	waiters map[uint64]*simRequest
 }
 
+func (n *simNode) markCrashed(now time.Time) {
+	n.placer.MarkCrashed(func(id string, startTime uint64) bool { return n.table.Crashed(now, id, startTime) })
+}
+
 type simMessage struct {
 	at       int
 	from, to *simNode
@@ -411,7 +415,7 @@
 	if e.placer == nil {
 		return
 	}
-	e.placer.MarkCrashed(e.table.Crashed)
+	e.markCrashed(s.now())
 	for _, id := range slices.Sorted(maps.Keys(e.waiters)) {
 		r := e.waiters[id]
 		_, refused := e.table.Check(s.now(), []string{r.content})
@@ -461,7 +465,7 @@
 	s.view = all
 	for _, e := range s.entries {
 		grants := e.placer.Update(s.now(), current)
-		e.placer.MarkCrashed(e.table.Crashed)
+		e.markCrashed(s.now())
 		s.deliver(e, grants)
 	}
 }
--- a/pkg/forward/entry.go
+++ b/pkg/forward/entry.go
@@ -148,7 +148,7 @@
 	now := boottime.Now()
 	e.retryBudget.update(now, v)
 	grants := e.placer.Update(now, v)
-	e.placer.MarkCrashed(e.crashes.Crashed)
+	e.markCrashed(e.opts.EvidenceClock())
 	e.deliver(grants)
 }
 
--- a/pkg/forward/isolation.go
+++ b/pkg/forward/isolation.go
@@ -8,8 +8,10 @@
 )
 
 const (
-	// maxIsolated is the number of isolated requests of a service that an entry has in flight.
-	maxIsolated = 1
+	// upstreamsPerIsolated is the number of healthy upstreams of a service for which an entry has
+	// one isolated request in flight; it always has one. After many upstreams ended together, one at
+	// a time would take too long.
+	upstreamsPerIsolated = 8
 	// minOtherUpstreams is the number of healthy upstreams that a service keeps beside the one
 	// for isolated requests.
 	minOtherUpstreams = 1
@@ -65,17 +67,17 @@
 }
 
 // MarkCrashed has crashed tell which incarnations of plain upstreams have ended. Isolated requests are
-// not sent there, others only where nothing else is left: one that refuses another entry's
-// connections may still answer this one.
+// not sent there, others only where nothing else is left. One that refused another entry's
+// connections may still answer this one, and then counts as alive.
 func (p *Placer) MarkCrashed(crashed func(id string, startTime uint64) bool) {
 	for _, s := range p.targets {
-		s.crashed = s.target.Group == "" && crashed(s.target.ID, s.target.StartTime)
+		s.crashed = s.target.Group == "" && !s.answeredAfterCrash && crashed(s.target.ID, s.target.StartTime)
 	}
 }
 
-// isolationTarget returns the upstream for a service's isolated requests, the same at all entries
-// with the same view; nil when too few others would be left.
-func (p *Placer) isolationTarget(now time.Time, service string, excluded []string) *targetState {
+// isolationTargets returns the healthy upstreams of a plain service in an order that is the same at
+// all entries with the same view; none when an isolated request would leave too few others.
+func (p *Placer) isolationTargets(now time.Time, service string) []*targetState {
 	current, healthy := 0, []*targetState(nil)
 	for _, key := range p.targetKeys {
 		s := p.targets[key]
@@ -91,22 +93,26 @@
 	if len(healthy) <= minOtherUpstreams && !sole {
 		return nil
 	}
+	return healthy
+}
+
+// isolationTarget returns the upstream for an isolated request, and how many of them this entry may
+// have in flight; nil when the request is refused.
+func (p *Placer) isolationTarget(now time.Time, w *Work) (*targetState, int) {
+	healthy := p.isolationTargets(now, w.Service)
 	for _, s := range healthy {
-		if !slices.Contains(excluded, s.target.ID) {
-			return s
+		if !slices.Contains(w.Excluded, s.target.ID) {
+			return s, max(len(healthy)/upstreamsPerIsolated, 1)
 		}
 	}
-	return nil
+	return nil, 0
 }
 
 // pickIsolated returns the upstream for an isolated request; nil when the request waits or is
 // refused.
 func (p *Placer) pickIsolated(now time.Time, w *Work) *targetState {
-	if p.isolationOf(w.Service).inFlight >= maxIsolated {
-		return nil
-	}
-	s := p.isolationTarget(now, w.Service, w.Excluded)
-	if s == nil || now.Before(s.backoffUntil) || s.load(1) >= float64(s.limit()) {
+	s, limit := p.isolationTarget(now, w)
+	if s == nil || p.isolationOf(w.Service).inFlight >= limit || now.Before(s.backoffUntil) || s.load(1) >= float64(s.limit()) {
 		return nil
 	}
 	return s
@@ -119,7 +125,8 @@
 	if i == nil || i.inFlight == 0 && !now.Before(i.avoidUntil) {
 		return nil
 	}
-	return p.isolationTarget(now, service, nil)
+	s, _ := p.isolationTarget(now, &Work{Service: service})
+	return s
 }
 
 // ReleaseIsolated frees the slot of an isolated request at its target.
--- a/pkg/forward/isolation_test.go
+++ b/pkg/forward/isolation_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -97,3 +98,30 @@
 	p.Update(start, &attach.View{Targets: []attach.Target{plainTarget("a", "fd-a")}})
 	assert.Equal(t, "a", p.Submit(start, deskWork(1, true)).Target.ID)
 }
+
+// Guards against an upstream that gets no work as another entry can't reach it.
+func TestUpstreamThatAnswersHasNotCrashed(t *testing.T) {
+	two := &attach.View{Targets: []attach.Target{plainTarget("a", "fd-a"), plainTarget("b", "fd-b")}}
+	p := NewPlacer("fd-a", rand.New(rand.NewPCG(1, 1)))
+	p.Update(start, two)
+	markCrashed(p, "a")
+	assert.Equal(t, "b", p.Submit(start, deskWork(1, false)).Target.ID)
+	p.RecordAnswer(start, &two.Targets[0])
+	markCrashed(p, "a")
+	assert.Equal(t, "a", p.Submit(start, deskWork(2, false)).Target.ID)
+	assert.Equal(t, "a", p.Submit(start, deskWork(3, true)).Target.ID)
+}
+
+// Guards against suspects that wait in vain after many upstreams of a large service ended together.
+func TestLargeServicesServeSeveralSuspectsAtOnce(t *testing.T) {
+	v := &attach.View{}
+	for i := range 3 * upstreamsPerIsolated {
+		v.Targets = append(v.Targets, plainTarget(fmt.Sprintf("u-%02d", i), "fd-a"))
+	}
+	p := NewPlacer("fd-a", rand.New(rand.NewPCG(1, 1)))
+	p.Update(start, v)
+	for id := range uint64(3) {
+		assert.Equal(t, "u-00", p.Submit(start, deskWork(id, true)).Target.ID)
+	}
+	assert.True(t, p.Submit(start, deskWork(3, true)).Waiting)
+}
--- a/pkg/forward/placer.go
+++ b/pkg/forward/placer.go
@@ -115,6 +115,8 @@
 	consecutiveFailures int
 	// crashed is true when this incarnation is known to have ended.
 	crashed bool
+	// answeredAfterCrash is true once it has answered although it was known to have ended.
+	answeredAfterCrash bool
 	// seenInView is the number of the latest view that contained the target.
 	seenInView uint64
 }
@@ -287,6 +289,7 @@
 func (p *Placer) RecordAnswer(now time.Time, t *attach.Target) {
 	if s := p.stateOf(t); s != nil {
 		s.answeredAt, s.backoffUntil, s.consecutiveFailures = now, time.Time{}, 0
+		s.answeredAfterCrash, s.crashed = s.answeredAfterCrash || s.crashed, false
 	}
 }
 
@@ -443,10 +446,8 @@
 // capacity is the number of requests that the eligible targets of a request accept at once.
 func (p *Placer) capacity(now time.Time, w *Work) int {
 	if w.Isolated {
-		if p.isolationTarget(now, w.Service, w.Excluded) == nil {
-			return 0
-		}
-		return maxIsolated
+		_, limit := p.isolationTarget(now, w)
+		return limit
 	}
 	total := 0
 	for _, s := range p.targets {
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -37,6 +37,9 @@
 	// QuarantineTime is how long a content stays quarantined after its last crash. After that
 	// requests with it are sent again, and one more crash quarantines it again.
 	QuarantineTime = 10 * time.Minute
+	// endedTime is how long an incarnation is known to have ended: longer than it takes until the
+	// views of all nodes lack it.
+	endedTime = 10 * time.Second
 	// evidenceTime is how long a crash counts.
 	evidenceTime = time.Hour
 	// maxCrashes bounds the recorded crashes. Those without a content that was in
@@ -131,6 +134,8 @@
 	// to be derived again.
 	suspects map[string]Finding
 	findings map[string]Finding
+	// ended is when each incarnation was first noticed to have ended.
+	ended    map[incarnation]time.Time
 	examined bool
 	// reported are the contents that Changes reported as quarantined.
 	reported map[string]Finding
@@ -259,14 +264,12 @@
 // holdSpread is the number of steps by which the hold times of two requests may differ.
 const holdSpread = 64
 
-// Crashed reports whether an upstream's incarnation is known to have ended.
-func (t *Table) Crashed(upstream string, startTime uint64) bool {
-	for _, c := range t.crashes {
-		if c.Upstream == upstream && c.StartTime == startTime {
-			return true
-		}
-	}
-	return false
+// Crashed reports whether an upstream's incarnation is known to have ended within endedTime: after
+// that its announcements have stopped, or it lives and refused a connection for another reason.
+func (t *Table) Crashed(now time.Time, upstream string, startTime uint64) bool {
+	t.examine()
+	at, ended := t.ended[incarnation{upstream, startTime}]
+	return ended && now.Sub(at) < endedTime
 }
 
 // Since returns the evidence that was added after a version of the table, and its version now.
@@ -395,13 +398,6 @@
 
 // crashSets returns the crashes since the last success of each content.
 func (t *Table) crashSets() map[string]crashSet {
-	// Nodes notice the end of an incarnation at different times; the first one counts.
-	ended := map[incarnation]time.Time{}
-	for _, c := range t.crashes {
-		if at, known := ended[c.incarnation()]; !known || c.At.Before(at) {
-			ended[c.incarnation()] = c.At
-		}
-	}
 	sets := map[string]crashSet{}
 	for _, c := range t.crashes {
 		for _, content := range c.withService() {
@@ -412,7 +408,7 @@
 				sets[content] = crashSet{}
 			}
 			times := sets[content][c.incarnation()]
-			times.at = ended[c.incarnation()]
+			times.at = t.ended[c.incarnation()]
 			if sentAt := c.At.Add(-c.Ran); c.Ran > 0 && sentAt.After(times.sentAt) {
 				times.sentAt = sentAt
 			}
@@ -423,6 +419,13 @@
 }
 
 func (t *Table) derive() {
+	// Nodes notice the end of an incarnation at different times; the first one counts.
+	t.ended = map[incarnation]time.Time{}
+	for _, c := range t.crashes {
+		if at, known := t.ended[c.incarnation()]; !known || c.At.Before(at) {
+			t.ended[c.incarnation()] = c.At
+		}
+	}
 	sets := t.crashSets()
 	t.suspects, t.findings = map[string]Finding{}, map[string]Finding{}
 	explanations := map[string]Finding{}
--- a/pkg/quarantine/table_test.go
+++ b/pkg/quarantine/table_test.go
@@ -343,6 +343,14 @@
 	}
 }
 
+// Guards against an upstream that is taken for ended for an hour because it refused a connection.
+func TestIncarnationIsKnownToHaveEndedForATime(t *testing.T) {
+	table := plainTable(crash(1, "a", soundRequest))
+	assert.True(t, table.Crashed(at(2), "a", 1))
+	assert.False(t, table.Crashed(at(2), "a", 2), "another incarnation")
+	assert.False(t, table.Crashed(at(1+endedTime.Seconds()), "a", 1))
+}
+
 // Guards against successes of another service that make a failing service look sound.
 func TestSuccessesOfOtherServicesRefuteNothing(t *testing.T) {
 	for service, quarantined := range map[string]bool{"engines": false, "desk": true} {
