--- a/pkg/gateway/harness_test.go
+++ b/pkg/gateway/harness_test.go
@@ -301,3 +301,15 @@
 	}
 	return b.String()
 }
+
+// holdingScheduler reports the first request that waits and holds it until held is closed.
+type holdingScheduler struct {
+	scheduling.Scheduler
+	queued, held chan struct{}
+}
+
+func (s *holdingScheduler) Acquire(ctx context.Context, req scheduling.Request) (scheduling.Assignment, error) {
+	close(s.queued)
+	<-s.held
+	return s.Scheduler.Acquire(ctx, req)
+}
