gateway: a panic in a stream or an attempt ends only its request

What callers saw (not seen yet, found while listing the ways in which a request ends): a panic while a stream is written, or in a hedge, ends the process, and with it every request in flight without answer or refusal.

Cause: fasthttp writes streams, and hedges run, in goroutines of their own, which the middleware that recovers panics does not cover.

Evidence: the new test on the code before ends the test's process:

panic: in the scheduler goroutine 23 [running]: ... gateway.(*session).acquire ... gateway.(*session).writeStream ... fasthttp.NewStreamReader.func1()

Change: the writer of a stream recovers, ends it with an error event of unknown outcome and releases its slot; an attempt that runs beside another one fails instead. Both log request_panicked with the stack.

--- a/pkg/gateway/hedge.go
+++ b/pkg/gateway/hedge.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/masticmount/masticmount/pkg/dispatch"
+	"github.com/masticmount/masticmount/pkg/scheduling"
 )
 
 // sendHedged makes an attempt and, if its first token or its answer is late, hedges
@@ -19,7 +20,9 @@
 	results := make(chan result, 2)
 	s.attempts++
 	primaryCall := s.addressCall(call, primary, s.attempts)
-	go func() { results <- s.sendUntilFirstToken(primary, primaryCall, 0) }()
+	go func() {
+		results <- s.recovered(primary, func(*result) result { return s.sendUntilFirstToken(primary, primaryCall, 0) })
+	}()
 	hedgeTimer := time.NewTimer(primary.assignment.HedgeAfter)
 	defer hedgeTimer.Stop()
 	select {
@@ -33,15 +36,35 @@
 	request := s.schedulingRequest([]string{primary.assignment.Group.Name})
 	request.Hedge = true
 	go func() {
-		assignment, err := s.g.opts.Scheduler.Acquire(hedgeCtx, request)
+		results <- s.acquireAndSend(hedgeCtx, request, call, number, 0)
+	}()
+	return firstSuccess(primary, results, cancelHedge)
+}
+
+// acquireAndSend makes an attempt beside another one and reads a stream up to its first token.
+func (s *session) acquireAndSend(ctx context.Context, request scheduling.Request, call dispatch.Call, number, from int) result {
+	return s.recovered(nil, func(r *result) result {
+		assignment, err := s.g.opts.Scheduler.Acquire(ctx, request)
 		if err != nil {
-			results <- result{err: err}
-			return
+			return result{err: err}
+		}
+		r.slot = s.newSlot(ctx, assignment)
+		return s.sendUntilFirstToken(r.slot, s.addressCall(call, r.slot, number), from)
+	})
+}
+
+// recovered returns the result of an attempt, or a failure if it panics: it runs in a goroutine of its
+// own, where a panic would end the process. The failure has the slot, or the one that the attempt has
+// set in its argument.
+func (s *session) recovered(sl *slot, attempt func(r *result) result) (r result) {
+	failure := result{slot: sl, err: &dispatch.CallError{Reason: dispatch.Failed, Sent: true}}
+	defer func() {
+		if cause := recover(); cause != nil {
+			_ = s.panicError(cause)
+			r = failure
 		}
-		sl := s.newSlot(hedgeCtx, assignment)
-		results <- s.sendUntilFirstToken(sl, s.addressCall(call, sl, number), 0)
 	}()
-	return firstSuccess(primary, results, cancelHedge)
+	return attempt(&failure)
 }
 
 // succeeded reports whether the attempt has an answer that another attempt need not be awaited
--- a/pkg/gateway/regression_test.go
+++ b/pkg/gateway/regression_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"runtime"
 	"sync/atomic"
 	"testing"
 
@@ -106,3 +107,49 @@
 		}
 	}
 }
+
+// laterPanickingScheduler panics in every call of Acquire after the first.
+type laterPanickingScheduler struct {
+	scheduling.Scheduler
+	calls atomic.Int32
+}
+
+func (s *laterPanickingScheduler) Acquire(ctx context.Context, req scheduling.Request) (scheduling.Assignment, error) {
+	if s.calls.Add(1) > 1 {
+		panic("in the scheduler")
+	}
+	return s.Scheduler.Acquire(ctx, req)
+}
+
+// A panic while a stream is resumed must not end the process, with all its requests, nor end the
+// stream without an error.
+func TestPanicInStreamEndsOnlyItsRequest(t *testing.T) {
+	for name, test := range map[string]struct {
+		faults fakes.Faults
+		pause  bool
+	}{
+		"resuming":             {faults: fakes.Faults{SkipToken: 5}},
+		"starting a successor": {pause: true},
+	} {
+		scheduler := &laterPanickingScheduler{}
+		h := newHarness(t, func(o *Options) {
+			scheduler.Scheduler, o.Scheduler = o.Scheduler, scheduler
+		})
+		h.gw.stallTimeout = testStallTimeout
+		h.addEngine("g1", test.faults, func(ctx context.Context, token int) {
+			if token == 5 && test.pause {
+				for scheduler.calls.Load() < 2 {
+					runtime.Gosched()
+				}
+			}
+		})
+		a := h.chat(true, 9)
+		if test.pause {
+			h.requireCompleteStream(a, 9)
+		} else {
+			require.Contains(t, a.body, "event: error", name)
+			require.Contains(t, a.body, `"internal"`, name)
+		}
+		require.Zero(t, h.gw.Drain(context.Background()), name)
+	}
+}
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"errors"
 	"io"
+	"runtime/debug"
 	"time"
 
 	"github.com/gofiber/fiber/v3"
+	"github.com/rotisserie/eris"
 
 	"github.com/masticmount/masticmount/pkg/dispatch"
 	"github.com/masticmount/masticmount/pkg/fault"
@@ -36,10 +38,29 @@
 	streaming = true
 	return c.SendStreamWriter(func(w *bufio.Writer) {
 		defer s.close()
+		defer s.recoverStream(w)
 		s.writeStream(w, first)
 	})
 }
 
+// recoverStream ends an open stream with an error after a panic, which would end the process: the
+// stream is written outside of the handler, where no middleware recovers.
+func (s *session) recoverStream(w *bufio.Writer) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	s.refusal = fault.From(s.panicError(cause))
+	s.writeStreamError(w)
+}
+
+// panicError logs a panic and returns it as an error.
+func (s *session) panicError(cause any) error {
+	err := eris.Errorf("panic: %v", cause)
+	s.g.opts.Log.Error().Err(err).Str("request_id", s.req.id).Bytes("stack", debug.Stack()).Msg("request_panicked")
+	return err
+}
+
 // writeStream writes the stream's events to the client until the stream ends.
 func (s *session) writeStream(w *bufio.Writer, event dispatch.Event) {
 	for {
--- a/pkg/gateway/successor.go
+++ b/pkg/gateway/successor.go
@@ -57,13 +57,7 @@
 	request := s.schedulingRequest(a.Exclude)
 	request.Resumed = a.ResumeFrom
 	go func() {
-		assignment, err := s.g.opts.Scheduler.Acquire(ctx, request)
-		if err != nil {
-			sc.result <- result{err: err}
-			return
-		}
-		sl := s.newSlot(ctx, assignment)
-		r := s.sendUntilFirstToken(sl, s.addressCall(call, sl, number), a.ResumeFrom)
+		r := s.acquireAndSend(ctx, request, call, number, a.ResumeFrom)
 		if r.err == nil && r.stream == nil {
 			r.answer, r.err = nil, &dispatch.CallError{Reason: dispatch.Malformed, Address: r.address, Sent: true}
 		}
