gateway: two tests of answers that have not begun no longer depend on the first event

TestStopRefusesRequestsWithoutAnswer failed once in four runs with the race detector (200 with an error event in place of 503), in the run before was committed: the fake engine's first event, the role, could reach the caller before the stop. TestRequestOfBrokenGroupIsRefusedBefore- ItsAnswerBegins had the same gap.

--- a/pkg/gateway/answer_given_up_test.go
+++ b/pkg/gateway/answer_given_up_test.go
@@ -117,10 +117,8 @@
 func TestRequestOfBrokenGroupIsRefusedBeforeItsAnswerBegins(t *testing.T) {
 	for _, stream := range []bool{true, false} {
 		h := newHarness(t)
-		var once sync.Once
-		h.addEngine("g1", fakes.Faults{}, func(ctx context.Context, _ int) {
-			once.Do(func() { h.changeGroup("g1", func(g *domain.Group) { g.Whole = false }) })
-			<-ctx.Done()
+		h.addUnansweredGroup("g1", func() {
+			h.changeGroup("g1", func(g *domain.Group) { g.Whole = false })
 		})
 		a := h.chat(stream, 12)
 		require.Equal(t, http.StatusServiceUnavailable, a.status, a.body)
--- a/pkg/gateway/harness_test.go
+++ b/pkg/gateway/harness_test.go
@@ -313,3 +313,16 @@
 	<-s.held
 	return s.Scheduler.Acquire(ctx, req)
 }
+
+// addUnansweredGroup adds a group whose head calls onRequest for each request and never answers.
+func (h *harness) addUnansweredGroup(name string, onRequest func()) {
+	testEnds := make(chan struct{})
+	app := fiber.New()
+	app.Post(chatPath, func(c fiber.Ctx) error {
+		onRequest()
+		<-testEnds
+		return c.SendStatus(http.StatusOK)
+	})
+	h.addGroup(name, "captioner", "captions", api.UpstreamEngine, app)
+	h.t.Cleanup(func() { close(testEnds) })
+}
--- a/pkg/gateway/stop_test.go
+++ b/pkg/gateway/stop_test.go
@@ -81,12 +81,7 @@
 	for _, stream := range []bool{true, false} {
 		h := newHarness(t)
 		running := make(chan struct{})
-		h.addEngine("g1", fakes.Faults{}, func(ctx context.Context, token int) {
-			if token == 0 {
-				close(running)
-			}
-			<-ctx.Done()
-		})
+		h.addUnansweredGroup("g1", func() { close(running) })
 		second := h.addEngine("g2", fakes.Faults{}, nil)
 		h.requireStopping(h.stopWhile(running, func() answer { return h.chat(stream, 9) }), fault.Unknown)
 		require.Zero(t, second.Finished(), "no other group is tried")
