gateway: a stop does not wait until the claim of a refused request is settled

Evidence: the new test on the code before:

--- FAIL: TestStopDoesNotWaitForSettlement (5.01s): requests that get neither an answer nor a refusal: should be zero, but was 1

Change: the settlement depends on the gateway's context. When that is canceled, claims.Replicated queues the step and sends it again, at the latest when the node's background tasks end.

--- a/pkg/gateway/claim.go
+++ b/pkg/gateway/claim.go
@@ -47,9 +47,9 @@
 }
 
 // settle moves the claim to its final state. If that fails, the key stays claimed,
-// so the request cannot run again.
+// so the request cannot run again. A stop does not wait for it: the store sends it again.
 func (s *session) settle(settlement attempt.Settlement) {
-	ctx := context.Background()
+	ctx := s.g.ctx
 	var err error
 	switch settlement {
 	case attempt.Record:
--- a/pkg/gateway/stop_test.go
+++ b/pkg/gateway/stop_test.go
@@ -88,6 +88,31 @@
 	}
 }
 
+// unsettledClaims has no quorum to settle a claim.
+type unsettledClaims struct{ claims.Store }
+
+func (unsettledClaims) MarkUnknown(ctx context.Context, _ claims.Key) error {
+	<-ctx.Done()
+	return fault.New(fault.NoQuorum, "the step is sent again", "no quorum")
+}
+
+// Guards against a request that is cut at the end of a planned stop while its claim is settled.
+func TestStopDoesNotWaitForSettlement(t *testing.T) {
+	h := newHarness(t, func(o *Options) { o.Claims = unsettledClaims{o.Claims} })
+	running, gate := make(chan struct{}), make(chan struct{})
+	defer close(gate)
+	app := fiber.New()
+	app.Post("/grants", func(c fiber.Ctx) error {
+		close(running)
+		<-gate
+		return c.SendStatus(http.StatusOK)
+	})
+	h.addGroup("d1", "licence-desk", "desk", api.UpstreamService, app)
+	a := h.stopWhile(running, func() answer { return h.grant("k1", "{}") })
+	require.Equal(t, "stopping", a.kind())
+	require.Equal(t, string(fault.Unknown), a.outcome)
+}
+
 // Guards against a stream that is cut at the end of a planned stop without an error event.
 func TestStopEndsStreamsWithError(t *testing.T) {
 	h := newHarness(t)
