--- a/pkg/gateway/answer_given_up_test.go
+++ b/pkg/gateway/answer_given_up_test.go
@@ -160,3 +160,16 @@
 	<-canceled
 	require.Zero(t, h.gw.Drain(context.Background()))
 }
+
+// Guards against a stream that ends without an error event, or looks complete, when no group is left
+// to resume it.
+func TestFailedStreamWithoutAnotherGroupEndsWithError(t *testing.T) {
+	h := newHarness(t)
+	h.addEngine("g1", fakes.Faults{SkipToken: 5}, nil)
+	a := h.chat(true, 9)
+	require.Contains(t, a.body, "w4 ")
+	require.Contains(t, a.body, "event: error")
+	require.Contains(t, a.body, `"no-whole-group"`)
+	require.Contains(t, a.body, `"outcome":"unknown"`)
+	require.NotContains(t, a.body, "[DONE]")
+}
--- /dev/null
+++ b/pkg/gateway/deadline_test.go
@@ -0,0 +1,38 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/masticmount/masticmount/pkg/fakes"
+	"github.com/masticmount/masticmount/pkg/fault"
+)
+
+// Guards against a request that ends at its deadline without a refusal, or without an error event if
+// its answer has begun.
+func TestDeadlineEndsRequestWithError(t *testing.T) {
+	withDeadline := func(o *Options) { o.DefaultDeadline = 300 * time.Millisecond }
+	for _, stream := range []bool{true, false} {
+		h := newHarness(t, withDeadline)
+		h.addUnansweredGroup("g1", func() {})
+		a := h.chat(stream, 9)
+		require.Equal(t, http.StatusGatewayTimeout, a.status, a.body)
+		require.Equal(t, "deadline", a.kind())
+		require.Equal(t, string(fault.Unknown), a.outcome)
+	}
+	h := newHarness(t, withDeadline)
+	h.addEngine("g1", fakes.Faults{}, func(ctx context.Context, token int) {
+		if token == 5 {
+			<-ctx.Done()
+		}
+	})
+	a := h.chat(true, 9)
+	require.Contains(t, a.body, "w4 ")
+	require.Contains(t, a.body, "event: error")
+	require.Contains(t, a.body, `"deadline"`)
+	require.NotContains(t, a.body, "[DONE]")
+}
