--- a/cmd/mastic-soak/engines.go
+++ b/cmd/mastic-soak/engines.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -57,10 +58,17 @@
 	// startTime, in Unix milliseconds, and seq are reset with each incarnation.
 	startTime, seq atomic.Int64
 	inFlight       atomic.Int32
-	// silent suspends announcements; draining announces the state draining.
-	silent, draining atomic.Bool
-	mu               sync.Mutex
-	conns            map[net.Conn]bool
+	// silent suspends announcements; draining announces the state draining; isFull refuses all
+	// requests, which reports do not show.
+	silent, draining, isFull atomic.Bool
+	mu                       sync.Mutex
+	conns                    map[net.Conn]bool
+	// streams are the runs in progress.
+	streams map[net.Conn]*streamRun
+	// pauses are the silences of a sound engine.
+	pauses silence
+	// endTimes are when its incarnation, or that of a member of its group, ended.
+	endTimes []time.Time
 }
 
 func newEngineSet(r *region, seed uint64, single, grouped int) (*engineSet, error) {
@@ -70,7 +78,7 @@
 		if err != nil {
 			return nil, fmt.Errorf("engine %d: %w", i, err)
 		}
-		e := &engine{set: es, id: fmt.Sprintf("engine-%d", i), service: engineService, listener: listener, conns: map[net.Conn]bool{}}
+		e := &engine{set: es, id: fmt.Sprintf("engine-%d", i), service: engineService, listener: listener, conns: map[net.Conn]bool{}, streams: map[net.Conn]*streamRun{}}
 		if i >= single {
 			e.service = groupService
 		}
@@ -104,10 +112,11 @@
 
 func (e *engine) accept() {
 	for {
-		conn, err := e.listener.Accept()
+		accepted, err := e.listener.Accept()
 		if err != nil {
 			return
 		}
+		conn := &pausableConn{accepted, &e.pauses}
 		e.mu.Lock()
 		e.conns[conn] = true
 		e.mu.Unlock()
@@ -120,12 +129,50 @@
 	e.startTime.Store(time.Now().UnixMilli())
 	e.seq.Store(0)
 	e.group.restart()
-	e.resetConns()
+	e.recordEnd()
 	for _, other := range e.set.all {
-		other.group.memberLost(time.Now(), e.id)
+		if other.group.memberLost(time.Now(), e.id) {
+			other.recordEnd()
+		}
+	}
+	e.resetConns()
+}
+
+// beginStream registers a run in progress and returns the function that ends it.
+func (e *engine) beginStream(conn net.Conn, r *streamRun) (end func()) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.streams[conn] = r
+	return func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		delete(e.streams, conn)
+	}
+}
+
+// cancelStreams breaks all runs in progress, as an order asked for.
+func (e *engine) cancelStreams() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for conn, r := range e.streams {
+		r.setEnd(endCancelled)
+		reset(conn)
 	}
 }
 
+func (e *engine) recordEnd() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.endTimes = append(e.endTimes, time.Now())
+}
+
+// endedBetween reports whether the engine or its group ended between two times.
+func (e *engine) endedBetween(from, to time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.ContainsFunc(e.endTimes, func(t time.Time) bool { return !t.Before(from) && !t.After(to) })
+}
+
 func (e *engine) resetConns() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -136,6 +183,9 @@
 
 // reset closes a connection and discards unsent data.
 func reset(conn net.Conn) {
+	if pausable, ok := conn.(*pausableConn); ok {
+		conn = pausable.Conn
+	}
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		// Fails only if the connection is already closed.
 		_ = tcp.SetLinger(0)
@@ -193,6 +243,8 @@
 		return e.refuse(conn, id, http.StatusServiceUnavailable)
 	case hasCrashingPart(req):
 		return e.crash(conn, id)
+	case e.isFull.Load():
+		return e.refuse(conn, id, http.StatusServiceUnavailable)
 	case e.inFlight.Add(1) > engineSlots:
 		e.inFlight.Add(-1)
 		return e.refuse(conn, id, http.StatusServiceUnavailable)
@@ -247,6 +299,7 @@
 	tick := time.NewTicker(announceInterval)
 	defer tick.Stop()
 	for turn := 0; ; turn++ {
+		e.pauses.wait()
 		if !e.silent.Load() {
 			e.heartbeat(client, e.set.region.keepers[turn%keeperCount])
 		}
@@ -295,7 +348,11 @@
 		if err := json.Unmarshal([]byte(body), &o); err != nil {
 			e.set.runs.addUnexpected(fmt.Sprintf("%s got a malformed order: %v", e.id, err))
 		}
+		cancels := e.group.cancelsStreams(o)
 		status, fields = e.group.execute(time.Now(), o, e.id), map[string]any{}
+		if cancels && status == http.StatusOK {
+			e.cancelStreams()
+		}
 	default:
 		status = http.StatusNotFound
 	}
--- a/cmd/mastic-soak/runlog.go
+++ b/cmd/mastic-soak/runlog.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"time"
 )
 
 // streamRun is one run of a stream on an engine, with what it sent.
@@ -19,9 +20,18 @@
 	base    int
 	events  []string
 	framing framing
-	mu      sync.Mutex
-	// sent is the number of bytes of the events passed to the network.
-	sent int
+	// began is when the run began; path is its connection on the engine's link.
+	began time.Time
+	path  *linkConn
+	// fails is true if the run's plan has a failure; engineEnded reports whether the engine or
+	// its group ended between two times.
+	fails       bool
+	engineEnded func(from, to time.Time) bool
+	mu          sync.Mutex
+	// sent is the number of bytes of the events passed to the network, firstSentAt when the
+	// first of them were.
+	sent        int
+	firstSentAt time.Time
 	// end describes how the run ended.
 	end string
 }
@@ -30,15 +40,43 @@
 func (r *streamRun) addSent(bytes int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.sent == 0 {
+		r.firstSentAt = time.Now()
+	}
 	r.sent += bytes
 }
 
+// beganSending reports whether the run sent its first bytes between two times.
+func (r *streamRun) beganSending(from, to time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.firstSentAt.Before(from) && !r.firstSentAt.After(to)
+}
+
+// endCancelled is how a run ended that an order of a keeper cancelled.
+const endCancelled = "cancelled by an order"
+
+// recordClientDisconnect records that the client closed the connection, unless an order ended the
+// run.
+func (r *streamRun) recordClientDisconnect() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.end != endCancelled {
+		r.end = "client disconnected"
+	}
+}
+
 func (r *streamRun) setEnd(how string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.end = how
 }
 
+// upstreamEnded reports whether the engine or its link ended the run, up to a time.
+func (r *streamRun) upstreamEnded(until time.Time) bool {
+	return r.fails || r.path == nil || r.path.harmed.Load() || r.engineEnded(r.began, until)
+}
+
 // sentPart returns the sent bytes of an event, and whether they are the complete event.
 func (r *streamRun) sentPart(id int) (part string, complete bool) {
 	r.mu.Lock()
--- a/pkg/fault/fault.go
+++ b/pkg/fault/fault.go
@@ -49,6 +49,12 @@
 	// PromptQuarantined means that requests with a part of the prompt crash the engines that
 	// answer them, so that the request is not sent.
 	PromptQuarantined Kind = "prompt-quarantined"
+	// RequestQuarantined means that the whole request crashes the upstreams that run it, so that
+	// it is not sent.
+	RequestQuarantined Kind = "request-quarantined"
+	// RequestSuspected means that upstreams crashed as they ran this request, and that it is not
+	// sent now, as it may crash another one.
+	RequestSuspected Kind = "request-suspected"
 )
 
 // Outcome states whether a request ran.
@@ -96,7 +102,9 @@
 	WrongContentType: http.StatusUnsupportedMediaType,
 	AnswerNotKept:    http.StatusConflict,
 
-	PromptQuarantined: http.StatusBadRequest,
+	PromptQuarantined:  http.StatusBadRequest,
+	RequestQuarantined: http.StatusBadRequest,
+	RequestSuspected:   http.StatusServiceUnavailable,
 }
 
 // Error is an error of a known kind.
--- a/pkg/forward/crashes.go
+++ b/pkg/forward/crashes.go
@@ -3,11 +3,16 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"strings"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/masticmount/masticmount/pkg/attach"
+	"github.com/masticmount/masticmount/pkg/boottime"
 	"github.com/masticmount/masticmount/pkg/dispatch"
+	"github.com/masticmount/masticmount/pkg/document"
 	"github.com/masticmount/masticmount/pkg/fault"
 	"github.com/masticmount/masticmount/pkg/peerpb"
 	"github.com/masticmount/masticmount/pkg/quarantine"
@@ -31,37 +36,61 @@
 	startTime uint64
 }
 
-// crashCheck collects the requests whose answers an engine had begun when its connections broke,
-// until a probe shows whether the engine ended.
+// crashCheck collects the requests whose answers were incomplete when an upstream's connections
+// broke, until a probe shows whether the upstream ended.
 type crashCheck struct {
 	target attach.Target
 	at     time.Time
-	// suspects are the prompt parts of these requests.
-	suspects [][]string
+	// suspects are these requests.
+	suspects []suspect
+	// done is closed once the evidence has the verdict.
+	done chan struct{}
+}
+
+// suspect is a request whose answer was not complete when its upstream may have crashed.
+type suspect struct {
+	requestID, content string
+	// contents are those that the crash is evidence against; none where the upstream had not
+	// begun to run the request.
+	contents []string
+	// at is when the send broke, ran the time since it began.
+	at  time.Time
+	ran time.Duration
 }
 
-// suspectsCrash reports whether a failed send is one that may have crashed its engine: the
-// answer broke off at its beginning.
+// suspectsCrash reports whether a failed send is one that may have crashed its upstream: the
+// connection broke before the answer was complete. A stream is only suspected at its beginning.
 func (s *session) suspectsCrash(r *upstreamRun, err *dispatch.CallError) bool {
-	return r != nil && err.Reason == dispatch.Truncated && r.eventsRead <= beginningEvents && s.hasPromptParts()
+	return err.Sent && err.Reason == dispatch.Truncated && r.eventCount() <= beginningEvents
+}
+
+// newSuspect describes a request whose given send broke with the given run. An engine sends the header of
+// its answer when it begins it; a plain upstream only when the answer is made.
+func (s *session) newSuspect(failed send, r *upstreamRun) suspect {
+	found := suspect{requestID: s.request.id, content: s.request.content, at: s.entry.opts.EvidenceClock(), ran: time.Since(failed.at)}
+	if r != nil || s.request.service.Engine == nil {
+		found.contents = s.request.contents
+	}
+	return found
 }
 
 // suspectCrash records that a request may have crashed its target. The first one starts a probe
-// of the engine; the caller holds the lock.
-func (e *Entry) suspectCrash(now time.Time, t *attach.Target, parts []string) {
+// of the upstream; the caller holds the lock.
+func (e *Entry) suspectCrash(t *attach.Target, found suspect) *crashCheck {
 	key := incarnation{t.ID, t.StartTime}
 	check := e.crashChecks[key]
 	if check == nil {
-		check = &crashCheck{target: *t, at: now}
+		check = &crashCheck{target: *t, at: found.at, done: make(chan struct{})}
 		e.crashChecks[key] = check
 		go e.probeCrashed(check)
 	}
-	check.suspects = append(check.suspects, parts)
+	check.suspects = append(check.suspects, found)
+	return check
 }
 
-// probeCrashed records the suspects as evidence if nothing listens at their engine's address any
-// more. A broken connection alone proves nothing: networks and engines break single connections,
-// too.
+// probeCrashed logs the suspects, and records them as evidence if nothing listens at their
+// upstream's address any more. A broken connection alone proves nothing: networks and
+// upstreams break single connections, too.
 func (e *Entry) probeCrashed(check *crashCheck) {
 	var err error
 	for range maxProbes {
@@ -71,20 +100,38 @@
 		}
 	}
 	crashed := dispatch.IsConnectionRefused(err)
+	e.recordVerdict(check, crashed, err)
+	if crashed && e.opts.OnCrash != nil {
+		e.opts.OnCrash()
+	}
+}
+
+// recordVerdict ends a check with the error of its probe.
+func (e *Entry) recordVerdict(check *crashCheck, crashed bool, err error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	defer close(check.done)
 	delete(e.crashChecks, incarnation{check.target.ID, check.target.StartTime})
 	now := e.opts.EvidenceClock()
-	for _, parts := range check.suspects {
-		e.opts.Log.Info().Str("upstream", check.target.ID).Str("group", check.target.Group).Str("prompt_parts", strings.Join(parts, ",")).
+	for _, found := range check.suspects {
+		e.opts.Log.Info().Str("upstream", check.target.ID).Str("group", check.target.Group).Str("service", check.target.Service).
+			Str("suspect", found.requestID).Str("content", found.content).Str("prompt_parts", promptPartsOf(found.contents)).
 			Bool("crashed", crashed).AnErr("probe", err).Dur("crash_age_ms", now.Sub(check.at)).Msg("engine_crash_checked")
 	}
 	if !crashed {
 		return
 	}
-	e.opts.Metrics.Add("engine_crashes.at_first_event", 1)
-	for _, parts := range check.suspects {
-		e.crashes.AddCrash(now, quarantine.Crash{Upstream: check.target.ID, StartTime: check.target.StartTime, Parts: parts, At: check.at})
+	if check.target.Group == "" {
+		e.opts.Metrics.Add("upstream_crashes.plain", 1)
+		e.placer.RecordFailure(boottime.Now(), &check.target)
+		e.placer.RecordCrash(boottime.Now(), check.target.Service)
+	} else {
+		e.opts.Metrics.Add("engine_crashes.at_first_event", 1)
+	}
+	for _, found := range check.suspects {
+		e.crashes.AddCrash(now, quarantine.Crash{
+			Upstream: check.target.ID, StartTime: check.target.StartTime, Service: check.target.Service, Contents: found.contents, At: found.at, Ran: found.ran,
+		})
 	}
 	e.applyQuarantines(now)
 }
@@ -93,23 +140,30 @@
 func (e *Entry) MergeCrashEvidence(now time.Time, evidence *peerpb.CrashEvidence) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.crashes.Merge(now, evidence) {
-		e.applyQuarantines(now)
+	if !e.crashes.Merge(now, evidence) {
+		return
 	}
+	for _, c := range evidence.GetCrashes() {
+		e.placer.RecordCrash(boottime.Now().Add(-time.Duration(c.GetAgeMs())*time.Millisecond), c.GetService())
+	}
+	e.applyQuarantines(now)
 }
 
-// recordSuccess records that an engine answered the request beyond the beginning, which also
-// shows, without prompt parts, that engines answer; the caller holds the lock.
+// recordSuccess records that an upstream answered the request, an engine beyond the beginning of
+// the answer; the caller holds the lock.
 func (s *session) recordSuccess() {
-	if s.request.service.Engine == nil {
-		return
-	}
 	now := s.entry.opts.EvidenceClock()
-	if s.entry.crashes.ObserveSuccess(now, s.request.promptParts) {
+	if s.entry.crashes.ObserveSuccess(now, s.request.service.Name, s.request.contents) {
 		s.entry.applyQuarantines(now)
 	}
 }
 
+// survived reports whether an answer with an error shows that the request crashes no upstream: a
+// plain upstream has run the request to its end.
+func (s *session) survived(err *dispatch.CallError) bool {
+	return err.Reason == dispatch.Failed && s.request.service.Engine == nil
+}
+
 // reportQuarantines logs the quarantines that began or ended.
 func (e *Entry) reportQuarantines() {
 	e.mu.Lock()
@@ -117,43 +171,46 @@
 	report.Changes(e.opts.EvidenceClock(), e.crashes, e.opts.Metrics, e.opts.Log)
 }
 
-// cancelWhenQuarantined returns a context for one send, which ends if the request is quarantined
-// before stop is called: an engine that has not begun the answer then never begins it.
-func (s *session) cancelWhenQuarantined() (ctx context.Context, stop func()) {
-	if !s.hasPromptParts() {
-		return s.ctx, func() {}
+// unansweredSend is a send to an upstream that has not begun the answer.
+type unansweredSend struct {
+	contents []string
+	cancel   context.CancelCauseFunc
+}
+
+// cancelWhenQuarantined returns a context for one send, which ends with the given one, or if the
+// request is quarantined before stop is called: an upstream that has not begun to run it then never
+// does. A run-once request is left to its upstream, as it could not be sent again.
+func (s *session) cancelWhenQuarantined(parent context.Context) (ctx context.Context, stop func()) {
+	if s.request.route.Idempotency == document.AtMostOnce {
+		return parent, func() {}
 	}
 	e := s.entry
-	ctx, cancel := context.WithCancelCause(s.ctx)
+	ctx, cancel := context.WithCancelCause(parent)
+	u := &unansweredSend{s.request.contents, cancel}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.unanswered[s] = cancel
-	if _, quarantined := e.crashes.Check(e.opts.EvidenceClock(), s.request.promptParts); quarantined {
+	e.unanswered[u] = struct{}{}
+	if _, quarantined := e.crashes.Check(e.opts.EvidenceClock(), s.request.contents); quarantined {
 		// The quarantine began after the request got its target.
 		cancel(errQuarantined)
 	}
 	return ctx, func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		delete(e.unanswered, s)
+		delete(e.unanswered, u)
 	}
 }
 
 // errQuarantined is the cause of the end of a send that was quarantined.
-var errQuarantined = errors.New("a part of the prompt was quarantined")
+var errQuarantined = errors.New("a content of the request was quarantined")
 
-// hasPromptParts reports whether the request goes to engines and names prompt parts that others
-// may share.
-func (s *session) hasPromptParts() bool {
-	return s.request.service.Engine != nil && len(s.request.promptParts) > 0
-}
-
-// applyQuarantines logs changed quarantines and ends the waits and the unanswered sends of
-// quarantined requests; the caller holds the lock.
+// applyQuarantines logs changed quarantines, and ends the waits of requests that were quarantined
+// or became suspects, and the unanswered sends of quarantined ones; the caller holds the lock.
 func (e *Entry) applyQuarantines(now time.Time) {
 	report.Changes(now, e.crashes, e.opts.Metrics, e.opts.Log)
+	e.placer.MarkCrashed(e.crashes.Crashed)
 	for id, w := range e.waiters {
-		if _, quarantined := e.crashes.Check(now, w.parts); !quarantined {
+		if !e.mustExamine(now, &w) {
 			continue
 		}
 		if _, waiting := e.placer.Cancel(now, w.work); waiting {
@@ -161,31 +218,58 @@
 			w.granted <- nil
 		}
 	}
-	for s, cancel := range e.unanswered {
-		if _, quarantined := e.crashes.Check(now, s.request.promptParts); quarantined {
-			cancel(errQuarantined)
+	for u := range e.unanswered {
+		if _, quarantined := e.crashes.Check(now, u.contents); quarantined {
+			u.cancel(errQuarantined)
 		}
 	}
 }
 
-// quarantined returns the refusal of a request with a quarantined part; nil when the request may
+// mustExamine reports whether a waiting request was quarantined, or became a suspect that waits for a
+// target of ordinary requests.
+func (e *Entry) mustExamine(now time.Time, w *waiter) bool {
+	if _, quarantined := e.crashes.Check(now, w.contents); quarantined {
+		return true
+	}
+	if w.work.Isolated || w.engine {
+		return false
+	}
+	_, suspected := e.suspicion(now, w.contents[0])
+	return suspected
+}
+
+// quarantined returns the refusal of a request with a quarantined content; nil when the request may
 // be sent.
 func (s *session) quarantined() *fault.Error {
-	if !s.hasPromptParts() {
-		return nil
-	}
 	now := s.entry.opts.EvidenceClock()
 	s.entry.mu.Lock()
-	finding, found := s.entry.crashes.Check(now, s.request.promptParts)
+	finding, found := s.entry.crashes.Check(now, s.request.contents)
 	s.entry.mu.Unlock()
 	if !found {
 		return nil
 	}
 	s.finding = &finding
-	refusal := fault.New(fault.PromptQuarantined, "leave the named part out of the prompt",
-		"%d engines crashed as they began to answer prompts with part %s, the last one %d s ago", len(finding.Upstreams), finding.Part, int(now.Sub(finding.Last).Seconds()))
+	refusal := quarantineRefusal(now, &finding)
 	if s.history.mayHaveRun {
 		return refusal.WithOutcome(fault.Unknown)
 	}
 	return refusal
 }
+
+func quarantineRefusal(now time.Time, f *quarantine.Finding) *fault.Error {
+	if quarantine.IsRequest(f.Content) {
+		return fault.New(fault.RequestQuarantined, "do not send this request again", "%s", crashesText(now, f))
+	}
+	return fault.New(fault.PromptQuarantined, "leave the named part out of the prompt", "%d engines crashed as they began to answer prompts with part %s, the last one %d s ago",
+		len(f.Upstreams), f.Content, int(now.Sub(f.Last).Seconds()))
+}
+
+// crashesText describes the evidence against a whole request.
+func crashesText(now time.Time, f *quarantine.Finding) string {
+	return fmt.Sprintf("%d upstreams crashed as they ran this request, the last one %d s ago", len(f.Upstreams), int(now.Sub(f.Last).Seconds()))
+}
+
+// promptPartsOf lists the prompt parts among the contents of a request.
+func promptPartsOf(contents []string) string {
+	return strings.Join(lo.Reject(contents, func(content string, _ int) bool { return quarantine.IsRequest(content) }), ",")
+}
--- a/pkg/forward/entry.go
+++ b/pkg/forward/entry.go
@@ -17,7 +17,6 @@
 	"github.com/masticmount/masticmount/pkg/attach"
 	"github.com/masticmount/masticmount/pkg/boottime"
 	"github.com/masticmount/masticmount/pkg/dispatch"
-	"github.com/masticmount/masticmount/pkg/fault"
 	"github.com/masticmount/masticmount/pkg/mechanism"
 	"github.com/masticmount/masticmount/pkg/peerpb"
 	"github.com/masticmount/masticmount/pkg/quarantine"
@@ -50,6 +49,9 @@
 	HeaderNames  HeaderNames
 	// EvidenceClock reads the time by which crash evidence ages; nil reads the boot time.
 	EvidenceClock func() time.Time
+	// OnCrash is called when this entry has found that an upstream crashed, so that the evidence
+	// is reported at once; it must not block. It may be nil.
+	OnCrash func()
 	// Mechanisms selects the mechanisms that are enabled; the zero value enables all.
 	Mechanisms mechanism.Set
 	Metrics    *telemetry.Registry
@@ -66,11 +68,11 @@
 	retryBudget retryBudget
 	waiters     map[uint64]waiter
 	crashes     *quarantine.Table
-	// crashChecks are the engines that may have crashed, until it is known whether they did.
+	// crashChecks are the upstreams that may have crashed, until it is known whether they did.
 	crashChecks map[incarnation]*crashCheck
-	// unanswered are the sends of requests with prompt parts to engines that have not begun the
-	// answer, and how to cancel them.
-	unanswered map[*session]context.CancelCauseFunc
+	// unanswered are the sends to upstreams that have not begun the answer.
+	unanswered map[*unansweredSend]struct{}
+	unbegun    unbegunSessions
 	lastWorkID uint64
 	random     *rand.Rand
 	reports    reports
@@ -79,8 +81,12 @@
 
 	startedAt time.Time
 	inFlight  atomic.Int64
+	unwritten unwrittenAnswers
 	// stopAt is when a planned stop ends, in Unix nanoseconds; 0 while none is planned.
 	stopAt atomic.Int64
+	// finished is true once a planned stop has answered all requests: the process is about to
+	// exit.
+	finished atomic.Bool
 }
 
 // New returns an entry that is not serving yet.
@@ -95,7 +101,7 @@
 	seed := uint64(now.UnixNano())
 	e := &Entry{
 		opts: opts, startedAt: now, waiters: map[uint64]waiter{}, retryBudget: newRetryBudget(), numberings: map[string]*numbering{},
-		crashes: quarantine.NewTable(), crashChecks: map[incarnation]*crashCheck{}, unanswered: map[*session]context.CancelCauseFunc{},
+		crashes: quarantine.NewTable(), crashChecks: map[incarnation]*crashCheck{}, unanswered: map[*unansweredSend]struct{}{}, unbegun: unbegunSessions{sessions: map[*session]struct{}{}},
 		random: rand.New(rand.NewPCG(seed, 1)), placer: NewPlacer(opts.FailureDomain, rand.New(rand.NewPCG(seed, 2))),
 	}
 	e.reports.init()
@@ -105,7 +111,7 @@
 		Handler: e.serve, ReadBufferSize: maxHeaderBytes, MaxRequestBodySize: maxBodyBytes,
 		ReadTimeout: readTimeout, IdleTimeout: idleTimeout, NoDefaultServerHeader: true, NoDefaultDate: true,
 		NoDefaultContentType: true, DisablePreParseMultipartForm: true, CloseOnShutdown: true,
-		Logger: serverLog{opts.Log, opts.Metrics},
+		Logger: serverLog{opts.Log, opts.Metrics}, ConnState: e.unwritten.observe,
 	}
 	return e
 }
@@ -141,7 +147,9 @@
 	defer e.mu.Unlock()
 	now := boottime.Now()
 	e.retryBudget.update(now, v)
-	e.deliver(e.placer.Update(now, v))
+	grants := e.placer.Update(now, v)
+	e.placer.MarkCrashed(e.crashes.Crashed)
+	e.deliver(grants)
 }
 
 // deliver hands granted targets to the requests that wait for them; the caller holds the lock.
@@ -166,79 +174,6 @@
 	return e.opts.View().Document != nil && e.opts.ConfigAge() <= e.opts.MaxConfigAge
 }
 
-// BeginStop begins a planned stop that ends at a given time: from now on every answer closes
-// its connection, and requests that cannot be answered before the end are refused.
-func (e *Entry) BeginStop(end time.Time) { e.stopAt.Store(end.UnixNano()) }
-
-// stopTimeLeft reports whether a planned stop has begun, and the time until it ends.
-func (e *Entry) stopTimeLeft(now time.Time) (left time.Duration, begun bool) {
-	end := e.stopAt.Load()
-	return time.Duration(end - now.UnixNano()), end != 0
-}
-
-// A request is accepted during a planned stop if stopMargin times its expected service time,
-// and stopReserve for the network, fit into the time that is left.
-const (
-	stopMargin  = 2
-	stopReserve = 500 * time.Millisecond
-)
-
-// checkStop refuses a request that the end of a planned stop would cut off.
-func (e *Entry) checkStop(r *request) *fault.Error {
-	left, begun := e.stopTimeLeft(r.arrivedAt)
-	if !begun || stopMargin*r.serviceTime+stopReserve < left {
-		return nil
-	}
-	return fault.New(fault.Stopping, "retry over a new connection", "this node is stopping").WithRetryAfter(stopRetry)
-}
-
-// stopRetry is the Retry-After of such a refusal. It is short, as other nodes can serve
-// the retry immediately.
-const stopRetry = 50 * time.Millisecond
-
-// Drain waits for the requests in flight. It returns the number left when ctx ended.
-func (e *Entry) Drain(ctx context.Context) int {
-	ticker := time.NewTicker(drainPollInterval)
-	defer ticker.Stop()
-	for e.inFlight.Load() > 0 {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return int(e.inFlight.Load())
-		}
-	}
-	return 0
-}
-
-// drainPollInterval is the time between two checks for requests in flight.
-const drainPollInterval = 50 * time.Millisecond
-
-// closeTimeout bounds one wait for callers' connections to close: reading a request that has
-// been sent takes less.
-const closeTimeout = 400 * time.Millisecond
-
-// Finish answers the requests that callers have sent and closes their connections, until ctx
-// ends. A request may arrive after the last one was answered and before its connection was
-// closed: it is answered like the others. It returns the number of requests that are left.
-func (e *Entry) Finish(ctx context.Context) int {
-	for {
-		left := e.Drain(ctx)
-		closeCtx, cancel := context.WithTimeout(ctx, closeTimeout)
-		err := e.server.ShutdownWithContext(closeCtx)
-		cancel()
-		if ctx.Err() != nil {
-			return left
-		}
-		if e.inFlight.Load() > 0 {
-			continue
-		}
-		if err != nil {
-			e.opts.Log.Info().Err(err).Msg("connections_left")
-		}
-		return 0
-	}
-}
-
 // Report fills in this entry's report to the keepers. evidenceSent is the version of the crash
 // evidence that the link has carried.
 func (e *Entry) Report(now time.Time, primary bool, evidenceSent *uint64, r *peerpb.EntryReport) {
