gateway: build the call of a successor outside of the session's lock

The group monitor starts successors for all streams of a broken group in one loop; the body of each is built in the successor's goroutine now, from a copy of what was delivered.

--- a/pkg/gateway/session.go
+++ b/pkg/gateway/session.go
@@ -208,7 +208,7 @@
 // dispatch sends the request to its group. It returns nil after a stream was
 // opened; the events of the stream are read later.
 func (s *session) dispatch(a attempt.Dispatch) attempt.Event {
-	call, err := s.buildCall(a.ResumeFrom)
+	call, err := s.buildCall(&s.replay, a.ResumeFrom)
 	if err != nil {
 		return attempt.Failed{Err: fault.From(err), NotRun: true, Final: true}
 	}
@@ -292,8 +292,9 @@
 	return r
 }
 
-// buildCall builds the part of a call that does not depend on the group.
-func (s *session) buildCall(resumeFrom int) (dispatch.Call, error) {
+// buildCall builds the part of a call that does not depend on the group. The call resumes a stream
+// after the delivered part.
+func (s *session) buildCall(delivered *replay, resumeFrom int) (dispatch.Call, error) {
 	call := s.req.call
 	if s.numbered {
 		call.StallTimeout = s.g.stallTimeout
@@ -301,7 +302,7 @@
 	if resumeFrom == 0 {
 		return call, nil
 	}
-	body, err := s.replay.resumeBody(s.req.call.Body, s.req.chat)
+	body, err := delivered.resumeBody(s.req.call.Body, s.req.chat)
 	call.Body = body
 	call.Headers = lo.Assign(call.Headers, map[string]string{dispatch.HeaderResumeFrom: strconv.Itoa(resumeFrom)})
 	return call, err
--- a/pkg/gateway/successor.go
+++ b/pkg/gateway/successor.go
@@ -6,6 +6,7 @@
 	"github.com/masticmount/masticmount/pkg/dispatch"
 	"github.com/masticmount/masticmount/pkg/fault"
 	"github.com/masticmount/masticmount/pkg/gateway/attempt"
+	"github.com/masticmount/masticmount/pkg/scheduling"
 )
 
 // successor is an attempt that runs beside a suspected one, to continue its stream.
@@ -47,20 +48,12 @@
 	ctx, cancel := context.WithCancel(s.ctx)
 	sc := &successor{cancel: cancel, result: make(chan result, 1)}
 	s.successor = sc
-	call, err := s.buildCall(a.ResumeFrom)
-	if err != nil {
-		sc.result <- result{err: err}
-		return
-	}
 	s.attempts++
-	number := s.attempts
+	number, delivered := s.attempts, s.replay
 	request := s.schedulingRequest(a.Exclude)
 	request.Resumed = a.ResumeFrom
 	go func() {
-		r := s.acquireAndSend(ctx, request, call, number, a.ResumeFrom)
-		if r.err == nil && r.stream == nil {
-			r.answer, r.err = nil, &dispatch.CallError{Reason: dispatch.Malformed, Address: r.address, Sent: true}
-		}
+		r := s.runSuccessor(ctx, request, &delivered, number)
 		if r.err == nil {
 			s.supersede(old, sc)
 		}
@@ -68,6 +61,19 @@
 	}()
 }
 
+// runSuccessor makes the attempt and reads its stream up to its first token.
+func (s *session) runSuccessor(ctx context.Context, request scheduling.Request, delivered *replay, number int) result {
+	call, err := s.buildCall(delivered, request.Resumed)
+	if err != nil {
+		return result{err: err}
+	}
+	r := s.acquireAndSend(ctx, request, call, number, request.Resumed)
+	if r.err == nil && r.stream == nil {
+		r.answer, r.err = nil, &dispatch.CallError{Reason: dispatch.Malformed, Address: r.address, Sent: true}
+	}
+	return r
+}
+
 // supersede cancels the attempt of the old slot in favor of its successor, unless that is no
 // longer wanted.
 func (s *session) supersede(old *slot, sc *successor) {
