Soak: requests that crash the plain upstreams that run them come again and again

A second plain service of three upstreams: a request with a certain path, account and body ends the incarnation that begins to run it (listener closed, connections broken, back a second later as a new one) and is sent at all entries every 0.15 s, once as an idempotent request, once as one that runs at most once; beside them sound requests, often and retried at once, of the same account, and with the same body of another account.

--- a/cmd/mastic-soak/callers.go
+++ b/cmd/mastic-soak/callers.go
@@ -11,8 +11,10 @@
 )
 
 const (
-	// oncePrefix is the ID prefix of requests that must run at most once.
-	oncePrefix = "once-"
+	// oncePrefix is the ID prefix of requests that must run at most once, againPrefix that of
+	// the others.
+	oncePrefix  = "once-"
+	againPrefix = "again-"
 	// callInterval is the time between two requests.
 	callInterval = 20 * time.Millisecond
 	// callTimeout is the deadline of a request.
@@ -56,15 +58,35 @@
 	return c.received
 }
 
-// call sends one request and records its answer.
-func (c *callers) call(runOnce bool) answer {
+// nextNumber returns the number of the next request.
+func (c *callers) nextNumber() int {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.lastNumber++
-	number := c.lastNumber
-	c.mu.Unlock()
-	prefix, path := oncePrefix, "grant"
+	return c.lastNumber
+}
+
+// call sends one request and records its answer.
+func (c *callers) call(runOnce bool) answer {
+	number := c.nextNumber()
+	r := plainRequest{method: http.MethodPost, path: "/grant/x", runOnce: true}
 	if !runOnce {
-		prefix, path = "again-", "lookup"
+		r = plainRequest{method: http.MethodGet, path: "/lookup/x"}
+	}
+	return c.send(r, number)
+}
+
+// plainRequest is what a request of a plain service asks for; its ID is not part of it.
+type plainRequest struct {
+	method, path, key, body string
+	runOnce                 bool
+}
+
+// send sends a request to one of the entries, by its number, and records its answer.
+func (c *callers) send(r plainRequest, number int) answer {
+	prefix := againPrefix
+	if r.runOnce {
+		prefix = oncePrefix
 	}
 	id := prefix + strconv.Itoa(number)
 	transport := &c.keepAlive
@@ -72,7 +94,7 @@
 		transport = &http.Transport{DisableKeepAlives: true}
 	}
 	x := exchange{entry: c.region.entries[number%len(c.region.entries)], sentAt: time.Now(), deadline: callTimeout}
-	a := send(transport, x.entry, id, path)
+	a := sendPlain(transport, x.entry, id, r)
 	x.endedAt = time.Now()
 	a.exchange = x
 	c.mu.Lock()
@@ -84,17 +106,16 @@
 	return a
 }
 
-func send(transport *http.Transport, entry *node, id, path string) answer {
-	method := http.MethodPost
-	if path == "lookup" {
-		method = http.MethodGet
-	}
-	req, err := http.NewRequest(method, fmt.Sprintf("http://%s:%d/%s/x", entry.ip, callerPort, path), nil)
+func sendPlain(transport *http.Transport, entry *node, id string, r plainRequest) answer {
+	req, err := http.NewRequest(r.method, fmt.Sprintf("http://%s:%d%s", entry.ip, callerPort, r.path), strings.NewReader(r.body))
 	if err != nil {
 		panic(err)
 	}
 	req.Host = soakHost
 	req.Header.Set("X-Request-Id", id)
+	if r.key != "" {
+		req.Header.Set("X-Key", r.key)
+	}
 	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(callTimeout.Milliseconds(), 10))
 	client := &http.Client{Timeout: 2 * callTimeout, Transport: transport}
 	resp, err := client.Do(req)
--- a/cmd/mastic-soak/faults.go
+++ b/cmd/mastic-soak/faults.go
@@ -145,7 +145,7 @@
 	})
 }
 
-func (f *faults) upstream() *upstream { return f.service.upstreams[f.random.IntN(upstreamCount)] }
+func (f *faults) upstream() *upstream { return f.service.upstreams[f.random.IntN(deskCount)] }
 
 func (f *faults) dropAnswers() {
 	u := f.upstream()
--- a/cmd/mastic-soak/main.go
+++ b/cmd/mastic-soak/main.go
@@ -83,8 +83,10 @@
 		return nil, err
 	}
 	defer r.stop()
-	service := newPlainService(r)
+	service := newPlainService(r, deskService, deskCount, nil)
 	defer service.stop()
+	kiosk := newPlainService(r, kioskService, kioskCount, newCrashLedger())
+	defer kiosk.stop()
 	engines, err := newEngineSet(r, seed, args.Engines, args.Grouped)
 	if err != nil {
 		return nil, err
@@ -120,18 +122,22 @@
 	if args.Grouped > 0 && seed%crashSeedStep == 0 {
 		all.Go(func() { streams.runCrashing(until) })
 	}
+	kioskCalls := &kioskCallers{callers: callers{region: r}, service: kiosk}
+	all.Go(func() { kioskCalls.runBesideFaults(seed, until) })
 	injected := &concurrentFaults{region: r, engines: engines, service: service, entryLinks: entryLinks}
 	if args.OnlySilences {
 		injected.runSilences(seed, until)
 	} else {
-		all.Go(func() { injected.run(seed, until) })
-		(&faults{region: r, service: service, random: faultSource(seed)}).run(until)
+		injected.run(seed, until)
 	}
 	all.Wait()
 	served := streams.counts.finished.Load() - before
 	service.faultsActive.Store(false)
 	engines.faultsActive.Store(false)
 	violations := append(service.violations(c.answers()), service.givenUp(c.answers())...)
+	var crashViolations []string
+	var calm sync.WaitGroup
+	calm.Go(func() { crashViolations = kioskCalls.check() })
 	if !c.waitServed(endTimeout) {
 		violations = append(violations, "requests are not served again after the faults")
 	}
@@ -141,6 +147,8 @@
 	if args.Grouped > 0 {
 		violations = append(violations, streams.checkQuarantine()...)
 	}
+	calm.Wait()
+	violations = append(violations, crashViolations...)
 	groupsServed = groupsServed && (args.Grouped == 0 || streams.waitServed("end-groups", groupKinds()))
 	if !groupsServed {
 		fmt.Printf("seed %d: streams of groups were not served at the start or the end\n", seed)
@@ -153,7 +161,7 @@
 	violations = append(violations, streams.executedDespiteRefusal()...)
 	violations = append(violations, streams.givenUp()...)
 	violations = append(violations, engines.runs.violations()...)
-	fmt.Printf("seed %d: %s; failures: %s; crashes by a prompt: %d\n", seed, &streams.counts, engines.runs.failureCounts(), engines.crashes.arrivals.Load())
+	fmt.Printf("seed %d: %s; failures: %s; crashes by a prompt: %d; %s\n", seed, &streams.counts, engines.runs.failureCounts(), engines.crashes.arrivals.Load(), kiosk.crashing.counts())
 	logged, err := r.logViolations()
 	if err != nil {
 		return nil, err
--- a/cmd/mastic-soak/operator.go
+++ b/cmd/mastic-soak/operator.go
@@ -11,6 +11,9 @@
 
 const (
 	soakHost = "soak.example"
+	// The plain services; requests crash upstreams of the second one.
+	deskService  = "desk"
+	kioskService = "kiosk"
 	// changeInterval is the time between two changes of the configuration.
 	changeInterval = 400 * time.Millisecond
 	// streamAttempts is the max_attempts of the routes of streams.
@@ -32,10 +35,10 @@
 
 // document returns the configuration of a version; versions differ only in the idle timeout.
 func document(version uint64) []byte {
-	route := func(name, prefix, kind string) map[string]any {
+	route := func(name, prefix, kind, service string) map[string]any {
 		return map[string]any{
 			"name": name, "host": soakHost, "path_prefix": prefix, "kind": kind, "timeout_ms": callTimeout.Milliseconds(),
-			"slo_ms": 150, "priority": 1, "service": "desk", "max_attempts": 2, "public": true,
+			"slo_ms": 150, "priority": 1, "service": service, "max_attempts": 2, "public": service == deskService,
 		}
 	}
 	stream := func(k *streamKind) map[string]any {
@@ -47,14 +50,20 @@
 	data, err := json.Marshal(map[string]any{
 		"version": version,
 		"services": []map[string]any{
-			{"name": "desk", "max_conns": 100},
+			{"name": deskService, "max_conns": 100},
+			{"name": kioskService, "max_conns": 100},
 			{"name": engineService, "max_conns": 200},
 			{"name": groupService, "max_conns": 200, "engine": engineConfig()},
 		},
 		"routes": []map[string]any{
-			route("grant", "/grant/", "non_idempotent"), route("lookup", "/lookup/", "idempotent"),
+			route("grant", "/grant/", "non_idempotent", deskService), route("lookup", "/lookup/", "idempotent", deskService),
+			route("booking", bookingPath, "non_idempotent", kioskService), route("quote", quotePath, "idempotent", kioskService),
 			stream(plainStream), stream(onceStream), stream(pairStream),
 		},
+		"tenants": []map[string]any{
+			{"name": crashingAccount, "api_keys": []string{accountKey(crashingAccount)}, "priority": 1},
+			{"name": otherAccount, "api_keys": []string{accountKey(otherAccount)}, "priority": 1},
+		},
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "idle_timeout_ms": 10000 + version},
 	})
 	if err != nil {
--- a/cmd/mastic-soak/plainservice.go
+++ b/cmd/mastic-soak/plainservice.go
@@ -12,16 +12,18 @@
 	"time"
 )
 
-// plainService is a fake plain service with two upstreams. It counts the runs of each
-// request.
+// plainService is a fake plain service. It counts the runs of each request.
 type plainService struct {
 	region *region
+	name   string
 	mu     sync.Mutex
 	runs   map[string]int
 	// broken counts the runs whose connection the upstream closed instead of an answer.
 	broken    map[string]int
 	total     int
 	upstreams []*upstream
+	// crashing records the requests that crash upstreams; nil in a service without such ones.
+	crashing *crashLedger
 	// faultsActive is true while faults are injected; then one answer in dropOneIn is lost.
 	faultsActive atomic.Bool
 	done         chan struct{}
@@ -30,11 +32,16 @@
 
 // upstream is one instance of the service.
 type upstream struct {
-	service   *plainService
-	id        string
-	startTime int64
-	addr      string
-	server    *http.Server
+	service *plainService
+	number  int
+	addr    string
+	mu      sync.Mutex
+	// incarnation numbers the starts. isDown is true between a crash and the next start, isStopped
+	// once there is none.
+	incarnation       int
+	isDown, isStopped bool
+	startTime         int64
+	server            *http.Server
 	// dropsAnswers closes connections after the request ran; refuses answers that requests
 	// were not executed.
 	dropsAnswers, refuses atomic.Bool
@@ -45,38 +52,79 @@
 }
 
 const (
-	upstreamCount = 2
-	dropOneIn     = 40
+	deskCount = 2
+	dropOneIn = 40
 	// headerTimeout is longer than all silences, so that none ends a connection.
 	headerTimeout = 10 * time.Second
 )
 
-func newPlainService(r *region) *plainService {
-	s := &plainService{region: r, runs: map[string]int{}, broken: map[string]int{}, done: make(chan struct{})}
-	for i := range upstreamCount {
-		u := &upstream{service: s, id: fmt.Sprintf("desk-%d", i), startTime: time.Now().UnixMilli()}
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			panic(err)
-		}
-		u.addr = listener.Addr().String()
-		u.server = &http.Server{Handler: u, ReadHeaderTimeout: headerTimeout}
-		go func() { _ = u.server.Serve(&pausableListener{listener, &u.pauses}) }()
+func newPlainService(r *region, name string, count int, crashing *crashLedger) *plainService {
+	s := &plainService{region: r, name: name, crashing: crashing, runs: map[string]int{}, broken: map[string]int{}, done: make(chan struct{})}
+	for i := range count {
+		u := &upstream{service: s, number: i, addr: r.endpoint()}
+		u.start()
 		s.upstreams = append(s.upstreams, u)
 		s.workers.Go(u.announce)
 	}
 	return s
 }
 
+// start starts an incarnation at the address of the one before.
+func (u *upstream) start() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.isStopped {
+		return
+	}
+	listener, err := net.Listen("tcp", u.addr)
+	if err != nil {
+		panic(err)
+	}
+	u.addr = listener.Addr().String()
+	u.incarnation++
+	u.isDown, u.startTime = false, time.Now().UnixMilli()
+	server := &http.Server{Handler: u, ReadHeaderTimeout: headerTimeout}
+	u.server = server
+	go func() { _ = server.Serve(&pausableListener{listener, &u.pauses}) }()
+}
+
+// stop ends the upstream for good.
+func (u *upstream) stop() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.isStopped = true
+	_ = u.server.Close()
+}
+
+// instance is the ID of the current incarnation.
+func (u *upstream) instance() string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.instanceLocked()
+}
+
+func (u *upstream) instanceLocked() string {
+	return fmt.Sprintf("%s-%d.%d", u.service.name, u.number, u.incarnation)
+}
+
 // ServeHTTP executes a request and answers it according to the active faults.
 func (u *upstream) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	id := req.Header.Get("X-Request-Id")
 	w.Header().Set("X-Request-Id", id)
 	w.Header().Set("X-Response-Stamp", "soak")
-	if u.refuses.Load() {
+	instance := u.instance()
+	switch expected := req.Header.Get("X-Expect-Instance"); {
+	case expected != "" && expected != instance:
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	case u.refuses.Load():
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
+	case u.service.crashing != nil:
+		u.serveOrCrash(w, req, instance)
+		return
 	}
 	if u.service.recordRun(id, u.dropsAnswers.Load()) {
 		panic(http.ErrAbortHandler)
@@ -114,14 +162,21 @@
 		if u.silent.Load() {
 			continue
 		}
-		body, err := json.Marshal(map[string]any{
-			"service": "desk", "address": u.addr, "zone": "zone-0", "slots": 50, "state": "ready", "seq": seq, "born": u.startTime,
-		})
+		u.mu.Lock()
+		isDown, id := u.isDown, u.instanceLocked()
+		fields := map[string]any{
+			"service": u.service.name, "address": u.addr, "zone": "zone-0", "slots": 50, "state": "ready", "seq": seq, "born": u.startTime,
+		}
+		u.mu.Unlock()
+		if isDown {
+			continue
+		}
+		body, err := json.Marshal(fields)
 		if err != nil {
 			panic(err)
 		}
 		keeper := u.service.region.keepers[seq%keeperCount]
-		resp, err := client.Post(fmt.Sprintf("http://%s:%d/api/instances/%s/heartbeat", keeper.ip, controlPort, u.id), "application/json", bytes.NewReader(body))
+		resp, err := client.Post(fmt.Sprintf("http://%s:%d/api/instances/%s/heartbeat", keeper.ip, controlPort, id), "application/json", bytes.NewReader(body))
 		if err == nil {
 			_ = resp.Body.Close()
 		}
@@ -132,7 +187,7 @@
 	close(s.done)
 	s.workers.Wait()
 	for _, u := range s.upstreams {
-		_ = u.server.Close()
+		u.stop()
 	}
 }
 
