Soak: a run after one that left a second answer on its connection may fail

The check of streams that were given up took the next run on that connection for one whose upstream did not end.

--- a/cmd/mastic-soak/enginestreams.go
+++ b/cmd/mastic-soak/enginestreams.go
@@ -40,6 +40,7 @@
 	if !p.fails {
 		return e.write(conn, r, &p)
 	}
+	r.path.harm()
 	r.setEnd(fmt.Sprintf("%s after %d bytes, inside an event: %t", p.mode, p.cut, p.inside))
 	l.countFailure(p.mode.String())
 	if p.mode == failStatus {
--- a/cmd/mastic-soak/link.go
+++ b/cmd/mastic-soak/link.go
@@ -103,7 +103,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for c := range l.conns {
-		c.harmed.Store(true)
+		c.harm()
 		c.reset()
 	}
 }
@@ -123,7 +123,8 @@
 	fault          linkFault
 	bytes          atomic.Int64
 	triggered      atomic.Bool
-	// harmed is true once a fault broke the connection or lost data.
+	// harmed is true once a fault broke the connection, lost data or left bytes that belong to no
+	// request.
 	harmed     atomic.Bool
 	faultAfter int64
 	faultTime  time.Duration
@@ -176,6 +177,13 @@
 	return errors.Join(tcp.SetReadBuffer(socketBuffer), tcp.SetWriteBuffer(socketBuffer))
 }
 
+// harm records that requests on the connection may fail from now on; c may be nil.
+func (c *linkConn) harm() {
+	if c != nil {
+		c.harmed.Store(true)
+	}
+}
+
 func (c *linkConn) reset() {
 	c.once.Do(func() {
 		close(c.done)
@@ -236,7 +244,7 @@
 // trigger starts the fault. For linkReset, forward resets the connection after it has
 // written the current data; the other faults reset it after faultTime.
 func (c *linkConn) trigger() {
-	c.harmed.Store(true)
+	c.harm()
 	switch c.fault {
 	case linkReset:
 		c.dropDown.Store(true)
