Soak: an entry that stops may answer 502 what is still running, in the last third of its grace period

The check of requests that were given up (LOST) counted an answer of the entry's own during a planned stop like a cut. Cuts stay bound to the last sixth of the grace period, answers to the last third.

--- a/cmd/mastic-soak/givenup.go
+++ b/cmd/mastic-soak/givenup.go
@@ -15,6 +15,9 @@
 	// SIGTERM and that an upstream still ran in the last sixth of the grace period.
 	lateRequestTime = 3 * time.Second
 	graceUsed       = stopGrace * 5 / 6
+	// stopAnswerTime is the time after SIGTERM from which an entry may answer, in time before its
+	// exit, what an upstream still runs.
+	stopAnswerTime = stopGrace * 2 / 3
 	// unreadTime is the time after which an entry has read a request: a connection that ends
 	// sooner without an answer may have been closed before the entry read the request.
 	unreadTime = 500 * time.Millisecond
@@ -48,15 +51,19 @@
 	return fmt.Sprintf("%s at %s, %s after it was sent", x.entry.name, x.endedAt.UTC().Format("15:04:05.000"), x.endedAt.Sub(x.sentAt))
 }
 
-// isExcused reports whether the entry may end the request without a complete answer although an
-// upstream ran it.
-func (x *exchange) isExcused() bool {
+// isExcused reports whether the entry may end the request although an upstream runs it: by an
+// answer of its own, or without one.
+func (x *exchange) isExcused(answered bool) bool {
+	stopTime := graceUsed
+	if answered {
+		stopTime = stopAnswerTime
+	}
 	return x.sentAt.IsZero() || x.endedAt.Sub(x.sentAt) >= x.deadline || slices.ContainsFunc(x.entry.disturbances(), func(d disturbance) bool {
 		switch d.signal {
 		case syscall.SIGKILL:
 			return d.overlaps(x.sentAt, x.endedAt)
 		case syscall.SIGTERM:
-			return d.overlaps(x.sentAt, x.endedAt) && !x.sentAt.After(d.from.Add(lateRequestTime)) && !x.endedAt.Before(d.from.Add(graceUsed))
+			return d.overlaps(x.sentAt, x.endedAt) && !x.sentAt.After(d.from.Add(lateRequestTime)) && !x.endedAt.Before(d.from.Add(stopTime))
 		default:
 			return false
 		}
@@ -84,7 +91,7 @@
 func (a *attempt) givenUp(runs []*streamRun) string {
 	switch {
 	case a.ending == endedComplete && a.status == http.StatusOK, a.ending == endedDisconnected, a.callerLeft,
-		a.path != nil && a.path.harmed.Load(), a.isExcused(), a.isRejected(runs):
+		a.path != nil && a.path.harmed.Load(), a.isExcused(a.ending == endedComplete), a.isRejected(runs):
 		return ""
 	}
 	for _, r := range runs {
@@ -120,7 +127,7 @@
 	defer s.mu.Unlock()
 	var found []string
 	for id, a := range answers {
-		if a.status == http.StatusOK || a.isExcused() {
+		if a.status == http.StatusOK || a.isExcused(a.status != 0) {
 			continue
 		}
 		sound := s.runs[id] - s.broken[id]
--- a/cmd/mastic-soak/givenup_test.go
+++ b/cmd/mastic-soak/givenup_test.go
@@ -54,6 +54,15 @@
 		"settings changed":           {disturb(syscall.SIGHUP, time.Second, 2*time.Second), found},
 		"planned stop, early":        {disturb(syscall.SIGTERM, 0, 2*time.Second), found},
 		"planned stop, grace period": {disturb(syscall.SIGTERM, 2*time.Second-graceUsed, 2*time.Second), ""},
+		"planned stop, answered": {func(a *attempt, r *streamRun) {
+			a.status, a.ending = 502, endedComplete
+			disturb(syscall.SIGTERM, 2*time.Second-stopAnswerTime, 2*time.Second)(a, r)
+		}, ""},
+		"planned stop, answered early": {func(a *attempt, r *streamRun) {
+			a.status, a.ending = 502, endedComplete
+			disturb(syscall.SIGTERM, 2*time.Second-stopAnswerTime+1, 2*time.Second)(a, r)
+		}, found},
+		"planned stop, cut early":    {disturb(syscall.SIGTERM, 2*time.Second-graceUsed+1, 2*time.Second), found},
 		"planned stop, request late": {disturb(syscall.SIGTERM, -lateRequestTime-time.Second, 2*time.Second), found},
 		"resumption rejected": {func(a *attempt, r *streamRun) {
 			a.kind, a.after, a.status, r.firstSentAt = pairStream, 2, 502, a.endedAt.Add(-rejectionTime)
