--- /dev/null
+++ b/pkg/gateway/crashing_content_test.go
@@ -0,0 +1,226 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/masticmount/masticmount/pkg/api"
+	"github.com/masticmount/masticmount/pkg/domain"
+	"github.com/masticmount/masticmount/pkg/fakes"
+)
+
+const (
+	// contactTime is the time within which evidence must reach all entries.
+	contactTime = 3 * time.Second
+	// toleratedCrashes is the number of crashes after which that time begins, and toleratedSends
+	// the number of requests that may reach upstreams after it.
+	toleratedCrashes, toleratedSends = 3, 3
+	// restartTime is how long a crashed upstream refuses connections, and timeToCrash how long it
+	// works on a request before it crashes.
+	restartTime, timeToCrash = 3 * time.Second, 60 * time.Millisecond
+	// crashMark is in requests that crash upstreams.
+	crashMark = "crash-the-upstream"
+	// idleWorkerTime is longer than the goroutines of a closed fasthttp server live.
+	idleWorkerTime = 11 * time.Second
+)
+
+// crashingUpstreams are upstreams that crash as they begin a request with crashMark.
+type crashingUpstreams struct {
+	h  *harness
+	mu sync.Mutex
+	// downUntil is when each crashed upstream accepts connections again.
+	downUntil map[string]time.Time
+	conns     map[string][]interface{ Close() error }
+	// incarnations counts the starts of each upstream.
+	incarnations map[string]uint64
+	crashes      []time.Time
+}
+
+func newCrashingUpstreams(h *harness) *crashingUpstreams {
+	c := &crashingUpstreams{
+		h: h, downUntil: map[string]time.Time{}, conns: map[string][]interface{ Close() error }{}, incarnations: map[string]uint64{},
+	}
+	h.net.dialError = func(address string) error {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if time.Now().Before(c.downUntil[address]) {
+			return syscall.ECONNREFUSED
+		}
+		return nil
+	}
+	return c
+}
+
+// wrap returns an application that crashes on crashMark and passes other requests to app.
+func (c *crashingUpstreams) wrap(name string, app *fiber.App) *fiber.App {
+	handler := app.Handler()
+	crashing := fiber.New()
+	crashing.All("/*", func(ctx fiber.Ctx) error {
+		c.mu.Lock()
+		c.conns[name] = append(c.conns[name], ctx.RequestCtx().Conn())
+		c.mu.Unlock()
+		if strings.Contains(string(ctx.Body()), crashMark) {
+			time.Sleep(timeToCrash)
+			c.crash(name)
+			return nil
+		}
+		handler(ctx.RequestCtx())
+		return nil
+	})
+	return crashing
+}
+
+// crash ends an upstream: its connections break, and until its restart its group is not whole.
+func (c *crashingUpstreams) crash(name string) {
+	c.mu.Lock()
+	if time.Now().Before(c.downUntil[name]) {
+		c.mu.Unlock()
+		return
+	}
+	c.downUntil[name] = time.Now().Add(restartTime)
+	c.crashes = append(c.crashes, time.Now())
+	conns := c.conns[name]
+	c.conns[name] = nil
+	c.mu.Unlock()
+	for _, conn := range conns {
+		_ = conn.Close()
+	}
+	time.AfterFunc(timeToCrash/2, func() { c.publish(name, false) })
+	time.AfterFunc(restartTime, func() { c.publish(name, true) })
+}
+
+// publish sets whether the group of an upstream is whole; a started upstream is a new incarnation.
+func (c *crashingUpstreams) publish(name string, running bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if running {
+		c.incarnations[name]++
+	}
+	c.h.changeGroup(name, func(g *domain.Group) { g.Whole = running })
+	view := *c.h.view.Load()
+	view.Upstreams = map[string]api.Announcement{}
+	for upstream, incarnation := range c.incarnations {
+		view.Upstreams[upstream] = api.Announcement{ID: upstream, Incarnation: incarnation}
+	}
+	c.h.view.Store(&view)
+}
+
+// lateSends counts the crashes later than contactTime after the tolerated ones.
+func (c *crashingUpstreams) lateSends() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for i, at := range c.crashes {
+		if i >= toleratedCrashes && at.Sub(c.crashes[toleratedCrashes-1]) > contactTime {
+			n++
+		}
+	}
+	return n
+}
+
+// startClockOfHTTPLibrary starts the goroutine of the HTTP library that never ends, which must not
+// belong to a synctest bubble.
+func startClockOfHTTPLibrary(t *testing.T) {
+	h := newHarness(t)
+	h.addService("d1", fakes.Faults{})
+	require.Equal(t, http.StatusOK, h.send(http.MethodGet, "/lookup/1", "").status)
+}
+
+// inBubble runs a test with a simulated clock.
+func inBubble(t *testing.T, f func(t *testing.T)) {
+	startClockOfHTTPLibrary(t)
+	synctest.Test(t, func(t *testing.T) {
+		t.Cleanup(func() { time.Sleep(idleWorkerTime) })
+		f(t)
+	})
+}
+
+func chatOf(stream bool, messages ...string) string {
+	for i, content := range messages {
+		role := "user"
+		if i == 0 && len(messages) > 1 {
+			role = "system"
+		}
+		messages[i] = fmt.Sprintf(`{"role":%q,"content":%q}`, role, content)
+	}
+	return fmt.Sprintf(`{"model":"captioner","stream":%t,"max_tokens":5,"messages":[%s]}`, stream, strings.Join(messages, ","))
+}
+
+// crashingContents are requests that crash upstreams, each with sound requests beside it.
+var crashingContents = map[string]struct {
+	path            string
+	crashing, sound func(n int) string
+	runOnce         bool
+}{
+	"the same streamed chat": {
+		chatPath, func(int) string { return chatOf(true, crashMark) }, func(n int) string { return chatOf(true, fmt.Sprint("sound ", n)) }, false,
+	},
+	"the same chat": {
+		chatPath, func(int) string { return chatOf(false, crashMark) }, func(n int) string { return chatOf(false, fmt.Sprint("sound ", n)) }, false,
+	},
+	"chats that share a message": {
+		chatPath,
+		func(n int) string { return chatOf(true, "be kind", crashMark, fmt.Sprint("question ", n)) },
+		func(n int) string { return chatOf(true, "be kind", fmt.Sprint("earlier ", n), "question") }, false,
+	},
+	"the same request at plain services": {
+		"/lookup/7", func(int) string { return crashMark }, func(n int) string { return fmt.Sprint("sound ", n) }, false,
+	},
+	"the same run-once request with new keys": {
+		"/grants", func(int) string { return crashMark }, func(n int) string { return fmt.Sprint("sound ", n) }, true,
+	},
+}
+
+// A request whose content crashes each upstream that begins it is sent again and again.
+func TestContentThatCrashesGroupsStopsReachingThem(t *testing.T) {
+	const upstreams, rounds, interval = 4, 60, 500 * time.Millisecond
+	for name, content := range crashingContents {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				h := newHarness(t)
+				c := newCrashingUpstreams(h)
+				for i := range upstreams {
+					c.add(fmt.Sprint("u", i), content.path == chatPath)
+				}
+				send := func(body, key string) answer {
+					if content.runOnce {
+						return h.send(http.MethodPost, content.path, body, HeaderIdempotencyKey, key)
+					}
+					return h.send(http.MethodPost, content.path, body)
+				}
+				refused := 0
+				for n := range rounds {
+					sound := send(content.sound(n), fmt.Sprint("sound-", n))
+					if n >= rounds/2 && sound.status != http.StatusOK {
+						refused++
+					}
+					time.Sleep(interval / 2)
+					send(content.crashing(n), fmt.Sprint("crashing-", n))
+					time.Sleep(interval / 2)
+				}
+				assert.Zero(t, refused, "sound requests that are not answered, of the last %d", rounds/2)
+				assert.LessOrEqual(t, c.lateSends(), toleratedSends, "late sends; %d crashes", len(c.crashes))
+			})
+		})
+	}
+}
+
+func (c *crashingUpstreams) add(name string, engine bool) {
+	if engine {
+		e := fakes.NewEngine(fakes.EngineOptions{Describe: api.Announcement{ID: name}, Slots: 64})
+		c.h.addGroup(name, "captioner", "captions", api.UpstreamEngine, c.wrap(name, e.App()))
+	} else {
+		c.h.addGroup(name, "licence-desk", "desk", api.UpstreamService, c.wrap(name, fakes.NewService(api.Announcement{ID: name}).App()))
+	}
+	c.publish(name, true)
+}
--- a/pkg/gateway/harness_test.go
+++ b/pkg/gateway/harness_test.go
@@ -42,6 +42,8 @@
 type network struct {
 	mu        sync.Mutex
 	listeners map[string]*fasthttputil.InmemoryListener
+	// dialError returns the error of opening a connection to an address; it may be nil.
+	dialError func(address string) error
 }
 
 func (n *network) serve(t *testing.T, address string, app *fiber.App) {
@@ -64,6 +66,11 @@
 	n.mu.Lock()
 	listener := n.listeners[address]
 	n.mu.Unlock()
+	if n.dialError != nil {
+		if err := n.dialError(address); err != nil {
+			return nil, err
+		}
+	}
 	if listener == nil {
 		return nil, fmt.Errorf("no listener at %s", address)
 	}
