Views name the incarnation of members, also of remote groups

Entries did not know which incarnation they send to: views had none, and summaries of other failure domains did not change when an upstream restarted.

Members now have it, summaries carry it, and a changed one makes the next summary a full one. Without that last part the new test fails: expected incarnation 2, actual 1.

--- a/pkg/domain/groups.go
+++ b/pkg/domain/groups.go
@@ -67,7 +67,7 @@
 		group.accelerators += a.Accelerators
 		group.Leaving = group.Leaving || leaving
 		group.Members = append(group.Members, Member{
-			ID: a.ID, Address: a.Address, Load: a.Load, ReportedAt: r.SeenAt, Leaving: leaving,
+			ID: a.ID, Address: a.Address, Incarnation: a.Incarnation, Load: a.Load, ReportedAt: r.SeenAt, Leaving: leaving,
 			Slow: r.Slow(now), Condition: c.table.Condition(now, r),
 		})
 	}
--- a/pkg/domain/region_test.go
+++ b/pkg/domain/region_test.go
@@ -23,6 +23,8 @@
 	packets   []SendPacket
 	down      map[string]bool
 	sequence  uint64
+	// restarts counts the restarts of the upstreams.
+	restarts uint64
 }
 
 func newRegionSimulation(nodes ...coordinator.Node) *regionSimulation {
@@ -63,7 +65,7 @@
 			}
 			id := "desk-" + s.cores[name].opts.FailureDomain
 			s.enqueue(s.cores[name].Step(s.now, AnnouncementReceived{api.Announcement{
-				ID: id, Address: id, Kind: api.UpstreamService, Service: "desk", Incarnation: 1, Sequence: s.sequence,
+				ID: id, Address: id, Kind: api.UpstreamService, Service: "desk", Incarnation: 1 + s.restarts, Sequence: s.sequence,
 			}}))
 			s.enqueue(s.cores[name].Step(s.now, Tick{}))
 		}
@@ -110,6 +112,21 @@
 	require.Len(t, s.cores["b2"].View(s.now).Groups, 1)
 }
 
+// A crash of a remote upstream counts once for each of its incarnations, so that entries must
+// know which one they send to.
+func TestRestartOfRemoteUpstreamIsKnown(t *testing.T) {
+	s := newRegionSimulation(twoDomains...)
+	s.advance(5 * time.Second)
+	s.restarts++
+	s.advance(3 * time.Second)
+	for _, name := range []string{"b1", "b2"} {
+		view := s.cores[name].View(s.now)
+		require.Len(t, view.Remote, 1, name)
+		require.Equal(t, uint64(2), view.Remote[0].Members[0].Incarnation, name)
+		require.Equal(t, uint64(2), view.Groups[0].Members[0].Incarnation, name)
+	}
+}
+
 func TestEvidenceForDispatchFailure(t *testing.T) {
 	want := map[dispatch.Reason]membership.EvidenceKind{
 		dispatch.DialFailed: membership.Refused, dispatch.WriteFailed: membership.ConnectionBroken,
--- a/pkg/domain/summary.go
+++ b/pkg/domain/summary.go
@@ -50,6 +50,8 @@
 type groupVersion struct {
 	name       string
 	generation uint64
+	// incarnation is that of the member of rank 0.
+	incarnation uint64
 }
 
 func newSummaries(opts CoreOptions) *summaries {
@@ -89,7 +91,9 @@
 func (c *Core) summary(now time.Time, fence uint64) *peerpb.Summary {
 	s := c.summaries
 	groups := lo.Filter(c.groups(now), func(g *Group, _ int) bool { return g.Whole && !g.Leaving })
-	listed := lo.Map(groups, func(g *Group, _ int) groupVersion { return groupVersion{g.Name, g.Generation} })
+	listed := lo.Map(groups, func(g *Group, _ int) groupVersion {
+		return groupVersion{g.Name, g.Generation, g.Members[0].Incarnation}
+	})
 	if fence != s.fence || !slices.Equal(listed, s.lastGroups) {
 		s.version, s.fence, s.lastGroups = s.version+1, fence, listed
 		s.lastFull = time.Time{}
@@ -108,7 +112,7 @@
 	return &peerpb.GroupSummary{
 		Name: g.Name, Spec: g.Spec, Kind: string(g.Kind), Generation: g.Generation, FabricDomain: g.FabricDomain,
 		Member: m.ID, Address: m.Address, Running: uint32(m.Load.Running), Waiting: uint32(m.Load.Waiting),
-		Slots: uint32(m.Load.Slots), KvPercent: uint32(m.Load.KVUsed * percentScale),
+		Slots: uint32(m.Load.Slots), KvPercent: uint32(m.Load.KVUsed * percentScale), Incarnation: m.Incarnation,
 	}
 }
 
@@ -167,7 +171,7 @@
 	return &Group{
 		Name: g.GetName(), Spec: spec.Name, Service: spec.Spec.Service, Kind: api.UpstreamKind(g.GetKind()),
 		Labels: spec.Spec.Labels, Generation: g.GetGeneration(), FailureDomain: domain, FabricDomain: g.GetFabricDomain(),
-		Members: []Member{{ID: g.GetMember(), Address: g.GetAddress(), Load: load, ReportedAt: confirmedAt}},
+		Members: []Member{{ID: g.GetMember(), Address: g.GetAddress(), Incarnation: g.GetIncarnation(), Load: load, ReportedAt: confirmedAt}},
 		Whole:   true, ConfirmedAt: confirmedAt,
 	}
 }
--- a/pkg/domain/view.go
+++ b/pkg/domain/view.go
@@ -13,7 +13,9 @@
 type Member struct {
 	ID      string
 	Address string
-	Load    api.Load
+	// Incarnation identifies one start of the member.
+	Incarnation uint64
+	Load        api.Load
 	// ReportedAt is when the load was received.
 	ReportedAt time.Time
 	Leaving    bool
