attempt: an event for requests whose content crashes upstreams

Queued, it is refused, with outcome not-run and a free key if no attempt may have run, unknown otherwise; running without an answer, an idempotent attempt is canceled; a non-idempotent one goes on, as only its answer tells whether it ran. No Retry-After: the same request does not succeed later.

Kind request-quarantined (400) beside prompt-quarantined.

--- a/pkg/fault/fault.go
+++ b/pkg/fault/fault.go
@@ -49,6 +49,9 @@
 	// PromptQuarantined means that requests with a part of the prompt crash the engines that
 	// answer them, so that the request is not sent.
 	PromptQuarantined Kind = "prompt-quarantined"
+	// RequestQuarantined means that the upstreams that ran the same request crashed, so that it is
+	// not sent.
+	RequestQuarantined Kind = "request-quarantined"
 )
 
 // Outcome states whether a request ran.
@@ -96,7 +99,8 @@
 	WrongContentType: http.StatusUnsupportedMediaType,
 	AnswerNotKept:    http.StatusConflict,
 
-	PromptQuarantined: http.StatusBadRequest,
+	PromptQuarantined:  http.StatusBadRequest,
+	RequestQuarantined: http.StatusBadRequest,
 }
 
 // Error is an error of a known kind.
--- a/pkg/gateway/attempt/attempt.go
+++ b/pkg/gateway/attempt/attempt.go
@@ -67,6 +67,9 @@
 	Preempted struct{}
 	// GroupBroken means that the group is no longer whole.
 	GroupBroken struct{}
+	// Quarantined means that upstreams crash on the content of the request, so that it must not
+	// be sent any more. A non-idempotent request that was sent ignores it.
+	Quarantined struct{ Err *fault.Error }
 	// ClientDisconnected means that the client disconnected.
 	ClientDisconnected struct{}
 )
@@ -83,6 +86,7 @@
 func (Answered) isEvent()           {}
 func (Preempted) isEvent()          {}
 func (GroupBroken) isEvent()        {}
+func (Quarantined) isEvent()        {}
 func (ClientDisconnected) isEvent() {}
 
 // Action is an output of the state machine, carried out by its driver.
--- a/pkg/gateway/attempt/attempt_test.go
+++ b/pkg/gateway/attempt/attempt_test.go
@@ -60,6 +60,8 @@
 		return Preempted{}
 	case "group-broke":
 		return GroupBroken{}
+	case "quarantined":
+		return Quarantined{Err: fault.New(fault.RequestQuarantined, "remedy", "detail")}
 	default:
 		return ClientDisconnected{}
 	}
@@ -73,8 +75,10 @@
 	mayHaveRun int
 	delivered  int
 	unnumbered bool
-	settled    int
-	endings    int
+	// quarantined is true once the request must not be sent any more.
+	quarantined bool
+	settled     int
+	endings     int
 }
 
 func (o *oracle) check(m *Machine, event Event, actions []Action) error {
@@ -110,6 +114,12 @@
 		if o.req.Idempotent {
 			o.mayHaveRun++
 		}
+	case Quarantined:
+		if o.slots > 0 && !o.req.Idempotent {
+			break
+		}
+		o.quarantined = true
+		o.mayHaveRun += o.slots
 	case Delivered:
 		o.delivered += e.Tokens
 		o.unnumbered = o.unnumbered || e.Unnumbered
@@ -117,6 +127,12 @@
 }
 
 func (o *oracle) checkAction(action Action) error {
+	switch action.(type) {
+	case Acquire, Dispatch:
+		if o.quarantined {
+			return fmt.Errorf("sent on although its content is quarantined")
+		}
+	}
 	switch a := action.(type) {
 	case Acquire:
 		if !o.req.Idempotent && !o.claimed {
@@ -138,6 +154,9 @@
 		}
 	case Refuse:
 		o.endings++
+		if o.quarantined && a.Err.RetryAfter > 0 {
+			return fmt.Errorf("a quarantined request is to be sent again")
+		}
 		if a.Err.Outcome == fault.NotRun && o.mayHaveRun > 0 {
 			return fmt.Errorf("outcome not-run reported although the request may have run")
 		}
@@ -159,10 +178,10 @@
 	case phaseClaiming:
 		return pick(r, ClaimGranted{}, ClaimGranted{}, ClaimConflict{Err: refused}, AnswerRecorded{}, ClaimFailed{Err: refused})
 	case phaseQueued:
-		return pick(r, SlotAssigned{Group: strconv.Itoa(r.IntN(9))}, SlotAssigned{Group: "x"}, SlotAssigned{Group: "y"}, SlotRefused{Err: refused}, ClientDisconnected{})
+		return pick(r, SlotAssigned{Group: strconv.Itoa(r.IntN(9))}, SlotAssigned{Group: "x"}, SlotAssigned{Group: "y"}, SlotRefused{Err: refused}, ClientDisconnected{}, Quarantined{Err: refused})
 	default:
 		return pick(r,
-			Delivered{Tokens: 1 + r.IntN(3)}, Delivered{Unnumbered: true}, Answered{}, Preempted{}, GroupBroken{}, ClientDisconnected{},
+			Delivered{Tokens: 1 + r.IntN(3)}, Delivered{Unnumbered: true}, Answered{}, Preempted{}, GroupBroken{}, ClientDisconnected{}, Quarantined{Err: refused},
 			Failed{Err: refused, NotRun: r.IntN(2) == 0, Final: r.IntN(4) == 0},
 		)
 	}
@@ -199,7 +218,7 @@
 func TestInjectedFaultsAreDetected(t *testing.T) {
 	for name, injected := range map[string]injectedFault{
 		"forgetEarlierAttempts": forgetEarlierAttempts, "retryEverything": retryEverything,
-		"dispatchBeforeClaim": dispatchBeforeClaim, "restartStream": restartStream, "abandonAlways": abandonAlways,
+		"dispatchBeforeClaim": dispatchBeforeClaim, "restartStream": restartStream, "abandonAlways": abandonAlways, "retryQuarantined": retryQuarantined,
 	} {
 		err := runRandomSessions(injected)
 		require.Error(t, err, name)
--- a/pkg/gateway/attempt/machine.go
+++ b/pkg/gateway/attempt/machine.go
@@ -32,6 +32,8 @@
 	restartStream
 	// abandonAlways frees the key after any failure.
 	abandonAlways
+	// retryQuarantined treats quarantined content as a lost slot.
+	retryQuarantined
 )
 
 // Machine is the state machine of one request. It is not safe for concurrent use.
@@ -103,6 +105,8 @@
 		return m.interrupt("the request was preempted and cannot be resumed on another group")
 	case GroupBroken:
 		return m.groupBroken()
+	case Quarantined:
+		return m.quarantined(e.Err)
 	case ClientDisconnected:
 		return m.clientDisconnected()
 	default:
@@ -189,6 +193,21 @@
 	return append([]Action{Cancel{}, Release{}}, m.refuse(err)...)
 }
 
+// quarantined ends the request before it is sent again. A retry does not help.
+func (m *Machine) quarantined(err *fault.Error) []Action {
+	if m.injected == retryQuarantined {
+		return m.groupBroken()
+	}
+	if m.phase == phaseQueued {
+		return m.end(err)
+	}
+	if m.phase != phaseRunning || !m.req.Idempotent {
+		return nil
+	}
+	m.mayHaveRun = true
+	return append([]Action{Cancel{}, Release{}}, m.end(err)...)
+}
+
 // interrupt cancels the running attempt and, if possible, reschedules the request.
 // A non-idempotent attempt continues, because only its answer shows whether the
 // request ran. Losing a slot is not a failure of the request: no group is excluded,
@@ -224,14 +243,20 @@
 
 // refuse ends the request with an error whose outcome accounts for all attempts.
 func (m *Machine) refuse(err *fault.Error) []Action {
+	reported := *err
+	if reported.RetryAfter == 0 && (m.req.Idempotent || !m.mayHaveRun) {
+		reported.RetryAfter = retryAfter
+	}
+	return m.end(&reported)
+}
+
+// end ends the request with an error, without a time for a retry if it has none.
+func (m *Machine) end(err *fault.Error) []Action {
 	reported := *err
 	reported.Outcome = fault.NotRun
 	if m.mayHaveRun {
 		reported.Outcome = fault.Unknown
 	}
-	if reported.RetryAfter == 0 && (m.req.Idempotent || !m.mayHaveRun) {
-		reported.RetryAfter = retryAfter
-	}
 	var actions []Action
 	if m.claimed {
 		actions = append(actions, Settle{m.settlement()})
