Content that crashes upstreams stops reaching them (masticmountd)

What callers saw: a request that crashes the upstreams that run it was sent to group after group, each time that it came again, and sound requests were refused for want of whole groups meanwhile.

Now each request has contents: an identifier of the whole request (account, method, path, query, body), and for chats one of each message but the last. An attempt that was sent and broke, at an engine up to the first event, is a suspect; a probe that finds the connection refused makes it evidence, an answer refutes it (three events of a stream, or its end). pkg/quarantine decides. The check is made before a slot is asked for, so after the claim of a run-once request: an earlier request with the same key keeps its true outcome, and a refused one frees its key. Queued requests and unanswered attempts of idempotent requests end when the evidence comes.

The evidence is that of one process so far; spreading it follows.

--- a/pkg/gateway/chat.go
+++ b/pkg/gateway/chat.go
@@ -86,6 +86,7 @@
 	if err != nil {
 		return nil, err
 	}
+	req.contents = contentsOf(req)
 	return newSession(g, req, untrack), nil
 }
 
--- /dev/null
+++ b/pkg/gateway/crashes.go
@@ -0,0 +1,252 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"io"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/masticmount/masticmount/pkg/api"
+	"github.com/masticmount/masticmount/pkg/dispatch"
+	"github.com/masticmount/masticmount/pkg/domain"
+	"github.com/masticmount/masticmount/pkg/fault"
+	"github.com/masticmount/masticmount/pkg/gateway/attempt"
+	"github.com/masticmount/masticmount/pkg/quarantine"
+	"github.com/masticmount/masticmount/pkg/quarantine/evidence"
+	"github.com/masticmount/masticmount/pkg/quarantine/report"
+)
+
+const (
+	// beginningEvents is the number of events up to which a stream has only begun: its engine
+	// may have crashed because of it.
+	beginningEvents = 1
+	// successEvents is the number of events from which a stream shows that its request crashes
+	// no engine.
+	successEvents = 3
+	// maxProbes bounds the attempts to find out whether an upstream ended.
+	maxProbes = 3
+	// maxMessageContents bounds the messages of a chat that are examined.
+	maxMessageContents = 31
+	// messagePrefix distinguishes the identifiers of messages.
+	messagePrefix = "message:"
+	// messageHashBytes is the length of the hash in the identifier of a message.
+	messageHashBytes = 16
+)
+
+// contentsOf returns the identifiers of the contents that later requests may share: the whole
+// request, and each message of a chat but the last.
+func contentsOf(req *request) []string {
+	contents := []string{quarantine.RequestContent(req.account, req.call.Method, "", req.call.Path+"?"+req.call.Query, req.call.Body)}
+	if req.chat == nil {
+		return contents
+	}
+	var messages []json.RawMessage
+	if json.Unmarshal(req.chat.Messages, &messages) != nil || len(messages) == 0 {
+		return contents
+	}
+	for _, message := range messages[:min(len(messages)-1, maxMessageContents)] {
+		contents = append(contents, messageContent(message))
+	}
+	return contents
+}
+
+// messageContent returns the identifier of a message, whatever its white space.
+func messageContent(message json.RawMessage) string {
+	var compact bytes.Buffer
+	if json.Compact(&compact, message) != nil {
+		compact.Write(message)
+	}
+	sum := sha256.Sum256(compact.Bytes())
+	return messagePrefix + hex.EncodeToString(sum[:messageHashBytes])
+}
+
+// errQuarantined is the cause of the end of a wait or an attempt whose request was quarantined.
+var errQuarantined = errors.New("a content of the request was quarantined")
+
+// incarnation identifies one start of an upstream.
+type incarnation struct {
+	upstream string
+	number   uint64
+}
+
+// suspect is a request whose answer was not complete when its upstream may have crashed.
+type suspect struct {
+	requestID string
+	contents  []string
+}
+
+// crashCheck collects the requests that broke at one incarnation, until a probe shows whether the
+// upstream ended.
+type crashCheck struct {
+	incarnation
+	group    *domain.Group
+	at       time.Time
+	suspects []suspect
+}
+
+// crashWatch finds out which requests crash upstreams, and ends the waits and the unanswered
+// attempts of requests whose content is quarantined.
+type crashWatch struct {
+	store  *evidence.Store
+	client *dispatch.Client
+	log    zerolog.Logger
+
+	mu     sync.Mutex
+	checks map[incarnation]*crashCheck
+	// unanswered are the waits and attempts to cancel when their contents are quarantined.
+	unanswered map[*unanswered]struct{}
+}
+
+// unanswered is a wait or an attempt without an answer.
+type unanswered struct {
+	contents []string
+	cancel   context.CancelCauseFunc
+}
+
+func newCrashWatch(opts Options) *crashWatch {
+	w := &crashWatch{
+		store: opts.Evidence, client: opts.Client, log: opts.Log,
+		checks: map[incarnation]*crashCheck{}, unanswered: map[*unanswered]struct{}{},
+	}
+	w.store.Subscribe(w.cancelQuarantined)
+	return w
+}
+
+// watch has a wait or an attempt canceled with errQuarantined if its contents are quarantined
+// before stop is called.
+func (w *crashWatch) watch(contents []string, cancel context.CancelCauseFunc) (stop func()) {
+	u := &unanswered{contents, cancel}
+	w.mu.Lock()
+	w.unanswered[u] = struct{}{}
+	w.mu.Unlock()
+	if _, quarantined := w.store.Check(contents); quarantined {
+		cancel(errQuarantined)
+	}
+	return func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		delete(w.unanswered, u)
+	}
+}
+
+func (w *crashWatch) cancelQuarantined() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for u := range w.unanswered {
+		if _, quarantined := w.store.Check(u.contents); quarantined {
+			u.cancel(errQuarantined)
+		}
+	}
+}
+
+// suspectCrash records that a request may have crashed the upstream of its group. The first one
+// starts a probe.
+func (w *crashWatch) suspectCrash(group *domain.Group, s suspect) {
+	first := group.Members[0]
+	key := incarnation{first.ID, first.Incarnation}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	check := w.checks[key]
+	if check == nil {
+		check = &crashCheck{incarnation: key, group: group, at: w.store.Now()}
+		w.checks[key] = check
+		go w.probeCrashed(check)
+	}
+	check.suspects = append(check.suspects, s)
+}
+
+// probeCrashed records the suspects as evidence if nothing listens at their upstream's address any
+// more. A broken connection alone proves nothing: networks and upstreams break single connections,
+// too.
+func (w *crashWatch) probeCrashed(check *crashCheck) {
+	var err error
+	for range maxProbes {
+		// A timeout shows neither.
+		if err = w.client.Probe(context.Background(), check.group.Address()); err == nil || dispatch.IsConnectionRefused(err) {
+			break
+		}
+	}
+	w.mu.Lock()
+	delete(w.checks, check.incarnation)
+	w.mu.Unlock()
+	crashed := dispatch.IsConnectionRefused(err)
+	now := w.store.Now()
+	crashes := make([]quarantine.Crash, 0, len(check.suspects))
+	for _, s := range check.suspects {
+		w.log.Info().Str("upstream", check.upstream).Str("group", check.group.Name).Str("service", check.group.Service).
+			Str("suspect", s.requestID).Str("content", s.contents[0]).Str("prompt_parts", strings.Join(s.contents[1:], ",")).
+			Bool("crashed", crashed).AnErr("probe", err).Dur("crash_age_ms", now.Sub(check.at)).Msg("engine_crash_checked")
+		crashes = append(crashes, quarantine.Crash{Upstream: check.upstream, StartTime: check.number, Parts: s.contents, At: check.at})
+	}
+	if crashed {
+		w.store.AddCrashes(crashes)
+	}
+}
+
+// recordFailure records the evidence of an attempt without a complete answer: it may have crashed
+// its upstream if it was sent and broke, at engines as the answer began.
+func (s *session) recordFailure(sl *slot, err error) {
+	callErr, ok := dispatch.CallErrorOf(err)
+	if !ok || !callErr.Sent || sl.assignment.Group.Kind == api.UpstreamEngine && sl.events > beginningEvents {
+		return
+	}
+	groupBroke := callErr.Reason == dispatch.Canceled && errors.Is(context.Cause(sl.ctx), errGroupBroke)
+	if callErr.Reason == dispatch.Truncated || callErr.Reason == dispatch.WriteFailed || groupBroke {
+		s.g.crashes.suspectCrash(sl.assignment.Group, suspect{s.req.id, s.req.contents})
+	}
+}
+
+// recordSuccess records that an upstream answered the request beyond the beginning.
+func (s *session) recordSuccess() { s.g.opts.Evidence.ObserveSuccess(s.req.contents) }
+
+// recordEvent records the evidence of reading a stream: an event, its end or its failure.
+func (s *session) recordEvent(sl *slot, err error) {
+	switch {
+	case err == nil:
+		sl.events++
+		if sl.events == 1 {
+			sl.answerBegan()
+		}
+		if sl.events == successEvents {
+			s.recordSuccess()
+		}
+	case errors.Is(err, io.EOF):
+		s.recordSuccess()
+	default:
+		s.recordFailure(sl, err)
+	}
+}
+
+// quarantined returns the event of the refusal of a request with quarantined content; nil when the
+// request may be sent.
+func (s *session) quarantined() attempt.Event {
+	finding, found := s.g.opts.Evidence.Check(s.req.contents)
+	if !found {
+		return nil
+	}
+	s.finding = &finding
+	age := int(s.g.opts.Evidence.Now().Sub(finding.Last).Seconds())
+	if quarantine.IsRequest(finding.Part) {
+		return attempt.Quarantined{Err: fault.New(fault.RequestQuarantined, "do not send this request again unchanged",
+			"%d upstreams crashed as they ran this request, the last one %d s ago", len(finding.Upstreams), age)}
+	}
+	return attempt.Quarantined{Err: fault.New(fault.PromptQuarantined, "leave the named message out of the chat",
+		"%d engines crashed as they began to answer chats with %s, the last one %d s ago", len(finding.Upstreams), finding.Part, age)}
+}
+
+// findingFields adds the evidence of the request's refusal to a log line.
+func (s *session) findingFields(line *zerolog.Event) *zerolog.Event {
+	if s.finding == nil {
+		return line
+	}
+	return report.Fields(s.g.opts.Evidence.Now(), *s.finding, line).Str("content", s.req.contents[0]).
+		Str("prompt_parts", strings.Join(s.req.contents[1:], ","))
+}
--- a/pkg/gateway/crashing_content_test.go
+++ b/pkg/gateway/crashing_content_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
@@ -14,9 +15,15 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/masticmount/masticmount/pkg/admission"
 	"github.com/masticmount/masticmount/pkg/api"
 	"github.com/masticmount/masticmount/pkg/domain"
 	"github.com/masticmount/masticmount/pkg/fakes"
+	"github.com/masticmount/masticmount/pkg/fault"
+	"github.com/masticmount/masticmount/pkg/quarantine"
+	"github.com/masticmount/masticmount/pkg/quarantine/evidence"
+	"github.com/masticmount/masticmount/pkg/routing"
+	"github.com/masticmount/masticmount/pkg/scheduling"
 )
 
 const (
@@ -106,13 +113,9 @@
 	if running {
 		c.incarnations[name]++
 	}
-	c.h.changeGroup(name, func(g *domain.Group) { g.Whole = running })
-	view := *c.h.view.Load()
-	view.Upstreams = map[string]api.Announcement{}
-	for upstream, incarnation := range c.incarnations {
-		view.Upstreams[upstream] = api.Announcement{ID: upstream, Incarnation: incarnation}
-	}
-	c.h.view.Store(&view)
+	c.h.changeGroup(name, func(g *domain.Group) {
+		g.Whole, g.Members = running, []domain.Member{{ID: name, Address: name, Incarnation: c.incarnations[name]}}
+	})
 }
 
 // lateSends counts the crashes later than contactTime after the tolerated ones.
@@ -145,6 +148,11 @@
 	})
 }
 
+// withSimulatedClock has evidence use the clock of the synctest bubble.
+func withSimulatedClock(o *Options) {
+	o.Evidence = evidence.New(evidence.Options{Clock: time.Now, Metrics: o.Metrics, Log: o.Log})
+}
+
 func chatOf(stream bool, messages ...string) string {
 	for i, content := range messages {
 		role := "user"
@@ -187,7 +195,7 @@
 	for name, content := range crashingContents {
 		t.Run(name, func(t *testing.T) {
 			inBubble(t, func(t *testing.T) {
-				h := newHarness(t)
+				h := newHarness(t, withSimulatedClock)
 				c := newCrashingUpstreams(h)
 				for i := range upstreams {
 					c.add(fmt.Sprint("u", i), content.path == chatPath)
@@ -224,3 +232,80 @@
 	}
 	c.publish(name, true)
 }
+
+// crashedBefore is evidence of three crashes by the given contents, and of a success of another
+// request since.
+func (h *harness) crashedBefore(contents ...string) {
+	now := h.gw.opts.Evidence.Now()
+	var crashes []quarantine.Crash
+	for i := range toleratedCrashes {
+		crashes = append(crashes, quarantine.Crash{Upstream: fmt.Sprint("earlier", i), Parts: contents, At: now.Add(time.Duration(i-9) * time.Second)})
+	}
+	h.gw.opts.Evidence.AddCrashes(crashes)
+	h.gw.opts.Evidence.ObserveSuccess([]string{"another"})
+}
+
+func grantContent(body string) string {
+	return quarantine.RequestContent("school", http.MethodPost, "", "/grants?", []byte(body))
+}
+
+// A run-once request that was never sent leaves its key free; one that was sent stays unknown.
+func TestRunOnceRequestsHaveTrueOutcomesWhenQuarantined(t *testing.T) {
+	h := newHarness(t)
+	service := h.addService("d1", fakes.Faults{CloseAfterRead: true, Times: 1})
+	broken := h.grant("k1", "crashing")
+	require.Equal(t, http.StatusBadGateway, broken.status)
+	h.crashedBefore(grantContent("crashing"))
+	again := h.grant("k1", "crashing")
+	require.Equal(t, http.StatusBadGateway, again.status, again.body)
+	require.Equal(t, "unknown", again.outcome, "the key's request was sent")
+
+	refused := h.grant("k2", "crashing")
+	require.Equal(t, http.StatusBadRequest, refused.status)
+	require.Equal(t, string(fault.RequestQuarantined), refused.kind())
+	require.Equal(t, "not-run", refused.outcome)
+	require.Empty(t, refused.header.Get("Retry-After"))
+	require.Zero(t, service.Runs()["k2"])
+	require.Contains(t, h.logs.String(), `"part":"`+grantContent("crashing")+`"`, "the refusal names its evidence")
+
+	require.Equal(t, http.StatusOK, h.grant("k2", "sound").status, "the key of the refused request is free")
+}
+
+// Requests that wait for a slot, and attempts whose answer has not begun, end with the quarantine of
+// their content; an answer that has begun goes on.
+func TestQuarantineReachesRequestsThatWait(t *testing.T) {
+	for name, test := range map[string]struct {
+		slots   int
+		outcome string
+	}{"in the queue": {1, "not-run"}, "at the upstream": {3, "unknown"}} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				h := newHarness(t, withSimulatedClock, func(o *Options) {
+					o.Scheduler = &scheduling.Baseline{Queue: admission.NewFIFO(test.slots, 64), Router: routing.NewLeastOutstanding(), View: o.View}
+				})
+				began, resume := make(chan struct{}), make(chan struct{})
+				begin := sync.OnceFunc(func() { close(began) })
+				engine := h.addEngine("g1", fakes.Faults{}, func(_ context.Context, token int) {
+					if token == 1 {
+						begin()
+						<-resume
+					}
+				})
+				shared := `{"role":"system","content":"crashing"}`
+				sound := h.open(t.Context(), http.MethodPost, chatPath, chatOf(true, "crashing", "begun"))
+				<-began
+				engine.Set(fakes.Faults{Paused: true})
+				waiting := make(chan answer)
+				go func() { waiting <- h.send(http.MethodPost, chatPath, chatOf(true, "crashing", "waits")) }()
+				synctest.Wait()
+				h.crashedBefore(messageContent([]byte(shared)))
+				refused := <-waiting
+				require.Equal(t, string(fault.PromptQuarantined), refused.kind(), refused.body)
+				require.Equal(t, test.outcome, refused.outcome)
+				engine.Set(fakes.Faults{})
+				close(resume)
+				h.requireCompleteStream(h.readRemaining(sound, ""), 5)
+			})
+		})
+	}
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/masticmount/masticmount/pkg/dispatch"
 	"github.com/masticmount/masticmount/pkg/domain"
 	"github.com/masticmount/masticmount/pkg/limits"
+	"github.com/masticmount/masticmount/pkg/quarantine/evidence"
 	"github.com/masticmount/masticmount/pkg/scheduling"
 	"github.com/masticmount/masticmount/pkg/state"
 	"github.com/masticmount/masticmount/pkg/telemetry"
@@ -60,7 +61,9 @@
 	Metrics   *telemetry.Registry
 	// ReportFailure is called when an upstream fails a request; it may be nil.
 	ReportFailure func(upstreamID, reason string)
-	Log           zerolog.Logger
+	// Evidence is the crash evidence that this process knows; nil keeps it in the gateway.
+	Evidence *evidence.Store
+	Log      zerolog.Logger
 	// DefaultDeadline is the request deadline if the route sets none.
 	DefaultDeadline time.Duration
 	// MaxBodyBytes limits the size of a request body.
@@ -74,6 +77,7 @@
 	opts     Options
 	app      *fiber.App
 	monitor  *groupMonitor
+	crashes  *crashWatch
 	inFlight inFlightTracker
 }
 
@@ -82,7 +86,10 @@
 	opts.DefaultDeadline = cmp.Or(opts.DefaultDeadline, defaultDeadline)
 	opts.MaxBodyBytes = cmp.Or(opts.MaxBodyBytes, defaultMaxBodyBytes)
 	opts.ReadTimeout = cmp.Or(opts.ReadTimeout, defaultReadTimeout)
-	g := &Gateway{opts: opts, monitor: newGroupMonitor(opts.View)}
+	if opts.Evidence == nil {
+		opts.Evidence = evidence.New(evidence.Options{Metrics: opts.Metrics, Log: opts.Log})
+	}
+	g := &Gateway{opts: opts, monitor: newGroupMonitor(opts.View), crashes: newCrashWatch(opts)}
 	g.app = fiber.New(fiber.Config{
 		BodyLimit: opts.MaxBodyBytes, ReadBufferSize: maxHeaderBytes, ReadTimeout: opts.ReadTimeout, IdleTimeout: idleTimeout,
 		ErrorHandler: g.handleError,
--- a/pkg/gateway/hedge.go
+++ b/pkg/gateway/hedge.go
@@ -100,6 +100,7 @@
 	r := s.send(sl, call, 0)
 	for r.stream != nil {
 		event, err := r.stream.Next()
+		s.recordEvent(sl, err)
 		if err != nil {
 			r.stream.Close()
 			r.stream, r.err = nil, err
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -26,6 +26,8 @@
 	requestIDKey = "request_id"
 	// accountKey is the key of the client account in a context's locals.
 	accountKey = "account"
+	// sessionKey is the key of a refused request's session in a context's locals.
+	sessionKey = "session"
 )
 
 // request is a parsed client request. All its data is copied from the HTTP
@@ -42,8 +44,10 @@
 	size int
 	call dispatch.Call
 	// chat is nil for requests to plain services.
-	chat       *chatBody
-	key        string
+	chat *chatBody
+	key  string
+	// contents identify what later requests may share with this one, see contentsOf.
+	contents   []string
 	clientConn *disconnect.Conn
 }
 
--- a/pkg/gateway/respond.go
+++ b/pkg/gateway/respond.go
@@ -29,6 +29,7 @@
 func (s *session) respond(c fiber.Ctx) error {
 	switch {
 	case s.refusal != nil:
+		c.Locals(sessionKey, s)
 		return s.refusal
 	case s.answer != nil:
 		return writeAnswer(c, s.answer)
@@ -80,7 +81,11 @@
 		id = g.assignRequestID(c)
 	}
 	account, _ := c.Locals(accountKey).(string)
-	g.opts.Log.Warn().Err(e).Str("request_id", id).Str("account", account).Str("kind", string(e.Kind)).
+	line := g.opts.Log.Warn()
+	if s, ok := c.Locals(sessionKey).(*session); ok {
+		line = s.findingFields(line)
+	}
+	line.Err(e).Str("request_id", id).Str("account", account).Str("kind", string(e.Kind)).
 		Str("outcome", string(e.Outcome)).Msg("request_refused")
 	g.countRefusal(e)
 	c.Set(fault.OutcomeHeader, string(e.Outcome))
--- a/pkg/gateway/session.go
+++ b/pkg/gateway/session.go
@@ -11,6 +11,7 @@
 	"github.com/masticmount/masticmount/pkg/dispatch"
 	"github.com/masticmount/masticmount/pkg/fault"
 	"github.com/masticmount/masticmount/pkg/gateway/attempt"
+	"github.com/masticmount/masticmount/pkg/quarantine"
 	"github.com/masticmount/masticmount/pkg/scheduling"
 )
 
@@ -53,6 +54,8 @@
 	answer    *dispatch.BufferedResponse
 	refusal   *fault.Error
 	discarded bool
+	// finding is the evidence on which the request was refused.
+	finding *quarantine.Finding
 }
 
 func newSession(g *Gateway, req *request, untrack func()) *session {
@@ -138,22 +141,32 @@
 
 // acquire requests a slot from the scheduler.
 func (s *session) acquire(a attempt.Acquire) attempt.Event {
+	if refusal := s.quarantined(); refusal != nil {
+		return refusal
+	}
 	start := time.Now()
 	request := s.schedulingRequest(a.Exclude)
 	request.Resumed = a.Resumed
-	assignment, err := s.g.opts.Scheduler.Acquire(s.ctx, request)
+	ctx, cancel := context.WithCancelCause(s.ctx)
+	defer cancel(nil)
+	stopWatch := s.g.crashes.watch(s.req.contents, cancel)
+	assignment, err := s.g.opts.Scheduler.Acquire(ctx, request)
+	stopWatch()
 	s.timings.queued += time.Since(start)
-	if err != nil {
-		if s.disconnected() {
-			return attempt.ClientDisconnected{}
-		}
-		return attempt.SlotRefused{Err: fault.From(err)}
+	if err == nil {
+		s.slot = s.newSlot(s.ctx, assignment)
 	}
-	s.slot = s.newSlot(s.ctx, assignment)
 	if s.disconnected() {
 		s.releaseSlot(false)
 		return attempt.ClientDisconnected{}
 	}
+	if refusal := s.quarantined(); refusal != nil {
+		s.releaseSlot(false)
+		return refusal
+	}
+	if err != nil {
+		return attempt.SlotRefused{Err: fault.From(err)}
+	}
 	return attempt.SlotAssigned{Group: assignment.Group.Name}
 }
 
@@ -227,9 +240,15 @@
 	r := result{slot: sl, address: call.Address}
 	if s.req.streamed() {
 		r.stream, r.answer, r.err = s.g.opts.Client.OpenStream(sl.ctx, call, from)
-		return r
+	} else {
+		r.answer, r.err = s.g.opts.Client.Do(sl.ctx, call)
+	}
+	if r.answer != nil {
+		s.recordSuccess()
+	}
+	if r.err != nil {
+		s.recordFailure(sl, r.err)
 	}
-	r.answer, r.err = s.g.opts.Client.Do(sl.ctx, call)
 	return r
 }
 
@@ -299,6 +318,12 @@
 		return attempt.Preempted{}
 	case errors.Is(cause, errClientDisconnected):
 		return attempt.ClientDisconnected{}
+	case errors.Is(cause, errQuarantined):
+		if refusal := s.quarantined(); refusal != nil {
+			return refusal
+		}
+		// The evidence was refuted meanwhile.
+		return attempt.Preempted{}
 	default:
 		return nil
 	}
--- a/pkg/gateway/slot.go
+++ b/pkg/gateway/slot.go
@@ -17,9 +17,13 @@
 	// stop cancels the context and stops the monitoring of the group.
 	stop func()
 	// started is the time of the dispatch; zero before.
-	started    time.Time
-	firstToken time.Duration
-	tokens     int
+	started time.Time
+	// events is the number of events read from the stream.
+	events int
+	// answerBegan ends the cancellation of the attempt when its content is quarantined.
+	answerBegan func()
+	firstToken  time.Duration
+	tokens      int
 	// pinned is true once the stream cannot be resumed on another group; it is then
 	// no longer preempted.
 	pinned atomic.Bool
@@ -27,12 +31,14 @@
 
 func (s *session) newSlot(parent context.Context, assignment scheduling.Assignment) *slot {
 	if !s.machine.Interruptible() {
-		return &slot{assignment: assignment, ctx: context.Background(), stop: func() {}}
+		return &slot{assignment: assignment, ctx: context.Background(), stop: func() {}, answerBegan: func() {}}
 	}
 	ctx, cancel := context.WithCancelCause(parent)
 	unwatch := s.g.monitor.watch(assignment.Group, cancel)
-	sl := &slot{assignment: assignment, ctx: ctx, stop: sync.OnceFunc(func() {
+	answerBegan := s.g.crashes.watch(s.req.contents, cancel)
+	sl := &slot{assignment: assignment, ctx: ctx, answerBegan: answerBegan, stop: sync.OnceFunc(func() {
 		unwatch()
+		answerBegan()
 		cancel(nil)
 	})}
 	if assignment.Preempted != nil {
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -65,7 +65,7 @@
 	if s.refusal == nil {
 		return
 	}
-	s.g.opts.Log.Warn().Err(s.refusal).Str("request_id", s.req.id).Str("account", s.req.account).
+	s.findingFields(s.g.opts.Log.Warn()).Err(s.refusal).Str("request_id", s.req.id).Str("account", s.req.account).
 		Str("kind", string(s.refusal.Kind)).Int("tokens", s.machine.Delivered()).Msg("stream_failed")
 	s.g.countRefusal(s.refusal)
 	_, _ = w.WriteString("event: error\n")
@@ -107,7 +107,9 @@
 		s.buffered = s.buffered[1:]
 		return event, nil
 	}
-	return s.stream.Next()
+	event, err := s.stream.Next()
+	s.recordEvent(s.slot, err)
+	return event, err
 }
 
 // finishStream passes the end of the open stream to the state machine. If the
--- a/pkg/node/gateway.go
+++ b/pkg/node/gateway.go
@@ -9,10 +9,15 @@
 	"github.com/masticmount/masticmount/pkg/domain"
 	"github.com/masticmount/masticmount/pkg/gateway"
 	"github.com/masticmount/masticmount/pkg/limits"
+	"github.com/masticmount/masticmount/pkg/quarantine/evidence"
 	"github.com/masticmount/masticmount/pkg/scheduling"
 	"github.com/masticmount/masticmount/pkg/telemetry"
 )
 
+func (n *Node) provideEvidence(i do.Injector) (*evidence.Store, error) {
+	return evidence.New(evidence.Options{Metrics: do.MustInvoke[*telemetry.Registry](i), Log: n.log}), nil
+}
+
 func (n *Node) provideGateway(i do.Injector) (*gateway.Gateway, error) {
 	return gateway.New(gateway.Options{
 		Config:    do.MustInvoke[*configwatch.Watcher](i).Config,
@@ -22,6 +27,7 @@
 		Scheduler: do.MustInvoke[scheduling.Scheduler](i),
 		Claims:    do.MustInvoke[*claims.Replicated](i),
 		Client:    do.MustInvoke[*dispatch.Client](i),
+		Evidence:  do.MustInvoke[*evidence.Store](i),
 		Log:       n.log,
 
 		ReportFailure:   do.MustInvoke[*domain.Domain](i).ReportFailure,
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/masticmount/masticmount/pkg/gateway"
 	"github.com/masticmount/masticmount/pkg/limits"
 	"github.com/masticmount/masticmount/pkg/peers"
+	"github.com/masticmount/masticmount/pkg/quarantine/evidence"
 	"github.com/masticmount/masticmount/pkg/scheduling"
 	"github.com/masticmount/masticmount/pkg/settings"
 	"github.com/masticmount/masticmount/pkg/state"
@@ -76,6 +77,7 @@
 	do.Provide(n.injector, n.provideKeeper)
 	do.Provide(n.injector, n.provideDomain)
 	do.Provide(n.injector, n.provideScheduler)
+	do.Provide(n.injector, n.provideEvidence)
 	do.Provide(n.injector, n.provideGateway)
 	do.Provide(n.injector, n.provideAdmin)
 	return n
@@ -142,6 +144,7 @@
 		do.MustInvoke[*domain.Domain](n.injector).Run,
 		do.MustInvoke[scheduling.Scheduler](n.injector).Run,
 		do.MustInvoke[*gateway.Gateway](n.injector).Run,
+		do.MustInvoke[*evidence.Store](n.injector).Run,
 	} {
 		n.goTask(func() { run(ctx) })
 	}
--- /dev/null
+++ b/pkg/quarantine/evidence/store.go
@@ -0,0 +1,132 @@
+// Package evidence holds the crash evidence of one process: a quarantine.Table for several
+// goroutines, with a clock and with the log lines and metrics of its findings.
+package evidence
+
+import (
+	"cmp"
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/masticmount/masticmount/pkg/boottime"
+	"github.com/masticmount/masticmount/pkg/peerpb"
+	"github.com/masticmount/masticmount/pkg/quarantine"
+	"github.com/masticmount/masticmount/pkg/quarantine/report"
+	"github.com/masticmount/masticmount/pkg/telemetry"
+)
+
+// expiryInterval is the time between two searches for evidence that has expired.
+const expiryInterval = time.Second
+
+// Options configure a Store.
+type Options struct {
+	// Clock returns the time of evidence; nil uses the time since the VM's boot.
+	Clock func() time.Time
+	// Metrics may be nil.
+	Metrics *telemetry.Registry
+	Log     zerolog.Logger
+}
+
+// Store is the evidence that a process knows. It is safe for concurrent use.
+type Store struct {
+	opts Options
+
+	mu    sync.Mutex
+	table *quarantine.Table
+	// subscribers are called after each change, without the lock.
+	subscribers []func()
+}
+
+// New returns a store without evidence.
+func New(opts Options) *Store {
+	if opts.Clock == nil {
+		opts.Clock = boottime.Now
+	}
+	opts.Metrics = cmp.Or(opts.Metrics, telemetry.New(""))
+	return &Store{opts: opts, table: quarantine.NewTable()}
+}
+
+// Now returns the time of the store's clock.
+func (s *Store) Now() time.Time { return s.opts.Clock() }
+
+// Subscribe has f called after each change of the evidence. f must not block.
+func (s *Store) Subscribe(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.subscribers = append(s.subscribers, f)
+}
+
+// Check returns the evidence on which a request with the given contents is refused; false when it
+// may be sent.
+func (s *Store) Check(contents []string) (quarantine.Finding, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Check(s.opts.Clock(), contents)
+}
+
+// AddCrashes records crashes that this process found out.
+func (s *Store) AddCrashes(crashes []quarantine.Crash) {
+	s.change(func(now time.Time) bool {
+		changed := false
+		for _, c := range crashes {
+			changed = s.table.AddCrash(now, c) || changed
+		}
+		return changed
+	})
+}
+
+// ObserveSuccess records that an upstream answered a request with the given contents beyond the
+// beginning.
+func (s *Store) ObserveSuccess(contents []string) {
+	s.change(func(now time.Time) bool { return s.table.ObserveSuccess(now, contents) })
+}
+
+// Merge adds the evidence of another process.
+func (s *Store) Merge(e *peerpb.CrashEvidence) {
+	if e != nil {
+		s.change(func(now time.Time) bool { return s.table.Merge(now, e) })
+	}
+}
+
+// Encode returns the evidence that was added after a version of the store, nil if there is none,
+// and its version now.
+func (s *Store) Encode(after uint64) (e *peerpb.CrashEvidence, version uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Encode(s.opts.Clock(), after)
+}
+
+// Run deletes evidence that has expired and logs the quarantines that end by time, until ctx ends.
+func (s *Store) Run(ctx context.Context) {
+	tick := time.NewTicker(expiryInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			s.mu.Lock()
+			s.report(s.opts.Clock())
+			s.mu.Unlock()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *Store) report(now time.Time) { report.Changes(now, s.table, s.opts.Metrics, s.opts.Log) }
+
+func (s *Store) change(f func(now time.Time) bool) {
+	s.mu.Lock()
+	now := s.opts.Clock()
+	if !f(now) {
+		s.mu.Unlock()
+		return
+	}
+	s.report(now)
+	subscribers := s.subscribers
+	s.mu.Unlock()
+	for _, notify := range subscribers {
+		notify()
+	}
+}
