--- a/pkg/gateway/crashes.go
+++ b/pkg/gateway/crashes.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/samber/lo"
 
 	"github.com/masticmount/masticmount/pkg/api"
 	"github.com/masticmount/masticmount/pkg/dispatch"
@@ -34,7 +35,7 @@
 	// maxProbes bounds the attempts to find out whether an upstream ended.
 	maxProbes = 3
 	// maxMessageContents bounds the messages of a chat that are examined.
-	maxMessageContents = 31
+	maxMessageContents = 32
 	// messagePrefix distinguishes the identifiers of messages.
 	messagePrefix = "message:"
 	// messageHashBytes is the length of the hash in the identifier of a message.
@@ -44,18 +45,13 @@
 // contentsOf returns the identifiers of the contents that later requests may share: the whole
 // request, and each message of a chat but the last.
 func contentsOf(req *request) []string {
-	contents := []string{quarantine.RequestContent(req.account, req.call.Method, "", req.call.Path+"?"+req.call.Query, req.call.Body)}
-	if req.chat == nil {
-		return contents
-	}
+	whole := quarantine.RequestContent(req.account, req.call.Method, "", req.call.Path+"?"+req.call.Query, req.call.Body)
 	var messages []json.RawMessage
-	if json.Unmarshal(req.chat.Messages, &messages) != nil || len(messages) == 0 {
-		return contents
-	}
-	for _, message := range messages[:min(len(messages)-1, maxMessageContents)] {
-		contents = append(contents, messageContent(message))
+	if req.chat == nil || json.Unmarshal(req.chat.Messages, &messages) != nil || len(messages) == 0 {
+		return quarantine.Contents(whole, nil)
 	}
-	return contents
+	shared := messages[:min(len(messages)-1, maxMessageContents)]
+	return quarantine.Contents(whole, lo.Map(shared, func(m json.RawMessage, _ int) string { return messageContent(m) }))
 }
 
 // messageContent returns the identifier of a message, whatever its white space.
@@ -184,7 +180,7 @@
 		w.log.Info().Str("upstream", check.upstream).Str("group", check.group.Name).Str("service", check.group.Service).
 			Str("suspect", s.requestID).Str("content", s.contents[0]).Str("prompt_parts", strings.Join(s.contents[1:], ",")).
 			Bool("crashed", crashed).AnErr("probe", err).Dur("crash_age_ms", now.Sub(check.at)).Msg("engine_crash_checked")
-		crashes = append(crashes, quarantine.Crash{Upstream: check.upstream, StartTime: check.number, Parts: s.contents, At: check.at})
+		crashes = append(crashes, quarantine.Crash{Upstream: check.upstream, StartTime: check.number, Service: check.group.Service, Contents: s.contents, At: check.at})
 	}
 	if crashed {
 		w.store.AddCrashes(crashes)
@@ -205,7 +201,9 @@
 }
 
 // recordSuccess records that an upstream answered the request beyond the beginning.
-func (s *session) recordSuccess() { s.g.opts.Evidence.ObserveSuccess(s.req.contents) }
+func (s *session) recordSuccess(sl *slot) {
+	s.g.opts.Evidence.ObserveSuccess(sl.assignment.Group.Service, s.req.contents)
+}
 
 // recordEvent records the evidence of reading a stream: an event, its end or its failure.
 func (s *session) recordEvent(sl *slot, err error) {
@@ -216,10 +214,10 @@
 			sl.answerBegan()
 		}
 		if sl.events == successEvents {
-			s.recordSuccess()
+			s.recordSuccess(sl)
 		}
 	case errors.Is(err, io.EOF):
-		s.recordSuccess()
+		s.recordSuccess(sl)
 	default:
 		s.recordFailure(sl, err)
 	}
@@ -234,12 +232,12 @@
 	}
 	s.finding = &finding
 	age := int(s.g.opts.Evidence.Now().Sub(finding.Last).Seconds())
-	if quarantine.IsRequest(finding.Part) {
+	if quarantine.IsRequest(finding.Content) {
 		return attempt.Quarantined{Err: fault.New(fault.RequestQuarantined, "do not send this request again unchanged",
 			"%d upstreams crashed as they ran this request, the last one %d s ago", len(finding.Upstreams), age)}
 	}
 	return attempt.Quarantined{Err: fault.New(fault.PromptQuarantined, "leave the named message out of the chat",
-		"%d engines crashed as they began to answer chats with %s, the last one %d s ago", len(finding.Upstreams), finding.Part, age)}
+		"%d engines crashed as they began to answer chats with %s, the last one %d s ago", len(finding.Upstreams), finding.Content, age)}
 }
 
 // findingFields adds the evidence of the request's refusal to a log line.
--- a/pkg/gateway/crashing_content_test.go
+++ b/pkg/gateway/crashing_content_test.go
@@ -239,10 +239,10 @@
 	now := h.gw.opts.Evidence.Now()
 	var crashes []quarantine.Crash
 	for i := range toleratedCrashes {
-		crashes = append(crashes, quarantine.Crash{Upstream: fmt.Sprint("earlier", i), Parts: contents, At: now.Add(time.Duration(i-9) * time.Second)})
+		crashes = append(crashes, quarantine.Crash{Upstream: fmt.Sprint("earlier", i), Contents: contents, At: now.Add(time.Duration(i-9) * time.Second)})
 	}
 	h.gw.opts.Evidence.AddCrashes(crashes)
-	h.gw.opts.Evidence.ObserveSuccess([]string{"another"})
+	h.gw.opts.Evidence.ObserveSuccess("", []string{"another"})
 }
 
 func grantContent(body string) string {
--- a/pkg/gateway/session.go
+++ b/pkg/gateway/session.go
@@ -244,7 +244,7 @@
 		r.answer, r.err = s.g.opts.Client.Do(sl.ctx, call)
 	}
 	if r.answer != nil {
-		s.recordSuccess()
+		s.recordSuccess(sl)
 	}
 	if r.err != nil {
 		s.recordFailure(sl, r.err)
--- a/pkg/quarantine/evidence/store.go
+++ b/pkg/quarantine/evidence/store.go
@@ -77,10 +77,10 @@
 	})
 }
 
-// ObserveSuccess records that an upstream answered a request with the given contents beyond the
+// ObserveSuccess records that an upstream of a service answered a request with the given contents beyond the
 // beginning.
-func (s *Store) ObserveSuccess(contents []string) {
-	s.change(func(now time.Time) bool { return s.table.ObserveSuccess(now, contents) })
+func (s *Store) ObserveSuccess(service string, contents []string) {
+	s.change(func(now time.Time) bool { return s.table.ObserveSuccess(now, service, contents) })
 }
 
 // Merge adds the evidence of another process.
