masticmountd's nodes exchange evidence of content that crashes upstreams

What callers saw: each entry had to see three crashes itself before it refused a request that crashes upstreams, so that with many entries the same request went on crashing them, and an entry that restarted had forgotten it.

Each stream sends what it has not carried yet, from the beginning after it was opened, and nodes pass on what was new to them, so that it also reaches nodes without a link to its origin. It bypasses the ring of packets, which drops the oldest, and the domain's core. Nodes of older versions ignore the field.

With the version kept over streams, TestNodeThatStartsAgainGetsCrashEvidence waits for ever (panic: test timed out). Not stored yet: after a restart of all nodes at once the evidence is gone.

--- a/pkg/domain/domain.go
+++ b/pkg/domain/domain.go
@@ -41,6 +41,17 @@
 	SendOrder(ctx context.Context, address string, order api.Order) error
 }
 
+// CrashEvidence is the evidence against content that crashes upstreams, which the nodes of the
+// region exchange.
+type CrashEvidence interface {
+	// Encode returns the evidence that was added after a version, nil if there is none, and the
+	// version now.
+	Encode(after uint64) (*peerpb.CrashEvidence, uint64)
+	Merge(e *peerpb.CrashEvidence)
+	// Subscribe has a function called after each change; it must not block.
+	Subscribe(changed func())
+}
+
 // Peer is another node of the region.
 type Peer struct {
 	ID            string
@@ -58,6 +69,8 @@
 	OrderSender OrderSender
 	// Config returns the current configuration, or nil while it is not known.
 	Config func() *state.Config
+	// CrashEvidence may be nil.
+	CrashEvidence CrashEvidence
 	// Metrics may be nil.
 	Metrics *telemetry.Registry
 	Log     zerolog.Logger
@@ -99,7 +112,7 @@
 	nodes := []coordinator.Node{{Node: opts.Node, FailureDomain: opts.FailureDomain}}
 	for _, p := range opts.Peers {
 		nodes = append(nodes, coordinator.Node{Node: p.ID, FailureDomain: p.FailureDomain})
-		d.links[p.ID] = newPeerLink(p, func() { d.events.Push(PeerConnected{Peer: p.ID}) })
+		d.links[p.ID] = newPeerLink(p, opts.CrashEvidence, func() { d.events.Push(PeerConnected{Peer: p.ID}) })
 	}
 	now := d.clock.now()
 	d.core = NewCore(now, CoreOptions{
@@ -161,7 +174,7 @@
 
 // Register registers the DomainPeer service on a gRPC server.
 func (d *Domain) Register(server *grpc.Server) {
-	peerpb.RegisterDomainPeerServer(server, &linkServer{events: d.events})
+	peerpb.RegisterDomainPeerServer(server, &linkServer{events: d.events, evidence: d.opts.CrashEvidence})
 }
 
 // Run runs the domain until ctx is done.
--- a/pkg/domain/peer_link.go
+++ b/pkg/domain/peer_link.go
@@ -25,14 +25,29 @@
 	client    peerpb.DomainPeerClient
 	packets   *ring.Ring[*peerpb.DomainPacket]
 	connected func()
+	// evidence may be nil. A value in evidenceChanged means that it may have changed since it was
+	// last encoded.
+	evidence        CrashEvidence
+	evidenceChanged chan struct{}
 }
 
-func newPeerLink(p Peer, connected func()) *peerLink {
-	return &peerLink{
-		client:    peerpb.NewDomainPeerClient(p.Conn),
-		packets:   ring.New[*peerpb.DomainPacket](packetQueueSize, ring.DropOldest),
-		connected: connected,
+func newPeerLink(p Peer, evidence CrashEvidence, connected func()) *peerLink {
+	l := &peerLink{
+		client:          peerpb.NewDomainPeerClient(p.Conn),
+		packets:         ring.New[*peerpb.DomainPacket](packetQueueSize, ring.DropOldest),
+		connected:       connected,
+		evidence:        evidence,
+		evidenceChanged: make(chan struct{}, 1),
 	}
+	if evidence != nil {
+		evidence.Subscribe(func() {
+			select {
+			case l.evidenceChanged <- struct{}{}:
+			default:
+			}
+		})
+	}
+	return l
 }
 
 func (l *peerLink) enqueue(p *peerpb.DomainPacket) {
@@ -58,8 +73,17 @@
 		return err
 	}
 	l.connected()
+	// The peer may have restarted without its evidence.
+	evidenceVersion, err := l.sendEvidence(stream, 0)
+	if err != nil {
+		return err
+	}
 	for {
 		select {
+		case <-l.evidenceChanged:
+			if evidenceVersion, err = l.sendEvidence(stream, evidenceVersion); err != nil {
+				return err
+			}
 		case p := <-l.packets.Chan():
 			if err := stream.Send(p); err != nil {
 				return err
@@ -70,10 +94,25 @@
 	}
 }
 
+// sendEvidence sends the evidence that was added after a version, and returns the version now. It
+// is kept out of the ring of packets, which drops the oldest.
+func (l *peerLink) sendEvidence(stream grpc.ClientStreamingClient[peerpb.DomainPacket, peerpb.LinkClosed], after uint64) (version uint64, err error) {
+	if l.evidence == nil {
+		return after, nil
+	}
+	e, version := l.evidence.Encode(after)
+	if e == nil {
+		return version, nil
+	}
+	return version, stream.Send(&peerpb.DomainPacket{CrashEvidence: e})
+}
+
 // linkServer receives packets from peers.
 type linkServer struct {
 	peerpb.UnimplementedDomainPeerServer
 	events *ring.Ring[Event]
+	// evidence may be nil.
+	evidence CrashEvidence
 }
 
 // Link implements the DomainPeer service.
@@ -86,6 +125,12 @@
 		if err != nil {
 			return err
 		}
+		if e := p.GetCrashEvidence(); e != nil {
+			if s.evidence != nil {
+				s.evidence.Merge(e)
+			}
+			continue
+		}
 		s.events.Push(PacketReceived{p})
 	}
 }
--- a/pkg/node/domain.go
+++ b/pkg/node/domain.go
@@ -7,6 +7,7 @@
 	"github.com/masticmount/masticmount/pkg/dispatch"
 	"github.com/masticmount/masticmount/pkg/domain"
 	"github.com/masticmount/masticmount/pkg/peers"
+	"github.com/masticmount/masticmount/pkg/quarantine/evidence"
 	"github.com/masticmount/masticmount/pkg/state"
 	"github.com/masticmount/masticmount/pkg/telemetry"
 )
@@ -22,6 +23,7 @@
 		FailureDomain: n.settings.Node.FailureDomain,
 		Peers:         others,
 		OrderSender:   do.MustInvoke[*dispatch.Client](i),
+		CrashEvidence: do.MustInvoke[*evidence.Store](i),
 		Config:        func() *state.Config { return confirmedConfig(w) },
 		Metrics:       do.MustInvoke[*telemetry.Registry](i),
 		Log:           n.log,
