Keepers of masticmountd store the evidence of content that crashes upstreams

After a restart of all nodes at once the evidence was gone, and each content crashed upstreams again. A keeper now writes it to crash-evidence in its data folder, at most a second after a change and at a planned stop, and reads it when it starts; the time without nodes counts. Reading and writing the file is one piece of code for masticmountd and the platform's keepers.

Evidence: without the mark that a change is to be stored TestEvidenceSurvivesRestart fails (no evidence; no file); without the time between the write and the start it fails with "3s" is not greater than or equal to "1m0s".

--- a/pkg/control/crashes.go
+++ b/pkg/control/crashes.go
@@ -2,20 +2,15 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/masticmount/masticmount/pkg/boottime"
 	"github.com/masticmount/masticmount/pkg/peerpb"
+	"github.com/masticmount/masticmount/pkg/quarantine/evidence"
 	"github.com/masticmount/masticmount/pkg/quarantine/report"
-	"github.com/masticmount/masticmount/pkg/regionlog/storage"
 )
 
 const (
-	// evidenceFile holds the crash evidence in the data folder.
-	evidenceFile = "crash-evidence"
 	// evidenceWriteInterval is the shortest time between two writes of it.
 	evidenceWriteInterval = time.Second
 )
@@ -26,19 +21,13 @@
 	if c.opts.DataFolder == "" {
 		return
 	}
-	payload, err := storage.ReadFile(c.opts.DataFolder, evidenceFile)
-	stored := &peerpb.StoredCrashEvidence{}
-	if err == nil {
-		err = proto.Unmarshal(payload, stored)
-	}
+	stored, downtime, err := evidence.Read(c.opts.DataFolder)
 	if err != nil {
 		c.opts.Log.Error().Err(err).Msg("crash_evidence_not_read")
 		return
 	}
-	// A wall clock that was set back must not make the evidence younger.
-	downtime := max(time.Since(time.UnixMilli(stored.GetStoredMs())), 0)
 	c.mu.Lock()
-	c.crashes.Merge(boottime.Now().Add(-downtime), stored.GetEvidence())
+	c.crashes.Merge(boottime.Now().Add(-downtime), stored)
 	c.mu.Unlock()
 	c.reportQuarantines()
 }
@@ -73,12 +62,8 @@
 }
 
 func (c *Control) writeCrashEvidence() error {
-	evidence, _ := c.encodeCrashEvidence(0)
-	payload, err := proto.Marshal(&peerpb.StoredCrashEvidence{StoredMs: time.Now().UnixMilli(), Evidence: evidence})
-	if err != nil {
-		return fmt.Errorf("encode the crash evidence: %w", err)
-	}
-	return storage.WriteFile(c.opts.DataFolder, evidenceFile, payload)
+	known, _ := c.encodeCrashEvidence(0)
+	return evidence.Write(c.opts.DataFolder, known)
 }
 
 // mergeCrashEvidence adds evidence that an entry or another keeper sent, and passes on what was
--- a/pkg/control/crashes_test.go
+++ b/pkg/control/crashes_test.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/masticmount/masticmount/pkg/peerpb"
+	"github.com/masticmount/masticmount/pkg/quarantine/evidence"
 	"github.com/masticmount/masticmount/pkg/regionlog/storage"
 )
 
@@ -76,7 +77,7 @@
 	}()
 	before.mergeCrashEvidence(crashOf("a"))
 	require.Eventually(t, func() bool {
-		_, err := os.Stat(filepath.Join(folder, evidenceFile))
+		_, err := os.Stat(filepath.Join(folder, evidence.File))
 		return err == nil
 	}, 10*time.Second, time.Millisecond)
 	stop()
@@ -93,7 +94,7 @@
 	c.opts.DataFolder = t.TempDir()
 	payload, err := proto.Marshal(&peerpb.StoredCrashEvidence{StoredMs: time.Now().Add(-5 * time.Minute).UnixMilli(), Evidence: crashOf("a")})
 	require.NoError(t, err)
-	require.NoError(t, storage.WriteFile(c.opts.DataFolder, evidenceFile, payload))
+	require.NoError(t, storage.WriteFile(c.opts.DataFolder, evidence.File, payload))
 	c.LoadCrashEvidence()
 	evidence, _ := c.encodeCrashEvidence(0)
 	require.Len(t, evidence.GetCrashes(), 1)
@@ -103,7 +104,7 @@
 func TestDamagedCrashEvidenceDoesNotStopKeeper(t *testing.T) {
 	c := newControl(t)
 	c.opts.DataFolder = t.TempDir()
-	require.NoError(t, os.WriteFile(filepath.Join(c.opts.DataFolder, evidenceFile), []byte("torn"), 0o600))
+	require.NoError(t, os.WriteFile(filepath.Join(c.opts.DataFolder, evidence.File), []byte("torn"), 0o600))
 	c.LoadCrashEvidence()
 	assert.Zero(t, c.crashCount())
 }
--- a/pkg/node/gateway.go
+++ b/pkg/node/gateway.go
@@ -11,11 +11,16 @@
 	"github.com/masticmount/masticmount/pkg/limits"
 	"github.com/masticmount/masticmount/pkg/quarantine/evidence"
 	"github.com/masticmount/masticmount/pkg/scheduling"
+	"github.com/masticmount/masticmount/pkg/settings"
 	"github.com/masticmount/masticmount/pkg/telemetry"
 )
 
 func (n *Node) provideEvidence(i do.Injector) (*evidence.Store, error) {
-	return evidence.New(evidence.Options{Metrics: do.MustInvoke[*telemetry.Registry](i), Log: n.log}), nil
+	options := evidence.Options{Metrics: do.MustInvoke[*telemetry.Registry](i), Log: n.log}
+	if n.settings.Has(settings.RoleKeeper) {
+		options.Folder = n.settings.Node.DataFolder
+	}
+	return evidence.New(options), nil
 }
 
 func (n *Node) provideGateway(i do.Injector) (*gateway.Gateway, error) {
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -94,6 +94,7 @@
 		return err
 	}
 	defer log.Close()
+	do.MustInvoke[*evidence.Store](n.injector).Load()
 	listen, err := openListeners(n.settings.Listen)
 	if err != nil {
 		return err
--- a/pkg/quarantine/evidence/store.go
+++ b/pkg/quarantine/evidence/store.go
@@ -17,13 +17,15 @@
 	"github.com/masticmount/masticmount/pkg/telemetry"
 )
 
-// expiryInterval is the time between two searches for evidence that has expired.
-const expiryInterval = time.Second
+// storeInterval is the time between two searches for evidence that has expired or is to be stored.
+const storeInterval = time.Second
 
 // Options configure a Store.
 type Options struct {
 	// Clock returns the time of evidence; nil uses the time since the VM's boot.
 	Clock func() time.Time
+	// Folder is the data folder of a keeper; empty stores nothing.
+	Folder string
 	// Metrics may be nil.
 	Metrics *telemetry.Registry
 	Log     zerolog.Logger
@@ -35,6 +37,8 @@
 
 	mu    sync.Mutex
 	table *quarantine.Table
+	// unstored is true while the folder lacks a change.
+	unstored bool
 	// subscribers are called after each change, without the lock.
 	subscribers []func()
 }
@@ -98,9 +102,24 @@
 	return s.table.Encode(s.opts.Clock(), after)
 }
 
-// Run deletes evidence that has expired and logs the quarantines that end by time, until ctx ends.
+// Load reads the evidence in the folder. Without it a restart of all nodes would let each content
+// crash upstreams again.
+func (s *Store) Load() {
+	if s.opts.Folder == "" {
+		return
+	}
+	stored, downtime, err := Read(s.opts.Folder)
+	if err != nil {
+		s.opts.Log.Error().Err(err).Msg("crash_evidence_not_read")
+		return
+	}
+	s.change(func(now time.Time) bool { return s.table.Merge(now.Add(-downtime), stored) })
+}
+
+// Run stores changes, deletes evidence that has expired and logs the quarantines that end by time,
+// until ctx ends.
 func (s *Store) Run(ctx context.Context) {
-	tick := time.NewTicker(expiryInterval)
+	tick := time.NewTicker(storeInterval)
 	defer tick.Stop()
 	for {
 		select {
@@ -108,12 +127,33 @@
 			s.mu.Lock()
 			s.report(s.opts.Clock())
 			s.mu.Unlock()
+			s.store()
 		case <-ctx.Done():
+			s.store()
 			return
 		}
 	}
 }
 
+// store writes the evidence to the folder if it has changed. A failed write is repeated with the
+// next call.
+func (s *Store) store() {
+	s.mu.Lock()
+	unstored := s.unstored && s.opts.Folder != ""
+	s.unstored = false
+	s.mu.Unlock()
+	if !unstored {
+		return
+	}
+	e, _ := s.Encode(0)
+	if err := Write(s.opts.Folder, e); err != nil {
+		s.opts.Log.Error().Err(err).Msg("crash_evidence_not_stored")
+		s.mu.Lock()
+		s.unstored = true
+		s.mu.Unlock()
+	}
+}
+
 func (s *Store) report(now time.Time) { report.Changes(now, s.table, s.opts.Metrics, s.opts.Log) }
 
 func (s *Store) change(f func(now time.Time) bool) {
@@ -123,6 +163,7 @@
 		s.mu.Unlock()
 		return
 	}
+	s.unstored = true
 	s.report(now)
 	subscribers := s.subscribers
 	s.mu.Unlock()
