--- a/pkg/fault/fault.go
+++ b/pkg/fault/fault.go
@@ -49,8 +49,8 @@
 	// PromptQuarantined means that requests with a part of the prompt crash the engines that
 	// answer them, so that the request is not sent.
 	PromptQuarantined Kind = "prompt-quarantined"
-	// RequestQuarantined means that the upstreams that ran the same request crashed, so that it is
-	// not sent.
+	// RequestQuarantined means that the whole request crashes the upstreams that run it, so that
+	// it is not sent.
 	RequestQuarantined Kind = "request-quarantined"
 )
 
--- a/pkg/gateway/crashes.go
+++ b/pkg/gateway/crashes.go
@@ -77,6 +77,8 @@
 type suspect struct {
 	requestID string
 	contents  []string
+	// ran is the time since the request was sent.
+	ran time.Duration
 }
 
 // crashCheck collects the requests that broke at one incarnation, until a probe shows whether the
@@ -180,7 +182,7 @@
 		w.log.Info().Str("upstream", check.upstream).Str("group", check.group.Name).Str("service", check.group.Service).
 			Str("suspect", s.requestID).Str("content", s.contents[0]).Str("prompt_parts", strings.Join(s.contents[1:], ",")).
 			Bool("crashed", crashed).AnErr("probe", err).Dur("crash_age_ms", now.Sub(check.at)).Msg("engine_crash_checked")
-		crashes = append(crashes, quarantine.Crash{Upstream: check.upstream, StartTime: check.number, Service: check.group.Service, Contents: s.contents, At: check.at})
+		crashes = append(crashes, quarantine.Crash{Upstream: check.upstream, StartTime: check.number, Service: check.group.Service, Contents: s.contents, At: check.at, Ran: s.ran})
 	}
 	if crashed {
 		w.store.AddCrashes(crashes)
@@ -196,7 +198,7 @@
 	}
 	groupBroke := callErr.Reason == dispatch.Canceled && errors.Is(context.Cause(sl.ctx), errGroupBroke)
 	if callErr.Reason == dispatch.Truncated || callErr.Reason == dispatch.WriteFailed || groupBroke {
-		s.g.crashes.suspectCrash(sl.assignment.Group, suspect{s.req.id, s.req.contents})
+		s.g.crashes.suspectCrash(sl.assignment.Group, suspect{s.req.id, s.req.contents, time.Since(sl.started)})
 	}
 }
 
