Hold requests of masticmountd that are one of several suspects

Where two requests were in the same crashes, neither was refused and both were sent on, each time at the cost of an upstream. The table tells until when a whole request is held; the gateway now refuses it until then, with 503, Retry-After and outcome not-run (unknown where an attempt may have run), and the refusal names the crashes.

Evidence: without the check TestRequestThatIsOneOfTwoSuspectsIsHeld fails: expected 503, actual 200.

--- a/pkg/gateway/crashes.go
+++ b/pkg/gateway/crashes.go
@@ -242,6 +242,22 @@
 		"%d engines crashed as they began to answer chats with %s, the last one %d s ago", len(finding.Upstreams), finding.Content, age)}
 }
 
+// refusedForContent returns the event of the refusal of a request before it is sent: its content is
+// quarantined, or it is held while other requests explain the crashes under it as well. It is nil
+// when the request may be sent.
+func (s *session) refusedForContent() attempt.Event {
+	if refusal := s.quarantined(); refusal != nil {
+		return refusal
+	}
+	finding, held := s.g.opts.Evidence.CheckHeld(s.req.contents[0])
+	if !held {
+		return nil
+	}
+	s.finding = &finding
+	refusal := fault.New(fault.Overloaded, "retry after the time in Retry-After", "%d upstreams crashed while this request and others ran; it is held", len(finding.Upstreams))
+	return attempt.SlotRefused{Err: refusal.WithRetryAfter(finding.Until.Sub(s.g.opts.Evidence.Now()))}
+}
+
 // findingFields adds the evidence of the request's refusal to a log line.
 func (s *session) findingFields(line *zerolog.Event) *zerolog.Event {
 	if s.finding == nil {
--- a/pkg/gateway/crashing_content_test.go
+++ b/pkg/gateway/crashing_content_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -309,3 +310,34 @@
 		})
 	}
 }
+
+// Two requests that were in the same crashes are not both sent on until one of them is answered: they
+// are held, and sent again one after the other.
+func TestRequestThatIsOneOfTwoSuspectsIsHeld(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		h := newHarness(t, withSimulatedClock)
+		service := h.addService("d1", fakes.Faults{})
+		time.Sleep(contactTime)
+		var crashes []quarantine.Crash
+		for _, body := range []string{"suspect", "beside it"} {
+			for i := range toleratedCrashes {
+				at := time.Now().Add(time.Duration(i-toleratedCrashes) * time.Second)
+				crashes = append(crashes, quarantine.Crash{
+					Upstream: fmt.Sprint("earlier", i), Service: "licence-desk", Contents: []string{grantContent(body)}, At: at,
+				})
+			}
+		}
+		h.gw.opts.Evidence.AddCrashes(crashes)
+		require.Equal(t, http.StatusOK, h.grant("k0", "sound").status)
+
+		held := h.grant("k1", "suspect")
+		require.Equal(t, http.StatusServiceUnavailable, held.status, held.body)
+		require.Equal(t, "not-run", held.outcome)
+		wait, err := strconv.Atoi(held.header.Get("Retry-After"))
+		require.NoError(t, err)
+		require.NotContains(t, service.Runs(), "k1")
+		time.Sleep(time.Duration(wait) * time.Second)
+		require.Equal(t, http.StatusOK, h.grant("k1", "suspect").status, "it is sent when its time is over")
+		require.Equal(t, http.StatusOK, h.grant("k2", "suspect").status, "its answer refutes the evidence")
+	})
+}
--- a/pkg/gateway/session.go
+++ b/pkg/gateway/session.go
@@ -141,7 +141,7 @@
 
 // acquire requests a slot from the scheduler.
 func (s *session) acquire(a attempt.Acquire) attempt.Event {
-	if refusal := s.quarantined(); refusal != nil {
+	if refusal := s.refusedForContent(); refusal != nil {
 		return refusal
 	}
 	start := time.Now()
@@ -160,7 +160,7 @@
 		s.releaseSlot(false)
 		return attempt.ClientDisconnected{}
 	}
-	if refusal := s.quarantined(); refusal != nil {
+	if refusal := s.refusedForContent(); refusal != nil {
 		s.releaseSlot(false)
 		return refusal
 	}
--- a/pkg/quarantine/evidence/store.go
+++ b/pkg/quarantine/evidence/store.go
@@ -70,6 +70,16 @@
 	return s.table.Check(s.opts.Clock(), contents)
 }
 
+// CheckHeld returns the evidence on which a whole request is held until finding.Until; false when it
+// is not held.
+func (s *Store) CheckHeld(request string) (finding quarantine.Finding, held bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.opts.Clock()
+	finding, _ = s.table.Suspect(now, request)
+	return finding, finding.Until.After(now)
+}
+
 // AddCrashes records crashes that this process found out.
 func (s *Store) AddCrashes(crashes []quarantine.Crash) {
 	s.change(func(now time.Time) bool {
