--- a/pkg/gateway/attempt/attempt_test.go
+++ b/pkg/gateway/attempt/attempt_test.go
@@ -68,6 +68,8 @@
 		return SuccessorFailed{Group: words[1], NotRun: has("not-run")}
 	case "successor-not-placed":
 		return SuccessorFailed{NotRun: true}
+	case "quarantined":
+		return Quarantined{Err: fault.New(fault.RequestQuarantined, "remedy", "detail")}
 	default:
 		return ClientDisconnected{}
 	}
@@ -82,10 +84,12 @@
 	delivered  int
 	unnumbered bool
 	begun      bool
-	settled    int
-	endings    int
 	// successor is true while a successor runs.
 	successor bool
+	// quarantined is true once the request must not be sent any more.
+	quarantined bool
+	settled     int
+	endings     int
 }
 
 func (o *oracle) check(m *Machine, event Event, actions []Action) error {
@@ -100,6 +104,9 @@
 		}
 	}
 	if !m.Ended() {
+		if o.quarantined {
+			return fmt.Errorf("after %T: goes on although its content is quarantined", event)
+		}
 		return nil
 	}
 	if o.successor {
@@ -135,6 +142,15 @@
 		if o.req.Idempotent {
 			o.mayHaveRun++
 		}
+	case Quarantined:
+		if o.slots > 0 && !o.req.Idempotent {
+			break
+		}
+		o.quarantined = true
+		o.mayHaveRun += o.slots
+		if o.successor {
+			o.mayHaveRun++
+		}
 	case Delivered:
 		o.begun = true
 		o.delivered += e.Tokens
@@ -143,6 +159,9 @@
 }
 
 func (o *oracle) checkAction(action Action) error {
+	if o.quarantined && sendsOn(action) {
+		return fmt.Errorf("sent on although its content is quarantined")
+	}
 	switch a := action.(type) {
 	case StartSuccessor, AwaitSuccessor, AdoptSuccessor, CancelSuccessor:
 		return o.checkSuccessor(a)
@@ -169,6 +188,9 @@
 		}
 	case Refuse:
 		o.endings++
+		if o.quarantined && a.Err.RetryAfter > 0 {
+			return fmt.Errorf("a quarantined request is to be sent again")
+		}
 		if a.Err.Outcome == fault.NotRun && o.mayHaveRun > 0 {
 			return fmt.Errorf("outcome not-run reported although the request may have run")
 		}
@@ -181,6 +203,16 @@
 	return nil
 }
 
+// sendsOn reports whether an action is one of a request that goes on to another attempt.
+func sendsOn(action Action) bool {
+	switch action.(type) {
+	case Acquire, Dispatch, StartSuccessor, AwaitSuccessor, AdoptSuccessor:
+		return true
+	default:
+		return false
+	}
+}
+
 // checkSuccessor checks that a successor continues a resumable stream at the right token, that there
 // is one at a time, and that it becomes the running attempt only with a slot of its own.
 func (o *oracle) checkSuccessor(action Action) error {
@@ -221,15 +253,15 @@
 	case phaseClaiming:
 		return pick(r, ClaimGranted{}, ClaimGranted{}, ClaimConflict{Err: refused}, AnswerRecorded{}, ClaimFailed{Err: refused})
 	case phaseQueued:
-		return pick(r, SlotAssigned{Group: strconv.Itoa(r.IntN(9))}, SlotAssigned{Group: "x"}, SlotAssigned{Group: "y"}, SlotRefused{Err: refused}, ClientDisconnected{})
+		return pick(r, SlotAssigned{Group: strconv.Itoa(r.IntN(9))}, SlotAssigned{Group: "x"}, SlotAssigned{Group: "y"}, SlotRefused{Err: refused}, ClientDisconnected{}, Quarantined{Err: refused})
 	case phaseAwaiting:
-		return pick(r, SuccessorContinued{Group: "s"}, SuccessorFailed{Group: "s"}, SuccessorFailed{NotRun: true}, ClientDisconnected{})
+		return pick(r, SuccessorContinued{Group: "s"}, SuccessorFailed{Group: "s"}, SuccessorFailed{NotRun: true}, ClientDisconnected{}, Quarantined{Err: refused})
 	default:
 		if m.hasSuccessor && r.IntN(3) == 0 {
 			return pick(r, SuccessorContinued{Group: "s"}, SuccessorFailed{Group: "s", NotRun: r.IntN(2) == 0}, SuccessorFailed{NotRun: true})
 		}
 		return pick(r, Suspected{}, Suspected{},
-			Delivered{Tokens: 1 + r.IntN(3)}, Delivered{Unnumbered: true}, Answered{}, Preempted{}, GroupBroken{}, ClientDisconnected{},
+			Delivered{Tokens: 1 + r.IntN(3)}, Delivered{Unnumbered: true}, Answered{}, Preempted{}, GroupBroken{}, ClientDisconnected{}, Quarantined{Err: refused},
 			Failed{Err: refused, NotRun: r.IntN(2) == 0, Final: r.IntN(4) == 0},
 		)
 	}
@@ -267,7 +299,7 @@
 	for name, injected := range map[string]injectedFault{
 		"forgetEarlierAttempts": forgetEarlierAttempts, "retryEverything": retryEverything,
 		"dispatchBeforeClaim": dispatchBeforeClaim, "restartStream": restartStream, "abandonAlways": abandonAlways,
-		"giveUpSuspected": giveUpSuspected,
+		"giveUpSuspected": giveUpSuspected, "retryQuarantined": retryQuarantined,
 	} {
 		err := runRandomSessions(injected)
 		require.Error(t, err, name)
--- a/pkg/gateway/hedge.go
+++ b/pkg/gateway/hedge.go
@@ -44,7 +44,7 @@
 // acquireAndSend makes an attempt beside another one and reads a stream up to its first token.
 func (s *session) acquireAndSend(ctx context.Context, request scheduling.Request, call dispatch.Call, number, from int) result {
 	return s.recovered(nil, func(r *result) result {
-		assignment, err := s.g.opts.Scheduler.Acquire(ctx, request)
+		assignment, err := s.awaitSlot(ctx, request)
 		if err != nil {
 			return result{err: err}
 		}
@@ -134,6 +134,7 @@
 	r := s.send(sl, call, from)
 	for r.stream != nil {
 		event, err := r.stream.Next()
+		s.recordEvent(sl, err)
 		if err != nil {
 			r.stream.Close()
 			r.stream, r.err = nil, err
--- a/pkg/gateway/session.go
+++ b/pkg/gateway/session.go
@@ -13,6 +13,7 @@
 	"github.com/masticmount/masticmount/pkg/dispatch"
 	"github.com/masticmount/masticmount/pkg/fault"
 	"github.com/masticmount/masticmount/pkg/gateway/attempt"
+	"github.com/masticmount/masticmount/pkg/quarantine"
 	"github.com/masticmount/masticmount/pkg/scheduling"
 )
 
@@ -29,7 +30,7 @@
 type session struct {
 	g   *Gateway
 	req *request
-	// mu guards the steps of machine, and successor, attempts, replay and slot.streaming.
+	// mu guards the steps of machine, and successor, attempts, replay, slot.streaming and slot.groupBroke.
 	mu      sync.Mutex
 	machine *attempt.Machine
 	// ctx is canceled with errClientDisconnected when the client disconnects.
@@ -42,8 +43,10 @@
 
 	releaseLimit func()
 	slot         *slot
-	attempts     int
-	stream       *dispatch.Stream
+	// verdicts are those of the attempts since the request was last sent.
+	verdicts []<-chan struct{}
+	attempts int
+	stream   *dispatch.Stream
 	// successor runs beside the attempt of slot; nil if there is none.
 	successor *successor
 	// adopted is the result of a successor that becomes the running attempt.
@@ -60,6 +63,8 @@
 	answer    *dispatch.BufferedResponse
 	refusal   *fault.Error
 	discarded bool
+	// finding is the evidence on which the request was refused.
+	finding *quarantine.Finding
 }
 
 func newSession(g *Gateway, req *request, untrack func()) *session {
@@ -162,26 +167,44 @@
 	start := time.Now()
 	request := s.schedulingRequest(a.Exclude)
 	request.Resumed = a.Resumed
-	assignment, err := s.g.opts.Scheduler.Acquire(s.ctx, request)
+	endIsolation, refusal := s.isolateSuspect(&request)
+	if refusal != nil {
+		return refusal
+	}
+	assignment, err := s.awaitSlot(s.ctx, request)
 	s.timings.queued += time.Since(start)
-	if err != nil {
-		if s.disconnected() {
-			return attempt.ClientDisconnected{}
-		}
-		return attempt.SlotRefused{Err: s.refusalOf(err)}
+	if err == nil {
+		s.slot = s.newSlot(s.ctx, assignment)
+		s.slot.endIsolation = endIsolation
+	} else if endIsolation != nil {
+		endIsolation()
 	}
-	s.slot = s.newSlot(s.ctx, assignment)
 	if s.disconnected() {
 		s.releaseSlot(false)
 		return attempt.ClientDisconnected{}
 	}
 	if s.stopping() {
 		s.releaseSlot(false)
-		return attempt.SlotRefused{Err: stoppingError()}
+		return attempt.SlotRefused{Err: stoppingError().WithCause(err)}
+	}
+	if refusal := s.refusedForContent(); refusal != nil {
+		s.releaseSlot(false)
+		return refusal
+	}
+	if err != nil {
+		return attempt.SlotRefused{Err: fault.From(err)}
 	}
 	return attempt.SlotAssigned{Group: assignment.Group.Name}
 }
 
+// awaitSlot waits for a slot, until the request's content is quarantined.
+func (s *session) awaitSlot(ctx context.Context, request scheduling.Request) (scheduling.Assignment, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	defer s.g.crashes.watch(s.req.contents, cancel)()
+	return s.g.opts.Scheduler.Acquire(ctx, request)
+}
+
 func (s *session) schedulingRequest(exclude []string) scheduling.Request {
 	account := s.g.opts.Config().Accounts[s.req.account]
 	routed := s.req.routing
@@ -192,14 +215,6 @@
 	}
 }
 
-// refusalOf returns the error for the client after the scheduler has refused the request.
-func (s *session) refusalOf(err error) *fault.Error {
-	if s.stopping() {
-		return stoppingError().WithCause(err)
-	}
-	return fault.From(err)
-}
-
 // stopping reports whether the requests in flight are being refused.
 func (s *session) stopping() bool { return s.g.ctx.Err() != nil }
 
@@ -213,7 +228,7 @@
 		return attempt.Failed{Err: fault.From(err), NotRun: true, Final: true}
 	}
 	var r result
-	if s.slot.assignment.HedgeAfter > 0 && a.ResumeFrom == 0 && s.machine.Interruptible() {
+	if s.slot.assignment.HedgeAfter > 0 && s.slot.endIsolation == nil && a.ResumeFrom == 0 && s.machine.Interruptible() {
 		r = s.sendHedged(call)
 	} else {
 		s.attempts++
@@ -286,9 +301,15 @@
 	r := result{slot: sl, address: call.Address}
 	if s.req.streamed() {
 		r.stream, r.answer, r.err = s.g.opts.Client.OpenStream(sl.ctx, call, from)
-		return r
+	} else {
+		r.answer, r.err = s.g.opts.Client.Do(sl.ctx, call)
+	}
+	if r.answer != nil {
+		s.recordSuccess(sl)
+	}
+	if r.err != nil {
+		s.recordFailure(sl, r.err)
 	}
-	r.answer, r.err = s.g.opts.Client.Do(sl.ctx, call)
 	return r
 }
 
@@ -362,6 +383,12 @@
 		return attempt.Preempted{}
 	case errors.Is(cause, errClientDisconnected):
 		return attempt.ClientDisconnected{}
+	case errors.Is(cause, errQuarantined):
+		if refusal := s.quarantined(); refusal != nil {
+			return refusal
+		}
+		// The evidence was refuted meanwhile.
+		return attempt.Preempted{}
 	default:
 		return nil
 	}
--- a/pkg/gateway/successor.go
+++ b/pkg/gateway/successor.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"github.com/masticmount/masticmount/pkg/dispatch"
 	"github.com/masticmount/masticmount/pkg/fault"
@@ -21,7 +22,8 @@
 
 // suspect passes the doubts about a slot's attempt to the state machine. It may be called
 // by any goroutine. An attempt of which the client has no part yet is canceled with cause:
-// it can start again without loss.
+// it can start again without loss. Content that crashes upstreams has no successor: the attempt
+// goes on alone.
 func (s *session) suspect(sl *slot, cause error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -29,6 +31,10 @@
 		sl.cancel(cause)
 		return
 	}
+	sl.groupBroke = sl.groupBroke || errors.Is(cause, errGroupBroke)
+	if !s.mayHaveSuccessor() {
+		return
+	}
 	for _, action := range s.machine.Step(attempt.Suspected{}) {
 		if a, ok := action.(attempt.StartSuccessor); ok {
 			s.startSuccessor(sl, a)
@@ -43,17 +49,23 @@
 }
 
 // startSuccessor starts an attempt that replaces the one of the old slot once it has received
-// the next token. The caller holds mu.
+// the next token. It is canceled if its content is quarantined before. The caller holds mu.
 func (s *session) startSuccessor(old *slot, a attempt.StartSuccessor) {
-	ctx, cancel := context.WithCancel(s.ctx)
-	sc := &successor{cancel: cancel, result: make(chan result, 1)}
+	ctx, cancel := context.WithCancelCause(s.ctx)
+	sc := &successor{cancel: func() { cancel(nil) }, result: make(chan result, 1)}
 	s.successor = sc
 	s.attempts++
 	number, delivered := s.attempts, s.replay
 	request := s.schedulingRequest(a.Exclude)
 	request.Resumed = a.ResumeFrom
 	go func() {
+		stopWatch := s.g.crashes.watch(s.req.contents, cancel)
 		r := s.runSuccessor(ctx, request, &delivered, number)
+		stopWatch()
+		if r.err == nil && errors.Is(context.Cause(ctx), errQuarantined) {
+			r.stream.Close()
+			r.stream, r.err = nil, &dispatch.CallError{Reason: dispatch.Canceled, Address: r.address, Sent: true}
+		}
 		if r.err == nil {
 			s.supersede(old, sc)
 		}
@@ -112,6 +124,9 @@
 	if s.disconnected() {
 		return attempt.ClientDisconnected{}
 	}
+	if refusal := s.quarantined(); refusal != nil {
+		return refusal
+	}
 	return failed
 }
 
@@ -146,6 +161,7 @@
 	}
 	if r.slot != nil {
 		failed.Group = r.slot.assignment.Group.Name
+		s.addVerdict(r.slot)
 	}
 	discard(r)
 	return failed
