--- a/cmd/mastic-soak/membership.go
+++ b/cmd/mastic-soak/membership.go
@@ -27,6 +27,7 @@
 // order is the body of a keeper's order to an engine.
 type order struct {
 	Op       string   `json:"op"`
+	Mode     string   `json:"mode"`
 	Group    string   `json:"group"`
 	Epoch    uint64   `json:"epoch"`
 	Model    string   `json:"model"`
@@ -105,14 +106,17 @@
 	return m.group != "" && m.rank == 0 && m.state == groupOpen && m.model == model
 }
 
-// memberLost marks the group as broken if the engine is its head and the member is in it.
-func (m *membership) memberLost(now time.Time, member string) {
+// memberLost marks the group as broken if the engine is its head and the member is in it. It
+// reports whether the member is in the engine's group.
+func (m *membership) memberLost(now time.Time, member string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.applyDue(now)
-	if m.rank == 0 && m.state == groupOpen && slices.Contains(m.members, member) {
+	isMember := slices.Contains(m.members, member)
+	if m.rank == 0 && m.state == groupOpen && isMember {
 		m.state, m.nextState = groupBroken, ""
 	}
+	return isMember
 }
 
 // execute carries out an order on the engine with the ID self and returns the HTTP status
@@ -157,6 +161,14 @@
 	}
 }
 
+// cancelsStreams reports whether an order ends the streams that the engine serves as the head of its
+// group.
+func (m *membership) cancelsStreams(o order) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.matches(o) && m.rank == 0 && (o.Op == "leave" || o.Op == "close" && o.Mode == "cancel")
+}
+
 // matches reports whether an order names the engine's current group and epoch.
 func (m *membership) matches(o order) bool {
 	return m.group != "" && o.Group == m.group && o.Epoch == m.epoch
--- a/pkg/forward/crashes.go
+++ b/pkg/forward/crashes.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"strings"
 	"time"
 
 	"github.com/samber/lo"
 
 	"github.com/masticmount/masticmount/pkg/attach"
+	"github.com/masticmount/masticmount/pkg/boottime"
 	"github.com/masticmount/masticmount/pkg/dispatch"
 	"github.com/masticmount/masticmount/pkg/document"
 	"github.com/masticmount/masticmount/pkg/fault"
@@ -41,6 +43,8 @@
 	at     time.Time
 	// suspects are these requests.
 	suspects []suspect
+	// done is closed once the evidence has the verdict.
+	done chan struct{}
 }
 
 // suspect is a request whose answer was not complete when its upstream may have crashed.
@@ -60,10 +64,10 @@
 	return err.Sent && err.Reason == dispatch.Truncated && r.eventCount() <= beginningEvents
 }
 
-// newSuspect describes a request whose send broke with the given run. An engine sends the header of
+// newSuspect describes a request whose given send broke with the given run. An engine sends the header of
 // its answer when it begins it; a plain upstream only when the answer is made.
-func (s *session) newSuspect(r *upstreamRun) suspect {
-	found := suspect{requestID: s.request.id, content: s.request.content, at: s.entry.opts.EvidenceClock(), ran: time.Since(s.sentAt)}
+func (s *session) newSuspect(failed send, r *upstreamRun) suspect {
+	found := suspect{requestID: s.request.id, content: s.request.content, at: s.entry.opts.EvidenceClock(), ran: time.Since(failed.at)}
 	if r != nil || s.request.service.Engine == nil {
 		found.contents = s.request.contents
 	}
@@ -72,15 +76,16 @@
 
 // suspectCrash records that a request may have crashed its target. The first one starts a probe
 // of the upstream; the caller holds the lock.
-func (e *Entry) suspectCrash(t *attach.Target, found suspect) {
+func (e *Entry) suspectCrash(t *attach.Target, found suspect) *crashCheck {
 	key := incarnation{t.ID, t.StartTime}
 	check := e.crashChecks[key]
 	if check == nil {
-		check = &crashCheck{target: *t, at: found.at}
+		check = &crashCheck{target: *t, at: found.at, done: make(chan struct{})}
 		e.crashChecks[key] = check
 		go e.probeCrashed(check)
 	}
 	check.suspects = append(check.suspects, found)
+	return check
 }
 
 // probeCrashed logs the suspects, and records them as evidence if nothing listens at their
@@ -95,8 +100,17 @@
 		}
 	}
 	crashed := dispatch.IsConnectionRefused(err)
+	e.recordVerdict(check, crashed, err)
+	if crashed && e.opts.OnCrash != nil {
+		e.opts.OnCrash()
+	}
+}
+
+// recordVerdict ends a check with the error of its probe.
+func (e *Entry) recordVerdict(check *crashCheck, crashed bool, err error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	defer close(check.done)
 	delete(e.crashChecks, incarnation{check.target.ID, check.target.StartTime})
 	now := e.opts.EvidenceClock()
 	for _, found := range check.suspects {
@@ -109,6 +123,8 @@
 	}
 	if check.target.Group == "" {
 		e.opts.Metrics.Add("upstream_crashes.plain", 1)
+		e.placer.RecordFailure(boottime.Now(), &check.target)
+		e.placer.RecordCrash(boottime.Now(), check.target.Service)
 	} else {
 		e.opts.Metrics.Add("engine_crashes.at_first_event", 1)
 	}
@@ -124,9 +140,13 @@
 func (e *Entry) MergeCrashEvidence(now time.Time, evidence *peerpb.CrashEvidence) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.crashes.Merge(now, evidence) {
-		e.applyQuarantines(now)
+	if !e.crashes.Merge(now, evidence) {
+		return
+	}
+	for _, c := range evidence.GetCrashes() {
+		e.placer.RecordCrash(boottime.Now().Add(-time.Duration(c.GetAgeMs())*time.Millisecond), c.GetService())
 	}
+	e.applyQuarantines(now)
 }
 
 // recordSuccess records that an upstream answered the request, an engine beyond the beginning of
@@ -151,18 +171,25 @@
 	report.Changes(e.opts.EvidenceClock(), e.crashes, e.opts.Metrics, e.opts.Log)
 }
 
-// cancelWhenQuarantined returns a context for one send, which ends if the request is quarantined
-// before stop is called: an upstream that has not begun to run it then never does. A run-once
-// request is left to its upstream, as it could not be sent again.
-func (s *session) cancelWhenQuarantined() (ctx context.Context, stop func()) {
+// unansweredSend is a send to an upstream that has not begun the answer.
+type unansweredSend struct {
+	contents []string
+	cancel   context.CancelCauseFunc
+}
+
+// cancelWhenQuarantined returns a context for one send, which ends with the given one, or if the
+// request is quarantined before stop is called: an upstream that has not begun to run it then never
+// does. A run-once request is left to its upstream, as it could not be sent again.
+func (s *session) cancelWhenQuarantined(parent context.Context) (ctx context.Context, stop func()) {
 	if s.request.route.Idempotency == document.AtMostOnce {
-		return s.ctx, func() {}
+		return parent, func() {}
 	}
 	e := s.entry
-	ctx, cancel := context.WithCancelCause(s.ctx)
+	ctx, cancel := context.WithCancelCause(parent)
+	u := &unansweredSend{s.request.contents, cancel}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.unanswered[s] = cancel
+	e.unanswered[u] = struct{}{}
 	if _, quarantined := e.crashes.Check(e.opts.EvidenceClock(), s.request.contents); quarantined {
 		// The quarantine began after the request got its target.
 		cancel(errQuarantined)
@@ -170,19 +197,20 @@
 	return ctx, func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		delete(e.unanswered, s)
+		delete(e.unanswered, u)
 	}
 }
 
 // errQuarantined is the cause of the end of a send that was quarantined.
 var errQuarantined = errors.New("a content of the request was quarantined")
 
-// applyQuarantines logs changed quarantines and ends the waits and the unanswered sends of
-// quarantined requests; the caller holds the lock.
+// applyQuarantines logs changed quarantines, and ends the waits of requests that were quarantined
+// or became suspects, and the unanswered sends of quarantined ones; the caller holds the lock.
 func (e *Entry) applyQuarantines(now time.Time) {
 	report.Changes(now, e.crashes, e.opts.Metrics, e.opts.Log)
+	e.markCrashed(now)
 	for id, w := range e.waiters {
-		if _, quarantined := e.crashes.Check(now, w.contents); !quarantined {
+		if !e.mustExamine(now, &w) {
 			continue
 		}
 		if _, waiting := e.placer.Cancel(now, w.work); waiting {
@@ -190,13 +218,31 @@
 			w.granted <- nil
 		}
 	}
-	for s, cancel := range e.unanswered {
-		if _, quarantined := e.crashes.Check(now, s.request.contents); quarantined {
-			cancel(errQuarantined)
+	for u := range e.unanswered {
+		if _, quarantined := e.crashes.Check(now, u.contents); quarantined {
+			u.cancel(errQuarantined)
 		}
 	}
 }
 
+// markCrashed has the placer know which incarnations have ended; the caller holds the lock.
+func (e *Entry) markCrashed(now time.Time) {
+	e.placer.MarkCrashed(func(id string, startTime uint64) bool { return e.crashes.Crashed(now, id, startTime) })
+}
+
+// mustExamine reports whether a waiting request was quarantined, or became a suspect that waits for a
+// target of ordinary requests.
+func (e *Entry) mustExamine(now time.Time, w *waiter) bool {
+	if _, quarantined := e.crashes.Check(now, w.contents); quarantined {
+		return true
+	}
+	if w.work.Isolated || w.engine {
+		return false
+	}
+	_, suspected := e.suspicion(now, w.contents[0])
+	return suspected
+}
+
 // quarantined returns the refusal of a request with a quarantined content; nil when the request may
 // be sent.
 func (s *session) quarantined() *fault.Error {
@@ -216,13 +262,16 @@
 }
 
 func quarantineRefusal(now time.Time, f *quarantine.Finding) *fault.Error {
-	age := int(now.Sub(f.Last).Seconds())
 	if quarantine.IsRequest(f.Content) {
-		return fault.New(fault.RequestQuarantined, "do not send this request again",
-			"%d upstreams crashed as they ran this request, the last one %d s ago", len(f.Upstreams), age)
+		return fault.New(fault.RequestQuarantined, "do not send this request again", "%s", crashesText(now, f))
 	}
-	return fault.New(fault.PromptQuarantined, "leave the named part out of the prompt",
-		"%d engines crashed as they began to answer prompts with part %s, the last one %d s ago", len(f.Upstreams), f.Content, age)
+	return fault.New(fault.PromptQuarantined, "leave the named part out of the prompt", "%d engines crashed as they began to answer prompts with part %s, the last one %d s ago",
+		len(f.Upstreams), f.Content, int(now.Sub(f.Last).Seconds()))
+}
+
+// crashesText describes the evidence against a whole request.
+func crashesText(now time.Time, f *quarantine.Finding) string {
+	return fmt.Sprintf("%d upstreams crashed as they ran this request, the last one %d s ago", len(f.Upstreams), int(now.Sub(f.Last).Seconds()))
 }
 
 // promptPartsOf lists the prompt parts among the contents of a request.
--- a/pkg/gateway/crashes.go
+++ b/pkg/gateway/crashes.go
@@ -260,7 +260,7 @@
 		return nil
 	}
 	s.finding = &finding
-	refusal := fault.New(fault.Overloaded, "retry after the time in Retry-After", "%d upstreams crashed while this request and others ran; it is held", len(finding.Upstreams))
+	refusal := fault.New(fault.RequestSuspected, "retry after the time in Retry-After", "%d upstreams crashed while this request and others ran; it is held", len(finding.Upstreams))
 	return attempt.SlotRefused{Err: refusal.WithRetryAfter(finding.Until.Sub(s.g.opts.Evidence.Now()))}
 }
 
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -79,6 +79,11 @@
 	monitor  *groupMonitor
 	crashes  *crashWatch
 	inFlight inFlightTracker
+	// ctx is canceled with errStopping by RefuseRemaining.
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	// stallTimeout is the constant of that name, except in tests.
+	stallTimeout time.Duration
 }
 
 // New returns a gateway with the defaults filled in for options that are zero.
@@ -89,7 +94,8 @@
 	if opts.Evidence == nil {
 		opts.Evidence = evidence.New(evidence.Options{Metrics: opts.Metrics, Log: opts.Log})
 	}
-	g := &Gateway{opts: opts, monitor: newGroupMonitor(opts.View), crashes: newCrashWatch(opts)}
+	g := &Gateway{opts: opts, monitor: newGroupMonitor(opts.View), crashes: newCrashWatch(opts), stallTimeout: stallTimeout}
+	g.ctx, g.cancel = context.WithCancelCause(context.Background())
 	g.app = fiber.New(fiber.Config{
 		BodyLimit: opts.MaxBodyBytes, ReadBufferSize: maxHeaderBytes, ReadTimeout: opts.ReadTimeout, IdleTimeout: idleTimeout,
 		ErrorHandler: g.handleError,
--- a/pkg/gateway/session.go
+++ b/pkg/gateway/session.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/samber/lo"
@@ -18,17 +20,18 @@
 const (
 	// maxAttempts limits the attempts of a request, see attempt.Request.
 	maxAttempts = 3
-	// stallTimeout limits the gap between events of a stream that can be resumed on
-	// another group.
+	// stallTimeout is the gap between events after which a stream counts as silent.
 	stallTimeout = 5 * time.Second
 )
 
 // session is the life cycle of one request. It passes events to the request's
 // attempt.Machine and executes the resulting actions. It is used by one goroutine
-// at a time.
+// at a time, except for suspect and the successor.
 type session struct {
-	g       *Gateway
-	req     *request
+	g   *Gateway
+	req *request
+	// mu guards the steps of machine, and successor, attempts, replay and slot.streaming.
+	mu      sync.Mutex
 	machine *attempt.Machine
 	// ctx is canceled with errClientDisconnected when the client disconnects.
 	// Attempts that are not interruptible do not depend on it.
@@ -44,6 +47,10 @@
 	verdict  <-chan struct{}
 	attempts int
 	stream   *dispatch.Stream
+	// successor runs beside the attempt of slot; nil if there is none.
+	successor *successor
+	// adopted is the result of a successor that becomes the running attempt.
+	adopted result
 	// completed is a stream that ended with [DONE]. It is closed after the client got
 	// the end of the stream, because closing waits for the last chunk.
 	completed *dispatch.Stream
@@ -61,7 +68,7 @@
 }
 
 func newSession(g *Gateway, req *request, untrack func()) *session {
-	ctx, cancel := context.WithCancelCause(context.Background())
+	ctx, cancel := context.WithCancelCause(g.ctx)
 	numbered := req.streamed() && req.chat.Choices <= 1
 	return &session{
 		g: g, req: req, ctx: ctx, cancel: cancel, untrack: untrack, timings: g.newTimings(req), numbered: numbered,
@@ -93,6 +100,7 @@
 	}
 	s.closeAttempt()
 	s.releaseSlot(false)
+	s.cancelSuccessor()
 	if s.completed != nil {
 		s.completed.Close()
 	}
@@ -109,7 +117,7 @@
 func (s *session) run(event attempt.Event) {
 	for event != nil {
 		var next attempt.Event
-		for _, action := range s.machine.Step(event) {
+		for _, action := range s.step(event) {
 			if e := s.execute(action); e != nil {
 				next = e
 			}
@@ -118,6 +126,12 @@
 	}
 }
 
+func (s *session) step(event attempt.Event) []attempt.Action {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.machine.Step(event)
+}
+
 func (s *session) execute(action attempt.Action) attempt.Event {
 	switch a := action.(type) {
 	case attempt.Claim:
@@ -136,7 +150,14 @@
 		s.answer, s.refusal = nil, a.Err
 	case attempt.Discard:
 		s.discarded = true
-	case attempt.Answer:
+	case attempt.AwaitSuccessor:
+		return s.awaitSuccessor()
+	case attempt.AdoptSuccessor:
+		s.adoptSuccessor()
+	case attempt.CancelSuccessor:
+		s.cancelSuccessor()
+	case attempt.Answer, attempt.StartSuccessor:
+		// suspect carries StartSuccessor out.
 	}
 	return nil
 }
@@ -171,7 +192,11 @@
 		return refusal
 	}
 	if err != nil {
-		return attempt.SlotRefused{Err: fault.From(err)}
+		return attempt.SlotRefused{Err: s.refusalOf(err)}
+	}
+	if s.stopping() {
+		s.releaseSlot(false)
+		return attempt.SlotRefused{Err: stoppingError()}
 	}
 	return attempt.SlotAssigned{Group: assignment.Group.Name}
 }
@@ -186,6 +211,17 @@
 	}
 }
 
+// refusalOf returns the error for the client after the scheduler has refused the request.
+func (s *session) refusalOf(err error) *fault.Error {
+	if s.stopping() {
+		return stoppingError().WithCause(err)
+	}
+	return fault.From(err)
+}
+
+// stopping reports whether the requests in flight are being refused.
+func (s *session) stopping() bool { return s.g.ctx.Err() != nil }
+
 func (s *session) disconnected() bool { return errors.Is(context.Cause(s.ctx), errClientDisconnected) }
 
 // dispatch sends the request to its group. It returns nil after a stream was
@@ -212,10 +248,10 @@
 		return s.failureEvent(r.err)
 	}
 	if r.stream != nil {
-		s.stream, s.buffered = r.stream, r.events
+		s.openStream(r)
 		return nil
 	}
-	if cause := s.interruptionEvent(); cause != nil {
+	if cause := s.interruptionEvent(); cause != nil && !keepsAnswer(cause, r.answer) {
 		return cause
 	}
 	if s.req.streamed() && s.replay.started {
@@ -228,6 +264,29 @@
 	return attempt.Answered{}
 }
 
+// keepsAnswer reports whether an answer that has arrived is returned although its attempt was
+// interrupted. A 5xx may be the consequence of the interruption.
+func keepsAnswer(cause attempt.Event, answer *dispatch.BufferedResponse) bool {
+	_, disconnected := cause.(attempt.ClientDisconnected)
+	return !disconnected && answer.Status < http.StatusInternalServerError
+}
+
+// openStream makes the stream of a result the one that the client gets.
+func (s *session) openStream(r result) {
+	s.stream, s.buffered = r.stream, r.events
+	s.mu.Lock()
+	r.slot.streaming = true
+	s.mu.Unlock()
+	r.stream.OnStall(func() { s.stalled(r.slot) })
+}
+
+// markStreamEnded makes doubts about the slot's stream that come late have no effect.
+func (s *session) markStreamEnded() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slot.streaming = false
+}
+
 // result is the result of one attempt.
 type result struct {
 	slot    *slot
@@ -262,7 +321,7 @@
 func (s *session) buildCall(resumeFrom int) (dispatch.Call, error) {
 	call := s.req.call
 	if s.numbered {
-		call.StallTimeout = stallTimeout
+		call.StallTimeout = s.g.stallTimeout
 	}
 	if resumeFrom == 0 {
 		return call, nil
@@ -298,8 +357,11 @@
 		if cause := s.interruptionEvent(); cause != nil {
 			return s.cancellationEvent(callErr, cause)
 		}
+		if s.stopping() {
+			return attempt.Failed{Err: stoppingError().WithCause(callErr), NotRun: callErr.NotRun(), Final: true}
+		}
 	}
-	s.reportFailure(callErr)
+	s.reportFailure(s.slot, callErr)
 	callerFault := faultOfCall(callErr)
 	final := callErr.Reason == dispatch.TimedOut || !time.Now().Before(s.req.deadline)
 	return attempt.Failed{Err: callerFault, NotRun: callErr.NotRun(), Final: final}
@@ -335,20 +397,21 @@
 	}
 }
 
-func (s *session) reportFailure(callErr *dispatch.CallError) {
+func (s *session) reportFailure(sl *slot, callErr *dispatch.CallError) {
 	s.g.opts.Log.Warn().Str("request_id", s.req.id).Str("upstream", callErr.Address).Str("reason", string(callErr.Reason)).
 		Bool("sent", callErr.Sent).Err(callErr).Msg("attempt_failed")
 	report := s.g.opts.ReportFailure
-	if report == nil || s.slot == nil || callErr.Reason == dispatch.Refused || callErr.Reason == dispatch.Canceled {
+	if report == nil || sl == nil || callErr.Reason == dispatch.Refused || callErr.Reason == dispatch.Canceled {
 		return
 	}
-	report(s.slot.assignment.Group.Members[0].ID, string(callErr.Reason))
+	report(sl.assignment.Group.Members[0].ID, string(callErr.Reason))
 }
 
 func (s *session) closeAttempt() {
 	if s.stream != nil {
 		s.stream.Close()
 		s.stream, s.buffered = nil, nil
+		s.markStreamEnded()
 	}
 	if s.slot != nil {
 		s.slot.stop()
--- a/pkg/gateway/slot.go
+++ b/pkg/gateway/slot.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/masticmount/masticmount/pkg/scheduling"
@@ -14,6 +13,10 @@
 type slot struct {
 	assignment scheduling.Assignment
 	ctx        context.Context
+	// cancel cancels the context with a cause.
+	cancel context.CancelCauseFunc
+	// streaming is true while the client gets the stream of this slot; guarded by session.mu.
+	streaming bool
 	// stop cancels the context and stops the monitoring of the group.
 	stop func()
 	// started is the time of the dispatch; zero before.
@@ -30,38 +33,47 @@
 	firstToken time.Duration
 	tokens     int
 	// pinned is true once the stream cannot be resumed on another group; it is then
-	// no longer preempted.
-	pinned atomic.Bool
+	// no longer preempted. It is guarded by session.mu.
+	pinned bool
 }
 
 func (s *session) newSlot(parent context.Context, assignment scheduling.Assignment) *slot {
 	if !s.machine.Interruptible() {
-		return &slot{assignment: assignment, ctx: context.Background(), stop: func() {}, answerBegan: func() {}}
+		ctx, cancel := context.WithCancelCause(s.g.ctx)
+		return &slot{assignment: assignment, ctx: ctx, cancel: func(error) {}, answerBegan: func() {}, stop: func() { cancel(nil) }}
 	}
 	ctx, cancel := context.WithCancelCause(parent)
-	unwatch := s.g.monitor.watch(assignment.Group, cancel)
 	answerBegan := s.g.crashes.watch(s.req.contents, cancel)
-	sl := &slot{assignment: assignment, ctx: ctx, answerBegan: answerBegan, stop: sync.OnceFunc(func() {
+	sl := &slot{assignment: assignment, ctx: ctx, cancel: cancel, answerBegan: answerBegan}
+	unwatch := s.g.monitor.watch(assignment.Group, func(cause error) { s.suspect(sl, cause) })
+	sl.stop = sync.OnceFunc(func() {
 		unwatch()
 		answerBegan()
 		cancel(nil)
-	})}
+	})
 	if assignment.Preempted != nil {
-		go sl.watchPreemption(cancel)
+		go s.watchPreemption(sl)
 	}
 	return sl
 }
 
-func (sl *slot) watchPreemption(cancel context.CancelCauseFunc) {
+func (s *session) watchPreemption(sl *slot) {
 	select {
 	case <-sl.assignment.Preempted:
-		if !sl.pinned.Load() {
-			cancel(errPreempted)
-		}
+		s.preempt(sl)
 	case <-sl.ctx.Done():
 	}
 }
 
+// preempt cancels the attempt, unless its stream cannot be resumed.
+func (s *session) preempt(sl *slot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !sl.pinned {
+		sl.cancel(errPreempted)
+	}
+}
+
 // releaseSlot returns the slot to the scheduler with a report of the attempt.
 func (s *session) releaseSlot(failed bool) {
 	if s.slot != nil {
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -87,13 +87,16 @@
 func (s *session) nextEvent() (dispatch.Event, error) {
 	for s.stream != nil {
 		event, err := s.nextAttemptEvent()
+		deliver := false
 		if err == nil {
-			if s.recordDelivery(event) {
-				return event, nil
-			}
-			continue
+			deliver, err = s.recordDelivery(event)
+		}
+		if deliver {
+			return event, nil
+		}
+		if err != nil {
+			s.finishStream(err)
 		}
-		s.finishStream(err)
 	}
 	if s.refusal == nil && s.answer == nil && !s.discarded && s.machine.Ended() {
 		return dispatch.Event{}, io.EOF
@@ -117,31 +120,59 @@
 func (s *session) finishStream(err error) {
 	stream := s.stream
 	s.stream = nil
+	s.markStreamEnded()
 	if errors.Is(err, io.EOF) {
 		s.completed = stream
 		s.run(attempt.Answered{})
 		return
 	}
 	stream.Close()
+	if s.hasContinuedSuccessor() {
+		s.reportFailure(s.slot, &dispatch.CallError{Reason: dispatch.Stalled, Address: s.slot.assignment.Group.Address(), Sent: true})
+		s.run(s.awaitSuccessor())
+		return
+	}
 	s.run(s.failureEvent(err))
 }
 
-// recordDelivery records an event before it is written to the client. It returns
-// false if the client already has the event.
-func (s *session) recordDelivery(event dispatch.Event) bool {
-	effect := s.replay.record(event)
-	if effect.duplicate {
-		return false
+// recordDelivery records an event before it is written to the client. It returns false if the
+// client already has the event, and an error if the attempt was canceled.
+func (s *session) recordDelivery(event dispatch.Event) (deliver bool, err error) {
+	effect, actions, err := s.stepDelivery(event)
+	if err != nil || effect.duplicate {
+		return false, err
+	}
+	for _, action := range actions {
+		s.execute(action)
 	}
 	if effect.unnumbered && s.stream != nil {
-		s.slot.pinned.Store(true)
 		s.stream.DisableStallTimeout()
 	}
+	s.observeToken(time.Now())
+	return true, nil
+}
+
+// stepDelivery records an event, unless the attempt was canceled and the event would prevent
+// that the stream is resumed: it is the first one, or has no position.
+func (s *session) stepDelivery(event dispatch.Event) (delivery, []attempt.Action, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.successor != nil && s.successor.continued {
+		return delivery{}, nil, errSuperseded
+	}
+	before := s.replay
+	effect := s.replay.record(event)
+	if effect.duplicate {
+		return effect, nil, nil
+	}
+	if s.slot.ctx.Err() != nil && (effect.unnumbered || !s.machine.Begun()) {
+		s.replay = before
+		return delivery{}, nil, &dispatch.CallError{Reason: dispatch.Canceled, Address: s.slot.assignment.Group.Address(), Sent: true}
+	}
+	s.slot.pinned = s.slot.pinned || effect.unnumbered
 	tokens := 0
 	if event.Token {
 		tokens = 1
 	}
-	s.machine.Step(attempt.Delivered{Tokens: tokens, Unnumbered: effect.unnumbered})
-	s.observeToken(time.Now())
-	return true
+	return effect, s.machine.Step(attempt.Delivered{Tokens: tokens, Unnumbered: effect.unnumbered}), nil
 }
--- a/pkg/quarantine/evidence/store.go
+++ b/pkg/quarantine/evidence/store.go
@@ -94,7 +94,7 @@
 func (s *Store) Crashed(upstream string, incarnation uint64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.table.Crashed(upstream, incarnation)
+	return s.table.Crashed(s.opts.Clock(), upstream, incarnation)
 }
 
 // AddCrashes records crashes that this process found out.
