--- a/pkg/gateway/attempt/attempt_test.go
+++ b/pkg/gateway/attempt/attempt_test.go
@@ -152,13 +152,26 @@
 	}
 }
 
-func (o *oracle) checkAction(action Action) error {
-	switch action.(type) {
-	case Acquire, Dispatch:
-		if o.quarantined {
-			return fmt.Errorf("sent on although its content is quarantined")
+// checkQuarantine checks that a quarantined request is neither sent on nor to be sent again.
+func (o *oracle) checkQuarantine(action Action) error {
+	if !o.quarantined {
+		return nil
+	}
+	switch a := action.(type) {
+	case Acquire, Dispatch, StartSuccessor:
+		return fmt.Errorf("sent on although its content is quarantined")
+	case Refuse:
+		if a.Err.RetryAfter > 0 {
+			return fmt.Errorf("a quarantined request is to be sent again")
 		}
 	}
+	return nil
+}
+
+func (o *oracle) checkAction(action Action) error {
+	if err := o.checkQuarantine(action); err != nil {
+		return err
+	}
 	switch a := action.(type) {
 	case StartSuccessor, AwaitSuccessor, AdoptSuccessor, CancelSuccessor:
 		return o.checkSuccessor(a)
@@ -185,9 +198,6 @@
 		}
 	case Refuse:
 		o.endings++
-		if o.quarantined && a.Err.RetryAfter > 0 {
-			return fmt.Errorf("a quarantined request is to be sent again")
-		}
 		if a.Err.Outcome == fault.NotRun && o.mayHaveRun > 0 {
 			return fmt.Errorf("outcome not-run reported although the request may have run")
 		}
--- a/pkg/gateway/crashes.go
+++ b/pkg/gateway/crashes.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -23,6 +24,7 @@
 	"github.com/masticmount/masticmount/pkg/quarantine"
 	"github.com/masticmount/masticmount/pkg/quarantine/evidence"
 	"github.com/masticmount/masticmount/pkg/quarantine/report"
+	"github.com/masticmount/masticmount/pkg/telemetry"
 )
 
 const (
@@ -95,9 +97,10 @@
 // crashWatch finds out which requests crash upstreams, and ends the waits and the unanswered
 // attempts of requests whose content is quarantined.
 type crashWatch struct {
-	store  *evidence.Store
-	client *dispatch.Client
-	log    zerolog.Logger
+	store   *evidence.Store
+	client  *dispatch.Client
+	metrics *telemetry.Registry
+	log     zerolog.Logger
 
 	mu     sync.Mutex
 	checks map[incarnation]*crashCheck
@@ -115,7 +118,7 @@
 
 func newCrashWatch(opts Options) *crashWatch {
 	w := &crashWatch{
-		store: opts.Evidence, client: opts.Client, log: opts.Log,
+		store: opts.Evidence, client: opts.Client, metrics: cmp.Or(opts.Metrics, telemetry.New("")), log: opts.Log,
 		checks: map[incarnation]*crashCheck{}, unanswered: map[*unanswered]struct{}{}, isolated: map[string]chan struct{}{},
 	}
 	w.store.Subscribe(w.cancelQuarantined)
@@ -190,9 +193,15 @@
 			Bool("crashed", crashed).AnErr("probe", err).Dur("crash_age_ms", now.Sub(check.at)).Msg("engine_crash_checked")
 		crashes = append(crashes, quarantine.Crash{Upstream: check.upstream, StartTime: check.number, Service: check.group.Service, Contents: s.contents, At: check.at, Ran: s.ran})
 	}
-	if crashed {
-		w.store.AddCrashes(crashes)
+	if !crashed {
+		return
+	}
+	if check.group.Kind == api.UpstreamEngine {
+		w.metrics.Add("engine_crashes.at_first_event", 1)
+	} else {
+		w.metrics.Add("upstream_crashes.plain", 1)
 	}
+	w.store.AddCrashes(crashes)
 }
 
 // recordFailure records the evidence of an attempt without a complete answer: it may have crashed
@@ -260,6 +269,7 @@
 		return nil
 	}
 	s.finding = &finding
+	s.g.crashes.metrics.Add("requests.suspects_refused", 1)
 	refusal := fault.New(fault.RequestSuspected, "retry after the time in Retry-After", "%d upstreams crashed while this request and others ran; it is held", len(finding.Upstreams))
 	return attempt.SlotRefused{Err: refusal.WithRetryAfter(finding.Until.Sub(s.g.opts.Evidence.Now()))}
 }
--- a/pkg/gateway/crashing_content_test.go
+++ b/pkg/gateway/crashing_content_test.go
@@ -21,9 +21,12 @@
 
 	"github.com/masticmount/masticmount/pkg/admission"
 	"github.com/masticmount/masticmount/pkg/api"
+	"github.com/masticmount/masticmount/pkg/dispatch"
 	"github.com/masticmount/masticmount/pkg/domain"
+	"github.com/masticmount/masticmount/pkg/explain"
 	"github.com/masticmount/masticmount/pkg/fakes"
 	"github.com/masticmount/masticmount/pkg/fault"
+	"github.com/masticmount/masticmount/pkg/logging"
 	"github.com/masticmount/masticmount/pkg/quarantine"
 	"github.com/masticmount/masticmount/pkg/quarantine/evidence"
 	"github.com/masticmount/masticmount/pkg/routing"
@@ -446,3 +449,37 @@
 		assert.Zero(t, unserved, "sound requests that are not served")
 	})
 }
+
+// An operator must find the crashes behind a refusal, however old they are.
+func TestExplainNamesCrashesBehindRefusal(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		var logs lockedBuffer
+		h := newHarness(t, func(o *Options) {
+			log, err := logging.New(&logs, "info", "entry-1")
+			require.NoError(t, err)
+			o.Log = log
+		}, withSimulatedClock)
+		c := newCrashingUpstreams(h)
+		for i := range toleratedCrashes + 1 {
+			c.addService(fmt.Sprint("u", i), fakes.Faults{})
+		}
+		for n := range 10 {
+			h.send(http.MethodPost, "/lookup/7", crashMark)
+			h.send(http.MethodPost, "/lookup/8", fmt.Sprint("sound ", n))
+			time.Sleep(restartTime)
+		}
+		refused := h.send(http.MethodPost, "/lookup/7", crashMark)
+		require.Equal(t, string(fault.RequestQuarantined), refused.kind(), refused.body)
+		time.Sleep(time.Second)
+
+		lines, err := explain.Read(strings.NewReader(logs.String()))
+		require.NoError(t, err)
+		found := explain.Request(refused.header.Get(dispatch.HeaderRequestID), lines)
+		var text strings.Builder
+		require.NoError(t, explain.Write(&text, found))
+		content := quarantine.RequestContent("school", http.MethodPost, "", "/lookup/7?", []byte(crashMark))
+		assert.Contains(t, text.String(), content+" quarantined after 3 crashes")
+		assert.Equal(t, len(c.crashes), strings.Count(text.String(), "crashed as it ran request "+content), text.String())
+		assert.Contains(t, explain.Cause(found), "the request is quarantined as "+content)
+	})
+}
--- a/pkg/gateway/isolation.go
+++ b/pkg/gateway/isolation.go
@@ -76,6 +76,7 @@
 		return spared.Name, nil
 	}
 	s.finding = &finding
+	s.g.crashes.metrics.Add("requests.suspects_refused", 1)
 	return "", attempt.SlotRefused{Err: fault.New(fault.RequestSuspected, "retry after the time in Retry-After",
 		"%d upstreams crashed while this request ran, and no other can be spared for it", len(finding.Upstreams)).WithRetryAfter(suspectRetryAfter)}
 }
--- a/pkg/gateway/session.go
+++ b/pkg/gateway/session.go
@@ -398,8 +398,12 @@
 }
 
 func (s *session) reportFailure(sl *slot, callErr *dispatch.CallError) {
-	s.g.opts.Log.Warn().Str("request_id", s.req.id).Str("upstream", callErr.Address).Str("reason", string(callErr.Reason)).
-		Bool("sent", callErr.Sent).Err(callErr).Msg("attempt_failed")
+	line := s.g.opts.Log.Warn().Str("request_id", s.req.id).Str("content", s.req.contents[0]).Str("upstream", callErr.Address).
+		Str("reason", string(callErr.Reason)).Bool("sent", callErr.Sent)
+	if sl != nil && !sl.started.IsZero() {
+		line = line.Dur("run_ms", time.Since(sl.started))
+	}
+	line.Err(callErr).Msg("attempt_failed")
 	report := s.g.opts.ReportFailure
 	if report == nil || sl == nil || callErr.Reason == dispatch.Refused || callErr.Reason == dispatch.Canceled {
 		return
