--- a/pkg/gateway/harness_test.go
+++ b/pkg/gateway/harness_test.go
@@ -320,3 +320,28 @@
 	}
 	return b.String()
 }
+
+// holdingScheduler reports the first request that waits and holds it until held is closed.
+type holdingScheduler struct {
+	scheduling.Scheduler
+	queued, held chan struct{}
+}
+
+func (s *holdingScheduler) Acquire(ctx context.Context, req scheduling.Request) (scheduling.Assignment, error) {
+	close(s.queued)
+	<-s.held
+	return s.Scheduler.Acquire(ctx, req)
+}
+
+// addUnansweredGroup adds a group whose head calls onRequest for each request and never answers.
+func (h *harness) addUnansweredGroup(name string, onRequest func()) {
+	testEnds := make(chan struct{})
+	app := fiber.New()
+	app.Post(chatPath, func(c fiber.Ctx) error {
+		onRequest()
+		<-testEnds
+		return c.SendStatus(http.StatusOK)
+	})
+	h.addGroup(name, "captioner", "captions", api.UpstreamEngine, app)
+	h.t.Cleanup(func() { close(testEnds) })
+}
