--- a/pkg/gateway/crashes.go
+++ b/pkg/gateway/crashes.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -23,6 +24,7 @@
 	"github.com/masticmount/masticmount/pkg/quarantine"
 	"github.com/masticmount/masticmount/pkg/quarantine/evidence"
 	"github.com/masticmount/masticmount/pkg/quarantine/report"
+	"github.com/masticmount/masticmount/pkg/telemetry"
 )
 
 const (
@@ -95,9 +97,10 @@
 // crashWatch finds out which requests crash upstreams, and ends the waits and the unanswered
 // attempts of requests whose content is quarantined.
 type crashWatch struct {
-	store  *evidence.Store
-	client *dispatch.Client
-	log    zerolog.Logger
+	store   *evidence.Store
+	client  *dispatch.Client
+	metrics *telemetry.Registry
+	log     zerolog.Logger
 
 	mu     sync.Mutex
 	checks map[incarnation]*crashCheck
@@ -115,7 +118,7 @@
 
 func newCrashWatch(opts Options) *crashWatch {
 	w := &crashWatch{
-		store: opts.Evidence, client: opts.Client, log: opts.Log,
+		store: opts.Evidence, client: opts.Client, metrics: cmp.Or(opts.Metrics, telemetry.New("")), log: opts.Log,
 		checks: map[incarnation]*crashCheck{}, unanswered: map[*unanswered]struct{}{}, isolated: map[string]chan struct{}{},
 	}
 	w.store.Subscribe(w.cancelQuarantined)
@@ -190,9 +193,15 @@
 			Bool("crashed", crashed).AnErr("probe", err).Dur("crash_age_ms", now.Sub(check.at)).Msg("engine_crash_checked")
 		crashes = append(crashes, quarantine.Crash{Upstream: check.upstream, StartTime: check.number, Service: check.group.Service, Contents: s.contents, At: check.at, Ran: s.ran})
 	}
-	if crashed {
-		w.store.AddCrashes(crashes)
+	if !crashed {
+		return
+	}
+	if check.group.Kind == api.UpstreamEngine {
+		w.metrics.Add("engine_crashes.at_first_event", 1)
+	} else {
+		w.metrics.Add("upstream_crashes.plain", 1)
 	}
+	w.store.AddCrashes(crashes)
 }
 
 // recordFailure records the evidence of an attempt without a complete answer: it may have crashed
@@ -268,18 +277,11 @@
 		return nil
 	}
 	s.finding = &finding
-	refusal := fault.New(fault.Overloaded, "retry after the time in Retry-After", "%d upstreams crashed while this request and others ran; it is held", len(finding.Upstreams))
+	s.g.crashes.metrics.Add("requests.suspects_refused", 1)
+	refusal := fault.New(fault.RequestSuspected, "retry after the time in Retry-After", "%d upstreams crashed while this request and others ran; it is held", len(finding.Upstreams))
 	return attempt.SlotRefused{Err: refusal.WithRetryAfter(finding.Until.Sub(s.g.opts.Evidence.Now()))}
 }
 
-// mayHaveSuccessor reports whether the request may be sent a second time beside a running attempt. It
-// may be called by any goroutine.
-func (s *session) mayHaveSuccessor() bool {
-	_, quarantined := s.g.opts.Evidence.Check(s.req.contents)
-	_, suspect := s.g.opts.Evidence.Suspect(s.req.contents[0])
-	return !quarantined && !suspect
-}
-
 // findingFields adds the evidence of the request's refusal to a log line.
 func (s *session) findingFields(line *zerolog.Event) *zerolog.Event {
 	if s.finding == nil {
--- a/pkg/gateway/isolation.go
+++ b/pkg/gateway/isolation.go
@@ -76,7 +76,8 @@
 		return spared.Name, nil
 	}
 	s.finding = &finding
-	return "", attempt.SlotRefused{Err: fault.New(fault.Overloaded, "retry after the time in Retry-After",
+	s.g.crashes.metrics.Add("requests.suspects_refused", 1)
+	return "", attempt.SlotRefused{Err: fault.New(fault.RequestSuspected, "retry after the time in Retry-After",
 		"%d upstreams crashed while this request ran, and no other can be spared for it", len(finding.Upstreams)).WithRetryAfter(suspectRetryAfter)}
 }
 
@@ -95,6 +96,16 @@
 	}
 }
 
+// mayCrash reports whether the content of the request is quarantined, or an upstream ended under it
+// since its last success. It may be called by any goroutine.
+func (s *session) mayCrash() bool {
+	if _, quarantined := s.g.opts.Evidence.Check(s.req.contents); quarantined {
+		return true
+	}
+	_, suspect := s.g.opts.Evidence.Suspect(s.req.contents[0])
+	return suspect
+}
+
 // awaitVerdict waits until it is known whether the upstreams of the last attempts ended; false if the
 // request ends before.
 func (s *session) awaitVerdict() bool {
--- a/pkg/gateway/successor.go
+++ b/pkg/gateway/successor.go
@@ -32,7 +32,7 @@
 		return
 	}
 	sl.groupBroke = sl.groupBroke || errors.Is(cause, errGroupBroke)
-	if !s.mayHaveSuccessor() {
+	if s.mayCrash() {
 		return
 	}
 	for _, action := range s.machine.Step(attempt.Suspected{}) {
