forward: begin no successor for a caller that has left

What was seen: once the caller of a silent stream left, or a planned stop ended it, its run and its successors ended with it; the stream then began further successors in their place, one after the other, up to the attempts of the route. Each one took a slot and was paid from the retry budget. They end at once, but on a kept connection the request may reach the upstream before.

Cause: checkSuccessors begins a successor whenever none is pending, and the run that "failed" here was cancelled.

TestNoSuccessorBeginsAfterCallerHasLeft failed before: "expected: int(2), actual : int64(4)" connections opened, with four upstreams and four attempts. The test of a caller that leaves did not show it, as its route allows two attempts. Passed after: go test ./pkg/forward -run 'TestNoSuccessorBegins|Successor|Silent|Unanswered|Leak'.

--- a/pkg/forward/successor.go
+++ b/pkg/forward/successor.go
@@ -83,11 +83,11 @@
 	}
 }
 
-// beginSuccessor sends the stream to a further target if one has free capacity and the request
-// may be sent again; otherwise it returns nil.
+// beginSuccessor sends the stream to a further target if one has free capacity, the request may be
+// sent again and its caller is there; otherwise it returns nil.
 func (st *stream) beginSuccessor() *successor {
 	s := st.session
-	if s.quarantined() != nil {
+	if s.ctx.Err() != nil || s.quarantined() != nil {
 		return nil
 	}
 	target := st.claimSuccessorTarget()
