gateway: a token and the end of its successor are one step

What callers could see: a stream that went on after a silence was cancelled all the same, and cut where no further attempt was left.

Cause: the delivery of a token decides under the session's lock that the successor is no longer needed, but took it away after the lock was released. Between the two - the successor may get its own token: supersede finds itself in place and cancels the attempt that went on, then it is cancelled itself: both runs are given up; - the group monitor may suspect the attempt again: the new successor replaces the old one, is cancelled in its stead, the old one's slot is never released, and the machine waits for a successor that the session does not have.

Change: stepDelivery drops the successor under the lock. That was the only action of a delivery.

Tests failed before: TestStreamThatWentOnIsNotSuperseded: "Received unexpected error: context canceled" TestSuccessorIsCancelledWithTheTokenThatMakesItNeedless: "Expected nil, but got: &gateway.successor{...continued:false}" Passed after: go test -race ./pkg/gateway/...

--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -136,13 +136,10 @@
 // recordDelivery records an event before it is written to the client. It returns false if the
 // client already has the event, and an error if the attempt was canceled.
 func (s *session) recordDelivery(event dispatch.Event) (deliver bool, err error) {
-	effect, actions, err := s.stepDelivery(event)
+	effect, err := s.stepDelivery(event)
 	if err != nil || effect.duplicate {
 		return false, err
 	}
-	for _, action := range actions {
-		s.execute(action)
-	}
 	if effect.unnumbered && s.stream != nil {
 		s.stream.DisableStallTimeout()
 	}
@@ -151,26 +148,32 @@
 }
 
 // stepDelivery records an event, unless the attempt was canceled and the event would prevent
-// that the stream is resumed: it is the first one, or has no position.
-func (s *session) stepDelivery(event dispatch.Event) (delivery, []attempt.Action, error) {
+// that the stream is resumed: it is the first one, or has no position. The successor is canceled in
+// the same step, so that it cannot take over a stream that has continued.
+func (s *session) stepDelivery(event dispatch.Event) (delivery, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.successor != nil && s.successor.continued {
-		return delivery{}, nil, errSuperseded
+		return delivery{}, errSuperseded
 	}
 	before := s.replay
 	effect := s.replay.record(event)
 	if effect.duplicate {
-		return effect, nil, nil
+		return effect, nil
 	}
 	if s.slot.ctx.Err() != nil && (effect.unnumbered || !s.machine.Begun()) {
 		s.replay = before
-		return delivery{}, nil, &dispatch.CallError{Reason: dispatch.Canceled, Address: s.slot.assignment.Group.Address(), Sent: true}
+		return delivery{}, &dispatch.CallError{Reason: dispatch.Canceled, Address: s.slot.assignment.Group.Address(), Sent: true}
 	}
 	s.slot.pinned = s.slot.pinned || effect.unnumbered
 	tokens := 0
 	if event.Token {
 		tokens = 1
 	}
-	return effect, s.machine.Step(attempt.Delivered{Tokens: tokens, Unnumbered: effect.unnumbered}), nil
+	for _, action := range s.machine.Step(attempt.Delivered{Tokens: tokens, Unnumbered: effect.unnumbered}) {
+		if _, ok := action.(attempt.CancelSuccessor); ok {
+			s.dropSuccessor()
+		}
+	}
+	return effect, nil
 }
--- a/pkg/gateway/successor.go
+++ b/pkg/gateway/successor.go
@@ -153,7 +153,15 @@
 
 // cancelSuccessor aborts the successor, if there is one, and releases its slot.
 func (s *session) cancelSuccessor() {
-	sc := s.takeSuccessor()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dropSuccessor()
+}
+
+// dropSuccessor is cancelSuccessor for a caller that holds mu.
+func (s *session) dropSuccessor() {
+	sc := s.successor
+	s.successor = nil
 	if sc == nil {
 		return
 	}
