grouping: a new coordinator lets a closing group finish its streams

What callers could see: streams of a group that was finishing them, as its engines leave or are reassigned, were cut when another coordinator took over.

Cause: a group adopted with its head in the state "closing" went on in the phase closing, which cancels; as it is not known of an adopted group whether an open order is under way, the head was even ordered to leave, which takes effect at once.

Change: such a group is drained, as under the coordinator before, with the same bound. A drained group whose open order may still take effect is left by its head before its engines are reused, so that it cannot serve again; this was so in the phase closing, and holds now for all drained groups that were adopted.

TestNewCoordinatorLetsClosingGroupFinish failed before: "leave e00 big.4.18y69" within drainTimeout, twice. Passed after: go test ./pkg/grouping ./pkg/control ./pkg/fleet ./platform.

--- a/pkg/grouping/adopt.go
+++ b/pkg/grouping/adopt.go
@@ -94,6 +94,8 @@
 	switch {
 	case complete && first.Group.State == fleet.Open:
 		return open
+	case complete && first.Group.State == fleet.Closing:
+		return draining
 	case complete && !headServing(first) && first.Group.State != fleet.Broken:
 		return forming
 	case headKnown:
--- a/pkg/grouping/advance.go
+++ b/pkg/grouping/advance.go
@@ -116,6 +116,10 @@
 	}
 	head, _ := p.member(g.members[0])
 	if head.AnnouncedAt.After(g.since) && !g.inState(head, fleet.Open, fleet.Closing) {
+		if g.openUnanswered {
+			g.enterPhase(now, closing)
+			return p.advanceClosing(now, g)
+		}
 		p.release(now, g, "drained")
 		return nil
 	}
--- /dev/null
+++ b/pkg/grouping/handover_test.go
@@ -0,0 +1,31 @@
+package grouping
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/masticmount/masticmount/pkg/fleet"
+)
+
+// Guards against cutting the streams of a group that finishes them, because another coordinator
+// took over.
+func TestNewCoordinatorLetsClosingGroupFinish(t *testing.T) {
+	s, head, _ := suspected(t, "head")
+	name := head.Group.Group
+	head.Group.State = fleet.Closing
+	s.deliverReport(head)
+	s.elect(Options{Term: 3})
+	before := len(s.orders)
+	s.run(settleTime + drainTimeout - tick)
+	for _, o := range s.orders[before:] {
+		assert.False(t, o.Cancel, "%s %s %s", o.Kind, o.Upstream, o.Group)
+		assert.NotEqual(t, Leave, o.Kind, "%s %s", o.Upstream, o.Group)
+	}
+	head.Group.State = fleet.Ready
+	s.deliverReport(head)
+	s.run(5 * time.Second)
+	assert.NotContains(t, s.planner.groups, name)
+	assert.Equal(t, 1, s.openGroups()["big"])
+}
