grouping: the engines of a group that serves are not free when its model was removed

What callers could see: streams were cut some seconds after another coordinator took over, if the configuration had lost the model of their group before. Its members joined other groups while its head was open.

Cause: adoptGroup releases groups whose name it cannot assign to a model, which is meant for standby orders. A serving group of a removed model was released, too: its head was kept out of new groups as it serves, its other members were free.

Change: such a group is adopted under the model in its name, as the coordinator before kept it.

TestEnginesOfGroupWithRemovedModelAreNotReused failed before: "e01 joined small.2.1vf9d while big.4.18y69 of e00 was open". Passed after: go test ./pkg/grouping -run 'NewCoordinator|EnginesOfGroup|Adopt'.

--- a/pkg/grouping/adopt.go
+++ b/pkg/grouping/adopt.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/masticmount/masticmount/pkg/document"
 	"github.com/masticmount/masticmount/pkg/fleet"
 )
 
@@ -59,6 +60,10 @@
 	modelName, size, ok := parseName(name)
 	first := members[0]
 	model := p.engines[first.Service].Model(modelName)
+	if ok && model == nil && (headServing(first) || first.Group.Rank != 0) {
+		// The group may serve, so its members are not free, although its model was removed.
+		model = &document.Model{Name: modelName, GroupSize: size}
+	}
 	if !ok || model == nil || isStandby(size, model) {
 		p.released[name] = now
 		return
--- a/pkg/grouping/handover_test.go
+++ b/pkg/grouping/handover_test.go
@@ -29,3 +29,18 @@
 	assert.NotContains(t, s.planner.groups, name)
 	assert.Equal(t, 1, s.openGroups()["big"])
 }
+
+// Guards against reusing the engines of a group that serves, because its model is no longer
+// configured when another coordinator takes over.
+func TestEnginesOfGroupWithRemovedModelAreNotReused(t *testing.T) {
+	s, head, _ := suspected(t, "head")
+	name := head.Group.Group
+	spec := *s.engineSpec
+	spec.Models = spec.Models[1:]
+	s.engineSpec = &spec
+	s.elect(Options{Term: 3})
+	before := len(s.orders)
+	s.run(8 * time.Second)
+	assert.Len(t, s.members(name), 4)
+	assert.Empty(t, s.changes(before))
+}
