grouping: a new coordinator lets a group of a former size finish its requests

What callers could see: after a change of the configuration that gives a model another size, streams of its groups were cut when another coordinator took over.

Cause: adoptGroup took a group whose size is not the model's for one that lacks members, and closed it with cancelling; as an adopted group may still get an open order, its head was ordered to leave at once.

Change: a complete group that serves is drained, whatever the size in force. It takes no further requests, as before.

TestNewCoordinatorLetsGroupOfFormerSizeFinish failed before: "expected: "close", actual: "leave"". Passed after: go test ./pkg/grouping -run 'NewCoordinator|EnginesOfGroup|Adopt|Random|Recover'.

Not changed: a coordinator that is in office when the size changes keeps the groups of the former size open.

--- a/pkg/grouping/adopt.go
+++ b/pkg/grouping/adopt.go
@@ -74,7 +74,7 @@
 		openUnanswered: true,
 		location:       location{first.Service, first.FailureDomain, first.FabricDomain}, staged: true,
 	}
-	complete := len(members) == size && size == model.GroupSize
+	complete := len(members) == size
 	if !complete && now.Sub(p.startedAt) < adoptionWait {
 		return
 	}
@@ -86,22 +86,23 @@
 		g.members = append(g.members, incarnation{u.ID, u.StartTime})
 	}
 	p.groups[name] = g
-	g.enterPhase(now, p.adoptedPhase(first, complete))
+	g.enterPhase(now, adoptedPhase(first, complete, size == model.GroupSize))
 	p.recordReady(g)
 	p.emit(g, "adopted", string(first.Group.State))
 }
 
 // adoptedPhase returns the phase in which an adopted group continues. It depends on the
 // member with the lowest rank: in an incomplete group, the head's state decides whether
-// the other members may be released.
-func (p *Planner) adoptedPhase(first fleet.Upstream, complete bool) phase {
+// the other members may be released. A group whose model has another size by now serves no
+// longer, but finishes its requests.
+func adoptedPhase(first fleet.Upstream, complete, sizeInForce bool) phase {
 	headKnown := first.Group.Rank == 0
 	switch {
-	case complete && first.Group.State == fleet.Open:
+	case complete && sizeInForce && first.Group.State == fleet.Open:
 		return open
-	case complete && first.Group.State == fleet.Closing:
+	case complete && headServing(first):
 		return draining
-	case complete && !headServing(first) && first.Group.State != fleet.Broken:
+	case complete && sizeInForce && first.Group.State != fleet.Broken:
 		return forming
 	case headKnown:
 		return closing
--- a/pkg/grouping/handover_test.go
+++ b/pkg/grouping/handover_test.go
@@ -1,9 +1,11 @@
 package grouping
 
 import (
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/samber/lo"
 	"github.com/stretchr/testify/assert"
 
 	"github.com/masticmount/masticmount/pkg/fleet"
@@ -44,3 +46,21 @@
 	assert.Len(t, s.members(name), 4)
 	assert.Empty(t, s.changes(before))
 }
+
+// Guards against cutting the streams of a group, because its model has another size when another
+// coordinator takes over.
+func TestNewCoordinatorLetsGroupOfFormerSizeFinish(t *testing.T) {
+	s, head, _ := suspected(t, "head")
+	name := head.Group.Group
+	spec := *s.engineSpec
+	spec.Models = slices.Clone(spec.Models)
+	spec.Models[0].GroupSize = 5
+	s.engineSpec = &spec
+	s.elect(Options{Term: 3})
+	before := len(s.orders)
+	s.run(8 * time.Second)
+	orders := lo.Filter(s.orders[before:], func(o Order, _ int) bool { return o.Group == name && o.Kind != Probe })
+	assert.NotEmpty(t, orders)
+	assert.Equal(t, Close, orders[0].Kind)
+	assert.False(t, orders[0].Cancel)
+}
