grouping: groups outlast a configuration without their service

What callers could see: a configuration without a service of engines, and the next one with it again, cut the streams of that service, where the region has another service of engines, too.

Cause: the planner looked only at the engines of configured services. A member it does not know counts as "restarted or removed", and with the head unknown as well the group was released. With the service back, its engines were free, as released: their heads were ordered to leave, their other members to join other groups.

Change: the members of known groups stay in view, whatever their service. Groups of a service that is not configured get no requests, as there is no route, and go through their life cycle as before; they are not adopted anew.

TestEnginesOfGroupOutlastRemovalOfTheirService failed before: ""[e03]" should have 4 item(s), but has 1", "Should be empty, but was [leave e06 small.2.18y6b ... leave e00 big.4.18y69 ... join e04 big.4.18y6d ...]", "e01 joined small.2.18y6d while big.4.18y69 of e00 was open". Passed after: go test ./pkg/grouping ./pkg/control ./platform.

--- a/pkg/grouping/adopt.go
+++ b/pkg/grouping/adopt.go
@@ -29,7 +29,9 @@
 			g.recordHead(u)
 			continue
 		}
-		reported[name] = append(reported[name], u)
+		if p.engines[u.Service] != nil {
+			reported[name] = append(reported[name], u)
+		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(reported)) {
 		p.adoptGroup(now, name, reported[name])
--- a/pkg/grouping/handover_test.go
+++ b/pkg/grouping/handover_test.go
@@ -8,6 +8,7 @@
 	"github.com/samber/lo"
 	"github.com/stretchr/testify/assert"
 
+	"github.com/masticmount/masticmount/pkg/document"
 	"github.com/masticmount/masticmount/pkg/fleet"
 )
 
@@ -47,6 +48,25 @@
 	assert.Empty(t, s.changes(before))
 }
 
+// Guards against reusing the engines of a group that serves, because its service was not
+// configured for a while.
+func TestEnginesOfGroupOutlastRemovalOfTheirService(t *testing.T) {
+	for _, removed := range []time.Duration{tick, 500 * time.Millisecond, 3 * time.Second} {
+		s, head, _ := suspected(t, "head")
+		name := head.Group.Group
+		s.add("other", "fab")
+		s.engines["other"].Service = "another"
+		another := &document.Service{Name: "another", Engine: &document.Engine{Models: []document.Model{{Name: "wide", GroupSize: 4}}}}
+		before := len(s.orders)
+		s.planner.Configure(map[string]*document.Service{"another": another})
+		s.run(removed)
+		s.planner.Configure(map[string]*document.Service{"another": another, "pool": {Name: "pool", Engine: s.engineSpec}})
+		s.run(8 * time.Second)
+		assert.Len(t, s.members(name), 4)
+		assert.Empty(t, s.changes(before))
+	}
+}
+
 // Guards against cutting the streams of a group, because its model has another size when another
 // coordinator takes over.
 func TestNewCoordinatorLetsGroupOfFormerSizeFinish(t *testing.T) {
--- a/pkg/grouping/planner.go
+++ b/pkg/grouping/planner.go
@@ -149,12 +149,14 @@
 	}
 }
 
-// Observe replaces the planner's view of the engines by a snapshot of the directory.
+// Observe replaces the planner's view of the engines by a snapshot of the directory. A group
+// outlasts the removal of its service, so its members stay in view.
 func (p *Planner) Observe(upstreams []fleet.Upstream) {
 	clear(p.upstreams)
+	members := p.memberIDs()
 	before := maps.Clone(p.lastReportAt)
 	for _, u := range upstreams {
-		if p.engines[u.Service] == nil {
+		if p.engines[u.Service] == nil && !members[u.ID] {
 			continue
 		}
 		p.upstreams[u.ID] = u
@@ -176,6 +178,17 @@
 	}
 }
 
+// memberIDs returns the identifiers of the members of all groups.
+func (p *Planner) memberIDs() map[string]bool {
+	ids := map[string]bool{}
+	for _, g := range p.groups {
+		for _, member := range g.members {
+			ids[member.id] = true
+		}
+	}
+	return ids
+}
+
 // StartTraffic ends the period in which loads are not limited.
 func (p *Planner) StartTraffic() { p.opts.UnlimitedLoads = false }
 
