grouping: a service of engines without models does not end the coordinator

Found while testing removed services and models: a configuration with a service that has an engine and no models made the planner panic once the demand is known ("slices.MinFunc: empty list" in planMoves; modelToStage has the same line).

Change: such a service has nothing to form groups of, and is not planned for.

TestServiceWithoutModelsIsLeftAlone failed before with that panic. Passed after: go test ./pkg/grouping -run 'TestServiceWithoutModels|EnginesOfGroup|NewCoordinator'.

--- a/pkg/grouping/planner.go
+++ b/pkg/grouping/planner.go
@@ -143,7 +143,7 @@
 func (p *Planner) Configure(services map[string]*document.Service) {
 	p.engines = map[string]*document.Engine{}
 	for name, s := range services {
-		if s.Engine != nil {
+		if s.Engine != nil && len(s.Engine.Models) > 0 {
 			p.engines[name] = s.Engine
 		}
 	}
--- a/pkg/grouping/planner_test.go
+++ b/pkg/grouping/planner_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/masticmount/masticmount/pkg/document"
 	"github.com/masticmount/masticmount/pkg/fleet"
 	"github.com/masticmount/masticmount/pkg/mechanism"
 )
@@ -317,3 +318,16 @@
 	}
 	assert.NotEmpty(t, standbyOrders)
 }
+
+// Guards against the end of the coordinator by a service of engines that names no models.
+func TestServiceWithoutModelsIsLeftAlone(t *testing.T) {
+	s, _, _ := suspected(t, "head")
+	s.add("idle", "fab")
+	s.engines["idle"].Service = "models-follow"
+	s.planner.Configure(map[string]*document.Service{
+		"pool": {Name: "pool", Engine: s.engineSpec}, "models-follow": {Name: "models-follow", Engine: &document.Engine{}},
+	})
+	before := len(s.orders)
+	s.run(5 * time.Second)
+	assert.Empty(t, s.changes(before))
+}
