dispatch: send no cancelled call on a kept connection

What callers could see: a run-once request that a planned stop or its caller had ended before it was sent could still be sent, and got 502 "outcome unknown" in place of the refusal that promises that it did not run.

Cause: connect took a kept connection without asking whether the call was cancelled; a new connection is not opened in that case. The connection is closed from another goroutine, so the request was written or not as it came.

TestCanceledCallIsNotSentOnPooledConnection failed before, 300 of 300 runs: the kept connection was lost ("expected: 1, actual: 2" dials), and in 32 of them the call counted as sent ("expected: {canceled, notRun:true}, actual: {canceled, notRun:false}"). After: 300 of 300 pass. Passed after: go test -race ./pkg/dispatch ./pkg/gateway/..., and ./pkg/forward but for TestPeakBeforeSlowGroupsDoesNotDelayAllRequests, which is known red.

--- a/pkg/dispatch/connection_reuse_test.go
+++ b/pkg/dispatch/connection_reuse_test.go
@@ -269,3 +269,20 @@
 		})
 	}
 }
+
+// A call that was canceled before it was sent has certainly not run. It must not be sent on a pooled
+// connection.
+func TestCanceledCallIsNotSentOnPooledConnection(t *testing.T) {
+	u := &upstream{keepOpen: true, respond: func(*http.Request, int) string { return ok("r", "x") }}
+	c := u.client(0)
+	defer c.Close()
+	_, err := c.Do(context.Background(), testCall("r"))
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err = c.Do(ctx, testCall("r"))
+	require.Equal(t, outcome{Canceled, true}, outcomeOf(err))
+	_, err = c.Do(context.Background(), testCall("r"))
+	require.NoError(t, err)
+	require.EqualValues(t, 1, u.dials.Load(), "the connection must still be pooled")
+}
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -129,6 +129,9 @@
 // connect takes an idle connection or opens one. A call without a request identifier
 // always opens one, because it could not distinguish its response from a late one.
 func (c *Client) connect(ctx context.Context, call Call) (*conn, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
 	if !call.FreshConnection && call.RequestID != "" {
 		if idle := c.pool.take(call.Address, time.Now(), call.MaxIdle); idle != nil {
 			return idle, nil
