--- a/pkg/forward/successor.go
+++ b/pkg/forward/successor.go
@@ -83,11 +83,11 @@
 	}
 }
 
-// beginSuccessor sends the stream to a further target if one has free capacity and the request
-// may be sent again; otherwise it returns nil.
+// beginSuccessor sends the stream to a further target if one has free capacity, the request may be
+// sent again and its caller is there; otherwise it returns nil.
 func (st *stream) beginSuccessor() *successor {
 	s := st.session
-	if s.quarantined() != nil {
+	if s.ctx.Err() != nil || s.quarantined() != nil {
 		return nil
 	}
 	if _, suspected := s.suspicion(); suspected {
@@ -106,6 +106,8 @@
 	ctx, cancel := context.WithCancelCause(s.ctx)
 	sc.cancel = cancel
 	call, wake := s.buildCall(target, sc.run.resumeAfter), st.successors.wake
+	// The server reuses the body's memory after the answer, which a successor may outlast.
+	call.Body = bytes.Clone(call.Body)
 	go func() {
 		sc.receive(ctx, s, call)
 		close(sc.done)
