Hold a whole request after a crash until other nodes have reported what they saw in it

What callers saw: a sound request that was beside a third crash was refused with 400 for some milliseconds.

Cause: an entry gives its verdict at its own third crash; the other entries' evidence of the same crash, which shows that another request was in it, too, arrives 3 to 20 ms later.

TestRequestIsNotCondemnedBeforeOtherNodesReport fails without the change.

Fix: until 0.5 s after its latest crash a whole request that is not yet quarantined is held (503, not sent) instead of quarantined. A reported quarantine stays one at further crashes.

--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -37,6 +37,9 @@
 	// QuarantineTime is how long a content stays quarantined after its last crash. After that
 	// requests with it are sent again, and one more crash quarantines it again.
 	QuarantineTime = 10 * time.Minute
+	// settleTime is how long a whole request is held instead of quarantined after a crash: other
+	// nodes may have seen other requests in that crash, and their evidence takes that long.
+	settleTime = 500 * time.Millisecond
 	// endedTime is how long an incarnation is known to have ended: longer than it takes until the
 	// views of all nodes lack it.
 	endedTime = 10 * time.Second
@@ -223,7 +226,7 @@
 	for _, content := range contents {
 		f, found := t.findings[content]
 		switch {
-		case !found || !now.Before(f.Until):
+		case !found || !now.Before(f.Until) || !t.settled(now, &f):
 		case len(f.Companions) == 0:
 			return f, true
 		case !refused && containsAny(contents, f.Companions):
@@ -246,14 +249,29 @@
 		return Finding{}, false
 	}
 	f.Until = time.Time{}
-	if held := t.findings[request]; len(held.Companions) > 0 {
-		if until := held.Last.Add(holdTime(&held)); now.Before(until) {
-			f.Until, f.Companions = until, held.Companions
-		}
+	held, found := t.findings[request]
+	if !found {
+		return f, true
+	}
+	until := held.Last.Add(settleTime)
+	if len(held.Companions) > 0 {
+		until = held.Last.Add(holdTime(&held))
+	}
+	if now.Before(until) {
+		f.Until, f.Companions = until, held.Companions
 	}
 	return f, true
 }
 
+// settled reports whether the evidence for a finding may be taken for complete. A quarantine that
+// was reported stays settled when further crashes follow.
+func (t *Table) settled(now time.Time, f *Finding) bool {
+	if _, reported := t.reported[f.Content]; reported || !IsRequest(f.Content) {
+		return true
+	}
+	return !now.Before(f.Last.Add(settleTime))
+}
+
 // holdTime is how long a request is held after its last crash. It differs between requests that
 // are held for the same crashes, so that they are sent again one after the other.
 func holdTime(f *Finding) time.Duration {
@@ -298,7 +316,7 @@
 	t.examine()
 	current := map[string]Finding{}
 	for content, f := range t.findings {
-		if now.Before(f.Until) && !slices.ContainsFunc(f.Companions, isAnyRequest) {
+		if now.Before(f.Until) && t.settled(now, &f) && !slices.ContainsFunc(f.Companions, isAnyRequest) {
 			current[content] = f
 		}
 	}
--- a/pkg/quarantine/table_test.go
+++ b/pkg/quarantine/table_test.go
@@ -416,3 +416,46 @@
 	}
 	assert.Equal(t, map[string]bool{"": true, "desk": true}, services)
 }
+
+// Guards against a sound request that is condemned for some milliseconds: the node that saw its
+// third crash does not know yet that another request was in all of them, too.
+func TestRequestIsNotCondemnedBeforeOtherNodesReport(t *testing.T) {
+	crashing, sound := Contents("request:crashing", nil), Contents("request:sound", nil)
+	one, other := NewTable(), NewTable()
+	for i, engine := range []string{"a", "b", "c"} {
+		second := 1 + float64(i)
+		one.AddCrash(at(second), Crash{Upstream: engine, StartTime: 1, Service: "desk", Contents: sound, At: at(second)})
+		one.ObserveSuccess(at(second+0.1), "desk", Contents("request:other", nil))
+		other.AddCrash(at(second), Crash{Upstream: engine, StartTime: 1, Service: "desk", Contents: crashing, At: at(second)})
+		other.ObserveSuccess(at(second+0.1), "desk", Contents("request:other", nil))
+		if i < 2 {
+			exchange(at(second+0.2), other, one)
+			exchange(at(second+0.2), one, other)
+		}
+	}
+	_, refused := one.Check(at(3.11), sound)
+	assert.False(t, refused, "the evidence may be incomplete")
+	held, suspected := one.Suspect(at(3.11), sound[0])
+	assert.True(t, suspected)
+	assert.Equal(t, at(3).Add(settleTime), held.Until, "it is not sent meanwhile")
+	assert.Empty(t, one.Changes(at(3.11)))
+
+	exchange(at(3.12), other, one)
+	_, refused = one.Check(at(4), sound)
+	assert.False(t, refused, "another request explains the crashes as well")
+}
+
+// Guards against a quarantine that ends for a moment with each further crash.
+func TestReportedQuarantineOutlastsFurtherCrash(t *testing.T) {
+	contents := Contents("request:crashing", nil)
+	table := NewTable()
+	for i, engine := range []string{"a", "b", "c"} {
+		second := 1 + float64(i)
+		table.AddCrash(at(second), Crash{Upstream: engine, StartTime: 1, Service: "desk", Contents: contents, At: at(second)})
+		table.ObserveSuccess(at(second+0.1), "desk", Contents("request:other", nil))
+	}
+	assert.Len(t, table.Changes(at(3.6)), 1)
+	table.AddCrash(at(4), Crash{Upstream: "d", StartTime: 1, Service: "desk", Contents: contents, At: at(4)})
+	_, refused := table.Check(at(4.01), contents)
+	assert.True(t, refused)
+}
