The node that sent a request decides whether it was sent after another crash

Cause: whether crashes 1 to 3 ms apart count separately was decided at every node from the time of the send, which each one knows only by the age of the record, a few milliseconds off. The trace shows the differing counts; that the times differ by the transfer is from reading.

Fix: the record carries the verdict of the node that sent the request (after_crash, in place of ran_ms, which no landing had).

--- a/pkg/forward/crashes.go
+++ b/pkg/forward/crashes.go
@@ -134,6 +134,16 @@
 		})
 	}
 	e.applyQuarantines(now)
+	e.applyQuarantinesLater()
+}
+
+// applyQuarantinesLater applies the quarantines that begin once the evidence known now has settled.
+func (e *Entry) applyQuarantinesLater() {
+	time.AfterFunc(quarantine.SettleTime, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.applyQuarantines(e.opts.EvidenceClock())
+	})
 }
 
 // MergeCrashEvidence adds the crash evidence of other nodes.
@@ -147,6 +157,9 @@
 		e.placer.RecordCrash(boottime.Now().Add(-time.Duration(c.GetAgeMs())*time.Millisecond), c.GetService())
 	}
 	e.applyQuarantines(now)
+	if len(evidence.GetCrashes()) > 0 {
+		e.applyQuarantinesLater()
+	}
 }
 
 // recordSuccess records that an upstream answered the request, an engine beyond the beginning of
--- a/pkg/quarantine/codec.go
+++ b/pkg/quarantine/codec.go
@@ -15,7 +15,7 @@
 	}
 	e := &peerpb.CrashEvidence{}
 	for _, c := range crashes {
-		e.Crashes = append(e.Crashes, &peerpb.CrashRecord{Upstream: c.Upstream, BornMs: c.StartTime, Service: c.Service, Parts: c.Contents, AgeMs: age(now, c.At), RanMs: uint32(c.Ran.Milliseconds())})
+		e.Crashes = append(e.Crashes, &peerpb.CrashRecord{Upstream: c.Upstream, BornMs: c.StartTime, Service: c.Service, Parts: c.Contents, AgeMs: age(now, c.At), AfterCrash: c.AfterCrash})
 	}
 	for _, s := range successes {
 		e.Successes = append(e.Successes, &peerpb.PartSuccess{Part: s.Content, AgeMs: age(now, s.At)})
@@ -29,7 +29,7 @@
 	for _, c := range e.GetCrashes() {
 		added := t.AddCrash(now, Crash{
 			Upstream: c.GetUpstream(), StartTime: c.GetBornMs(), Service: c.GetService(), Contents: c.GetParts(), At: now.Add(-time.Duration(c.GetAgeMs()) * time.Millisecond),
-			Ran: time.Duration(c.GetRanMs()) * time.Millisecond,
+			AfterCrash: c.GetAfterCrash(),
 		})
 		changed = changed || added
 	}
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -37,9 +37,9 @@
 	// QuarantineTime is how long a content stays quarantined after its last crash. After that
 	// requests with it are sent again, and one more crash quarantines it again.
 	QuarantineTime = 10 * time.Minute
-	// settleTime is how long a whole request is held instead of quarantined after a crash: other
+	// SettleTime is how long a whole request is held instead of quarantined after a crash: other
 	// nodes may have seen other requests in that crash, and their evidence takes that long.
-	settleTime = 500 * time.Millisecond
+	SettleTime = 500 * time.Millisecond
 	// endedTime is how long an incarnation is known to have ended: longer than it takes until the
 	// views of all nodes lack it.
 	endedTime = 10 * time.Second
@@ -73,8 +73,12 @@
 	// Contents are the contents of the request, as Contents returns them.
 	Contents []string
 	At       time.Time
-	// Ran is how long the request had run; 0 where that is not known.
+	// Ran is how long the request had run, as the node that sent it knows; 0 elsewhere.
 	Ran time.Duration
+	// AfterCrash is true if the request was sent after another crash with one of its contents
+	// within correlationWindow. The node that sent it decides that, as its times are not exact
+	// elsewhere.
+	AfterCrash bool
 }
 
 // Success is the latest request with a content that an upstream answered.
@@ -155,9 +159,19 @@
 func (t *Table) AddCrash(now time.Time, c Crash) bool {
 	c.Contents = normalize(c.Contents)
 	key := c.Upstream + "/" + strconv.FormatUint(c.StartTime, 10) + "/" + strings.Join(c.Contents, ",")
-	if _, known := t.crashes[key]; known || len(c.Contents) == 0 || now.Sub(c.At) >= evidenceTime {
+	if len(c.Contents) == 0 || now.Sub(c.At) >= evidenceTime {
 		return false
 	}
+	c.AfterCrash = c.AfterCrash || c.Ran > 0 && t.crashedBefore(&c)
+	if record, known := t.crashes[key]; known {
+		if !c.AfterCrash || record.AfterCrash {
+			return false
+		}
+		t.version++
+		record.AfterCrash, record.version = true, t.version
+		t.crashes[key], t.examined = record, false
+		return true
+	}
 	t.version++
 	t.crashes[key] = crashRecord{c, t.version}
 	for _, content := range c.withService() {
@@ -173,6 +187,16 @@
 	return true
 }
 
+// crashedBefore reports whether a crash with a content of c, shortly before it, preceded its request.
+func (t *Table) crashedBefore(c *Crash) bool {
+	sentAt := c.At.Add(-c.Ran)
+	return slices.ContainsFunc(c.Contents, func(content string) bool {
+		return slices.ContainsFunc(t.crashTimes[content], func(at time.Time) bool {
+			return !at.After(sentAt) && c.At.Sub(at) <= correlationWindow
+		})
+	})
+}
+
 // withService returns the contents of a crash and what stands for all requests of its service.
 func (c *Crash) withService() []string {
 	return append([]string{anyRequestOf(c.Service)}, c.Contents...)
@@ -253,7 +277,7 @@
 	if !found {
 		return f, true
 	}
-	until := held.Last.Add(settleTime)
+	until := held.Last.Add(SettleTime)
 	if len(held.Companions) > 0 {
 		until = held.Last.Add(holdTime(&held))
 	}
@@ -269,7 +293,7 @@
 	if _, reported := t.reported[f.Content]; reported || !IsRequest(f.Content) {
 		return true
 	}
-	return !now.Before(f.Last.Add(settleTime))
+	return !now.Before(f.Last.Add(SettleTime))
 }
 
 // holdTime is how long a request is held after its last crash. It differs between requests that
@@ -410,8 +434,8 @@
 
 type crashTimes struct {
 	at time.Time
-	// sentAt is when the request was sent, the last one with this content; zero if unknown.
-	sentAt time.Time
+	// afterCrash is true if a request with the content was sent after another crash.
+	afterCrash bool
 }
 
 // crashSets returns the crashes since the last success of each content.
@@ -427,9 +451,7 @@
 			}
 			times := sets[content][c.incarnation()]
 			times.at = t.ended[c.incarnation()]
-			if sentAt := c.At.Add(-c.Ran); c.Ran > 0 && sentAt.After(times.sentAt) {
-				times.sentAt = sentAt
-			}
+			times.afterCrash = times.afterCrash || c.AfterCrash
 			sets[content][c.incarnation()] = times
 		}
 	}
@@ -503,7 +525,7 @@
 	f.Until = f.Last.Add(QuarantineTime)
 	var counted time.Time
 	for _, i := range crashed {
-		if c := s[i]; f.Crashes == 0 || c.at.Sub(counted) > correlationWindow || !c.sentAt.IsZero() && !c.sentAt.Before(counted) {
+		if c := s[i]; f.Crashes == 0 || c.at.Sub(counted) > correlationWindow || c.afterCrash {
 			f.Crashes++
 			counted = c.at
 		}
--- a/pkg/quarantine/table_test.go
+++ b/pkg/quarantine/table_test.go
@@ -437,7 +437,7 @@
 	assert.False(t, refused, "the evidence may be incomplete")
 	held, suspected := one.Suspect(at(3.11), sound[0])
 	assert.True(t, suspected)
-	assert.Equal(t, at(3).Add(settleTime), held.Until, "it is not sent meanwhile")
+	assert.Equal(t, at(3).Add(SettleTime), held.Until, "it is not sent meanwhile")
 	assert.Empty(t, one.Changes(at(3.11)))
 
 	exchange(at(3.12), other, one)
