--- a/cmd/mastic-soak/callers.go
+++ b/cmd/mastic-soak/callers.go
@@ -73,7 +73,7 @@
 	if !runOnce {
 		r = plainRequest{method: http.MethodGet, path: "/lookup/x"}
 	}
-	return c.send(r, number)
+	return c.send(r, number, number)
 }
 
 // plainRequest is what a request of a plain service asks for; its ID is not part of it.
@@ -82,8 +82,8 @@
 	runOnce                 bool
 }
 
-// send sends a request to one of the entries, by its number, and records its answer.
-func (c *callers) send(r plainRequest, number int) answer {
+// send sends a request to an entry and records its answer. The number makes the request's ID.
+func (c *callers) send(r plainRequest, number, entry int) answer {
 	prefix := againPrefix
 	if r.runOnce {
 		prefix = oncePrefix
@@ -93,7 +93,7 @@
 	if number/2%2 == 0 {
 		transport = &http.Transport{DisableKeepAlives: true}
 	}
-	x := exchange{entry: c.region.entries[number%len(c.region.entries)], sentAt: time.Now(), deadline: callTimeout}
+	x := exchange{entry: c.region.entries[entry%len(c.region.entries)], sentAt: time.Now(), deadline: callTimeout}
 	a := sendPlain(transport, x.entry, id, r)
 	x.endedAt = time.Now()
 	a.exchange = x
--- a/cmd/mastic-soak/crashingrequests.go
+++ b/cmd/mastic-soak/crashingrequests.go
@@ -227,9 +227,9 @@
 	}
 	crashing, sound := crashingRequests(), soundRequests()
 	calls.Go(func() {
-		repeat(crashingInterval, func(i int) { c.send(crashing[i%len(crashing)], c.nextNumber()) })
+		repeat(crashingInterval, func(i int) { c.sendNext(crashing[i%len(crashing)]) })
 	})
-	calls.Go(func() { repeat(soundInterval, func(i int) { c.sendSound(sound[i%len(sound)], soundRetries) }) })
+	calls.Go(func() { repeat(soundInterval, func(i int) { c.sendSound(sound[i%len(sound)]) }) })
 	calls.Wait()
 }
 
@@ -240,20 +240,29 @@
 	}
 }
 
-// sendSound sends a sound request, and again at once while it is not served, at most retries times. It reports
-// whether it was served.
-func (c *kioskCallers) sendSound(r plainRequest, retries int) bool {
-	for range 1 + retries {
-		a := c.send(r, c.nextNumber())
-		c.service.crashing.countSound(a.status == http.StatusOK)
-		if a.status == http.StatusOK {
-			return true
-		}
-		if a.status >= http.StatusBadRequest && a.status < http.StatusInternalServerError && !a.saysNotExecuted() {
-			c.report(fmt.Sprintf("sound request %s was answered %d by %s", r.content(), a.status, &a.exchange))
+// sendSound sends a sound request, and again at once to the next entry while it is not served.
+func (c *kioskCallers) sendSound(r plainRequest) {
+	for range 1 + soundRetries {
+		if c.checkSound(r, c.sendNext(r)) {
+			return
 		}
 	}
-	return false
+}
+
+// sendNext sends a request to the next entry.
+func (c *kioskCallers) sendNext(r plainRequest) answer {
+	number := c.nextNumber()
+	return c.send(r, number, number)
+}
+
+// checkSound reports whether a sound request was served, and records a violation if it was rejected for good.
+func (c *kioskCallers) checkSound(r plainRequest, a answer) bool {
+	served := a.status == http.StatusOK
+	c.service.crashing.countSound(served)
+	if a.status >= http.StatusBadRequest && a.status < http.StatusInternalServerError && !a.saysNotExecuted() {
+		c.report(fmt.Sprintf("sound request %s was answered %d by %s", r.content(), a.status, &a.exchange))
+	}
+	return served
 }
 
 func (c *kioskCallers) report(violation string) {
@@ -288,13 +297,15 @@
 		})
 	})
 	for _, r := range soundRequests() {
-		for range c.region.entries {
+		for i, entry := range c.region.entries {
 			served := false
 			for end := time.Now().Add(kioskServedLimit); !served && time.Now().Before(end); {
-				served = c.sendSound(r, 0)
+				if served = c.checkSound(r, c.send(r, c.nextNumber(), i)); !served {
+					time.Sleep(soundInterval)
+				}
 			}
 			if !served {
-				c.report(fmt.Sprintf("sound request %s was not served for %s after the crashes", r.content(), kioskServedLimit))
+				c.report(fmt.Sprintf("sound request %s was not served by %s for %s after the crashes", r.content(), entry.name, kioskServedLimit))
 			}
 		}
 	}
