forward: a failure after a successor was adopted names its own run; a broken target is not reported as silent

The first is the run in the log line and in the evidence of crashes, the second a report to the keepers, which probe the members of a group that is reported as silent.

--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -220,6 +220,8 @@
 			continue
 		}
 		if err = st.awaitFirst(next); err != nil {
+			// A successor may have replaced it before that one failed, too.
+			failedRun = st.run
 			continue
 		}
 		s.logResumed(next, st.pending)
--- a/pkg/forward/successor.go
+++ b/pkg/forward/successor.go
@@ -119,7 +119,7 @@
 	return sc
 }
 
-// claimSuccessorTarget reports that the target is silent and pays for a send to another one,
+// claimSuccessorTarget reports a silent target and pays for a send to another one,
 // which it returns; nil when there is none.
 func (st *stream) claimSuccessorTarget() *attach.Target {
 	s := st.session
@@ -132,7 +132,7 @@
 	e := s.entry
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if !e.placer.AnsweredSince(s.target, now.Add(-eventGapTimeout/2)) {
+	if st.run.end == nil && !e.placer.AnsweredSince(s.target, now.Add(-eventGapTimeout/2)) {
 		e.reports.recordStall(now, s.target)
 	}
 	if !s.canRetry() || !e.retryBudget.available(s.request.service.Name) {
