forward: the failure of a successor counts although the silent stream went on

A successor that had broken when the silent stream continued was dropped without its backoff and without its evidence of a crash. TestCrashOfSuccessorIsEvidence failed before: no engine_crash_checked in the log.

--- a/pkg/forward/crashing_part_test.go
+++ b/pkg/forward/crashing_part_test.go
@@ -307,3 +307,23 @@
 		assert.Contains(t, cause, "the last one 6")
 	})
 }
+
+// Guards against a crash that is no evidence because the silent stream that its request was to
+// continue went on meanwhile.
+func TestCrashOfSuccessorIsEvidence(t *testing.T) {
+	runs := 0
+	upstream := func(_ *http.Request, _ string, conn net.Conn) (string, bool) {
+		if runs++; runs > 1 {
+			return fmt.Sprintf(streamHead, "p"), false
+		}
+		return pausingStream(1, eventGapTimeout+successorPollInterval/2)(nil, "", conn)
+	}
+	inBubble(t, map[string]script{"a:1": upstream, "b:1": upstream}, func(h *harness) {
+		_, body, err := h.call("POST", "/stream/x", "prompt")
+		assert.NoError(t, err)
+		assert.Equal(t, event(1)+event(2)+event(3)+event(4), body)
+		<-time.After(2 * soundPause)
+		assert.Contains(t, h.log.String(), "event=engine_crash_checked")
+		h.assertNothingInFlight("after a successor that crashed")
+	})
+}
--- a/pkg/forward/successor.go
+++ b/pkg/forward/successor.go
@@ -47,6 +47,14 @@
 	}
 }
 
+// result is how the successor has ended; nil while it goes on.
+func (sc *successor) result() error {
+	if !sc.isDone() {
+		return nil
+	}
+	return sc.end
+}
+
 // successors are the sends that may replace a silent run.
 type successors struct {
 	pending []*successor
@@ -252,6 +260,11 @@
 	s, discarded := st.session, st.successors.pending
 	st.successors.pending, st.successors.accepted = nil, nil
 	for _, sc := range discarded {
+		if failure, failed := dispatch.CallErrorOf(sc.result()); failed {
+			s.recordFailure(sc.send, sc.run.orNil(), failure)
+			s.entry.release(sc.send.target)
+			continue
+		}
 		sc.cancel(errSuccessorNotNeeded)
 		s.entry.opts.Metrics.Add("streams.successors_discarded", 1)
 		go func() {
