--- a/pkg/forward/successor.go
+++ b/pkg/forward/successor.go
@@ -47,6 +47,14 @@
 	}
 }
 
+// result is how the successor has ended; nil while it goes on.
+func (sc *successor) result() error {
+	if !sc.isDone() {
+		return nil
+	}
+	return sc.end
+}
+
 // successors are the sends that may replace a silent run.
 type successors struct {
 	pending []*successor
@@ -83,11 +91,11 @@
 	}
 }
 
-// beginSuccessor sends the stream to a further target if one has free capacity and the request
-// may be sent again; otherwise it returns nil.
+// beginSuccessor sends the stream to a further target if one has free capacity, the request may be
+// sent again and its caller is there; otherwise it returns nil.
 func (st *stream) beginSuccessor() *successor {
 	s := st.session
-	if s.quarantined() != nil {
+	if s.ctx.Err() != nil || s.quarantined() != nil {
 		return nil
 	}
 	if _, suspected := s.suspicion(); suspected {
@@ -106,6 +114,8 @@
 	ctx, cancel := context.WithCancelCause(s.ctx)
 	sc.cancel = cancel
 	call, wake := s.buildCall(target, sc.run.resumeAfter), st.successors.wake
+	// The server reuses the body's memory after the answer, which a successor may outlast.
+	call.Body = bytes.Clone(call.Body)
 	go func() {
 		sc.receive(ctx, s, call)
 		close(sc.done)
@@ -117,7 +127,7 @@
 	return sc
 }
 
-// claimSuccessorTarget reports that the target is silent and pays for a send to another one,
+// claimSuccessorTarget reports a silent target and pays for a send to another one,
 // which it returns; nil when there is none.
 func (st *stream) claimSuccessorTarget() *attach.Target {
 	s := st.session
@@ -130,7 +140,7 @@
 	e := s.entry
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if !e.placer.AnsweredSince(s.target, now.Add(-eventGapTimeout/2)) {
+	if st.run.end == nil && !e.placer.AnsweredSince(s.target, now.Add(-eventGapTimeout/2)) {
 		e.reports.recordStall(now, s.target)
 	}
 	if !s.canRetry() || !e.retryBudget.available(s.request.service.Name) {
@@ -250,6 +260,11 @@
 	s, discarded := st.session, st.successors.pending
 	st.successors.pending, st.successors.accepted = nil, nil
 	for _, sc := range discarded {
+		if failure, failed := dispatch.CallErrorOf(sc.result()); failed {
+			s.recordFailure(sc.send, sc.run.orNil(), failure)
+			s.entry.release(sc.send.target)
+			continue
+		}
 		sc.cancel(errSuccessorNotNeeded)
 		s.entry.opts.Metrics.Add("streams.successors_discarded", 1)
 		go func() {
--- a/pkg/grouping/adopt.go
+++ b/pkg/grouping/adopt.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/masticmount/masticmount/pkg/document"
 	"github.com/masticmount/masticmount/pkg/fleet"
 )
 
@@ -28,7 +29,9 @@
 			g.recordHead(u)
 			continue
 		}
-		reported[name] = append(reported[name], u)
+		if p.engines[u.Service] != nil {
+			reported[name] = append(reported[name], u)
+		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(reported)) {
 		p.adoptGroup(now, name, reported[name])
@@ -59,6 +62,10 @@
 	modelName, size, ok := parseName(name)
 	first := members[0]
 	model := p.engines[first.Service].Model(modelName)
+	if ok && model == nil && (headServing(first) || first.Group.Rank != 0) {
+		// The group may serve, so its members are not free, although its model was removed.
+		model = &document.Model{Name: modelName, GroupSize: size}
+	}
 	if !ok || model == nil || isStandby(size, model) {
 		p.released[name] = now
 		return
@@ -69,7 +76,7 @@
 		openUnanswered: true,
 		location:       location{first.Service, first.FailureDomain, first.FabricDomain}, staged: true,
 	}
-	complete := len(members) == size && size == model.GroupSize
+	complete := len(members) == size
 	if !complete && now.Sub(p.startedAt) < adoptionWait {
 		return
 	}
@@ -81,20 +88,23 @@
 		g.members = append(g.members, incarnation{u.ID, u.StartTime})
 	}
 	p.groups[name] = g
-	g.enterPhase(now, p.adoptedPhase(first, complete))
+	g.enterPhase(now, adoptedPhase(first, complete, size == model.GroupSize))
 	p.recordReady(g)
 	p.emit(g, "adopted", string(first.Group.State))
 }
 
 // adoptedPhase returns the phase in which an adopted group continues. It depends on the
 // member with the lowest rank: in an incomplete group, the head's state decides whether
-// the other members may be released.
-func (p *Planner) adoptedPhase(first fleet.Upstream, complete bool) phase {
+// the other members may be released. A group whose model has another size by now serves no
+// longer, but finishes its requests.
+func adoptedPhase(first fleet.Upstream, complete, sizeInForce bool) phase {
 	headKnown := first.Group.Rank == 0
 	switch {
-	case complete && first.Group.State == fleet.Open:
+	case complete && sizeInForce && first.Group.State == fleet.Open:
 		return open
-	case complete && !headServing(first) && first.Group.State != fleet.Broken:
+	case complete && headServing(first):
+		return draining
+	case complete && sizeInForce && first.Group.State != fleet.Broken:
 		return forming
 	case headKnown:
 		return closing
--- /dev/null
+++ b/pkg/grouping/handover_test.go
@@ -0,0 +1,86 @@
+package grouping
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/samber/lo"
+	"github.com/stretchr/testify/assert"
+
+	"github.com/masticmount/masticmount/pkg/document"
+	"github.com/masticmount/masticmount/pkg/fleet"
+)
+
+// Guards against cutting the streams of a group that finishes them, because another coordinator
+// took over.
+func TestNewCoordinatorLetsClosingGroupFinish(t *testing.T) {
+	s, head, _ := suspected(t, "head")
+	name := head.Group.Group
+	head.Group.State = fleet.Closing
+	s.deliverReport(head)
+	s.elect(Options{Term: 3})
+	before := len(s.orders)
+	s.run(settleTime + drainTimeout - tick)
+	for _, o := range s.orders[before:] {
+		assert.False(t, o.Cancel, "%s %s %s", o.Kind, o.Upstream, o.Group)
+		assert.NotEqual(t, Leave, o.Kind, "%s %s", o.Upstream, o.Group)
+	}
+	head.Group.State = fleet.Ready
+	s.deliverReport(head)
+	s.run(5 * time.Second)
+	assert.NotContains(t, s.planner.groups, name)
+	assert.Equal(t, 1, s.openGroups()["big"])
+}
+
+// Guards against reusing the engines of a group that serves, because its model is no longer
+// configured when another coordinator takes over.
+func TestEnginesOfGroupWithRemovedModelAreNotReused(t *testing.T) {
+	s, head, _ := suspected(t, "head")
+	name := head.Group.Group
+	spec := *s.engineSpec
+	spec.Models = spec.Models[1:]
+	s.engineSpec = &spec
+	s.elect(Options{Term: 3})
+	before := len(s.orders)
+	s.run(8 * time.Second)
+	assert.Len(t, s.members(name), 4)
+	assert.Empty(t, s.changes(before))
+}
+
+// Guards against reusing the engines of a group that serves, because its service was not
+// configured for a while.
+func TestEnginesOfGroupOutlastRemovalOfTheirService(t *testing.T) {
+	for _, removed := range []time.Duration{tick, 500 * time.Millisecond, 3 * time.Second} {
+		s, head, _ := suspected(t, "head")
+		name := head.Group.Group
+		s.add("other", "fab")
+		s.engines["other"].Service = "another"
+		another := &document.Service{Name: "another", Engine: &document.Engine{Models: []document.Model{{Name: "wide", GroupSize: 4}}}}
+		before := len(s.orders)
+		s.planner.Configure(map[string]*document.Service{"another": another})
+		s.run(removed)
+		s.planner.Configure(map[string]*document.Service{"another": another, "pool": {Name: "pool", Engine: s.engineSpec}})
+		s.run(8 * time.Second)
+		assert.Len(t, s.members(name), 4)
+		assert.Empty(t, s.changes(before))
+	}
+}
+
+// Guards against cutting the streams of a group, because its model has another size when another
+// coordinator takes over.
+func TestNewCoordinatorLetsGroupOfFormerSizeFinish(t *testing.T) {
+	s, head, _ := suspected(t, "head")
+	name := head.Group.Group
+	spec := *s.engineSpec
+	spec.Models = slices.Clone(spec.Models)
+	spec.Models[0].GroupSize = 5
+	s.engineSpec = &spec
+	s.elect(Options{Term: 3})
+	before := len(s.orders)
+	s.run(8 * time.Second)
+	orders := lo.Filter(s.orders[before:], func(o Order, _ int) bool { return o.Group == name && o.Kind != Probe })
+	assert.NotEmpty(t, orders)
+	assert.Equal(t, Close, orders[0].Kind)
+	assert.False(t, orders[0].Cancel)
+}
