masticmountd: notice quarantines that begin by time

Since a whole request is quarantined half a second after its last crash, without new evidence. Queued requests and unanswered attempts were only examined when evidence changed, so that they would not have been ended by such a quarantine; they are examined once a second now, too.

--- a/pkg/gateway/crashing_content_test.go
+++ b/pkg/gateway/crashing_content_test.go
@@ -459,6 +459,7 @@
 			require.NoError(t, err)
 			o.Log = log
 		}, withSimulatedClock)
+		go h.gw.opts.Evidence.Run(t.Context())
 		c := newCrashingUpstreams(h)
 		for i := range toleratedCrashes + 1 {
 			c.addService(fmt.Sprint("u", i), fakes.Faults{})
--- a/pkg/quarantine/evidence/store.go
+++ b/pkg/quarantine/evidence/store.go
@@ -57,7 +57,7 @@
 // Now returns the time of the store's clock.
 func (s *Store) Now() time.Time { return s.opts.Clock() }
 
-// Subscribe has f called after each change of the evidence. f must not block.
+// Subscribe has f called after each change of the evidence, and about once a second. f must not block.
 func (s *Store) Subscribe(f func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -172,7 +172,12 @@
 		case <-tick.C:
 			s.mu.Lock()
 			s.report(s.opts.Clock())
+			subscribers := s.subscribers
 			s.mu.Unlock()
+			// A quarantine may begin by time.
+			for _, notify := range subscribers {
+				notify()
+			}
 			s.store()
 		case <-ctx.Done():
 			s.store()
