grouping: a new coordinator forms a ready group anew instead of opening it

Cause: the earlier coordinator had closed the group and ordered the head to join another one; the order got no answer. The new coordinator adopted the group, still reported as ready, and opened it under its old epoch 3 s later. The join was carried out 2 s after that, with a higher epoch of the earlier term, so the head took it.

Fix: a complete group that is ready is left and formed anew; a join of a later epoch is then the newest that its engines have seen, and they reject the old one. TestNewCoordinatorOpensNoGroupOfFormerTerm failed before (open e00 of big.4.18y69).

--- a/pkg/grouping/adopt.go
+++ b/pkg/grouping/adopt.go
@@ -104,7 +104,7 @@
 		return open
 	case complete && headServing(first):
 		return draining
-	case complete && sizeInForce && first.Group.State != fleet.Broken:
+	case complete && sizeInForce && first.Group.State == fleet.Joining:
 		return forming
 	case headKnown:
 		return closing
--- a/pkg/grouping/handover_test.go
+++ b/pkg/grouping/handover_test.go
@@ -84,3 +84,25 @@
 	assert.Equal(t, Close, orders[0].Kind)
 	assert.False(t, orders[0].Cancel)
 }
+
+// Guards against an engine that joins another group while the group that it leads is open: a join
+// of an earlier coordinator may be carried out after another one has opened the group anew.
+func TestNewCoordinatorOpensNoGroupOfFormerTerm(t *testing.T) {
+	const term = 3
+	s, head, _ := suspected(t, "head")
+	name := head.Group.Group
+	head.Group.State = fleet.Ready
+	s.deliverReport(head)
+	s.elect(Options{Term: term})
+	before := len(s.orders)
+	s.run(8 * time.Second)
+	for _, o := range s.orders[before:] {
+		assert.False(t, o.Kind == Open && o.Group == name, "%s %s of %s", o.Kind, o.Upstream, o.Group)
+	}
+	assert.Equal(t, 1, s.openGroups()["big"])
+	for _, g := range s.planner.groups {
+		if g.model.Name == "big" {
+			assert.GreaterOrEqual(t, g.epoch, uint64(term)<<epochBits, "a later epoch rejects the join: %s", g.name)
+		}
+	}
+}
