quarantine: contents that come together are not blamed while no request of their service succeeds

What callers saw: a request with several contents was refused after three crashes although its service's upstreams failed under every request; since a whole request is a content beside its prompt parts, that is every request with parts.

Cause: such a content has the others and the service itself as companions; the check only asked whether one of them is in the same request.

--- a/pkg/quarantine/table_test.go
+++ b/pkg/quarantine/table_test.go
@@ -459,3 +459,20 @@
 	_, refused := table.Check(at(4.01), contents)
 	assert.True(t, refused)
 }
+
+// Guards against requests with several contents that are refused although no request of their
+// service succeeds, so that its upstreams fail by themselves.
+func TestContentsThatComeTogetherAreNotBlamedForFailingService(t *testing.T) {
+	contents := Contents("request:repeated", []string{"p", "q"})
+	table := NewTable()
+	for i, engine := range []string{"a", "b", "c"} {
+		second := 1 + float64(i)
+		table.AddCrash(at(second), Crash{Upstream: engine, StartTime: 1, Service: "desk", Contents: contents, At: at(second)})
+	}
+	_, refused := table.Check(at(4), contents)
+	assert.False(t, refused)
+	table.ObserveSuccess(at(4), "desk", Contents("request:other", nil))
+	table.AddCrash(at(5), Crash{Upstream: "d", StartTime: 1, Service: "desk", Contents: contents, At: at(5)})
+	_, refused = table.Check(at(6), contents)
+	assert.True(t, refused, "once other requests of the service succeed")
+}
