Take back: a part that crashes all engines of a service was not quarantined any more

Where a crashing part ends engines so often that nothing of the service succeeds in between, the service itself explains the crashes as well.

--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -250,7 +250,7 @@
 	for _, content := range contents {
 		f, found := t.findings[content]
 		switch {
-		case !found || !now.Before(f.Until) || !t.settled(now, &f) || slices.ContainsFunc(f.Companions, isAnyRequest):
+		case !found || !now.Before(f.Until) || !t.settled(now, &f):
 		case len(f.Companions) == 0:
 			return f, true
 		case !refused && containsAny(contents, f.Companions):
