quarantine: condemn a whole request only if it was alone in a crash

What callers saw: a sound request that was beside three crashes by different requests was refused with 400 as quarantined.

Cause: requests that had crashed only one upstream so far did not count as explanations of its crashes, and the crashing one beside it was new. TestRequestThatWasNeverAloneInACrashIsNotCondemned fails before.

A crash that it is alone in quarantines it.

--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -27,9 +27,6 @@
 	// crashesToQuarantine is the number of separate crashes, since its last success, that
 	// quarantine a content.
 	crashesToQuarantine = 3
-	// crashesOfRival is the number of separate crashes from which a whole request may explain a part
-	// of another one's crashes.
-	crashesOfRival = 2
 	// correlationWindow is the time within which crashes count once: the loss of power or of a
 	// switch ends several upstreams together, and a frequent content is in many of them. A crash
 	// under a request that was sent after another crash is always separate from it.
@@ -494,14 +491,14 @@
 	}
 }
 
-// jointExplanation returns the other whole requests that together were in all crashes of one,
-// each in crashesOfRival or more; nil if there are none. A sound request that is isolated beside
-// several crashing ones is in crashes by each of them.
+// jointExplanation returns the other whole requests that together were in all crashes of one; nil if it
+// was alone in one of them. A sound request may be beside several crashing ones in turn, of which some
+// have crashed nothing else yet.
 func (t *Table) jointExplanation(sets map[string]crashSet, request string) []string {
 	unexplained := maps.Clone(sets[request])
 	var rivals []string
 	for _, other := range slices.Sorted(maps.Keys(t.suspects)) {
-		if other == request || !IsRequest(other) || t.suspects[other].Crashes < crashesOfRival {
+		if other == request || !IsRequest(other) {
 			continue
 		}
 		before := len(unexplained)
--- a/pkg/quarantine/table_test.go
+++ b/pkg/quarantine/table_test.go
@@ -476,3 +476,20 @@
 	_, refused = table.Check(at(6), contents)
 	assert.True(t, refused, "once other requests of the service succeed")
 }
+
+// Guards against a sound request that is condemned because it was beside several crashing requests in
+// turn, one of them for the first time.
+func TestRequestThatWasNeverAloneInACrashIsNotCondemned(t *testing.T) {
+	table := plainTable(
+		crash(1, "a", soundRequest, crashingRequest), success(1.1, otherRequest), crash(2, "b", soundRequest, otherCrashingRequest), success(2.1, otherRequest),
+		crash(3, "c", soundRequest, otherCrashingRequest), success(3.1, otherRequest),
+	)
+	_, refused := table.Check(at(4), []string{soundRequest})
+	assert.False(t, refused)
+	held, suspected := table.Suspect(at(4), soundRequest)
+	assert.True(t, suspected)
+	assert.False(t, held.Until.IsZero(), "it is tried again alone")
+	table.AddCrash(at(20), Crash{Upstream: "d", StartTime: 1, Service: "desk", Contents: []string{soundRequest}, At: at(20)})
+	_, refused = table.Check(at(21), []string{soundRequest})
+	assert.True(t, refused, "it was alone in a crash")
+}
