forward: keep the limits that upstreams state in their answers, over all entries (LIMIT)

Cause: nothing read the statement. No entry alone could have kept it either: what one upstream takes from all entries is known and divided nowhere. Class: a bound on a shared resource that each sender would have to keep by itself.

Change: statement.Table is what a node knows of the statements of upstreams, by incarnation; the latest answer counts, whichever entry got it. Each keeper grants its part of the limit to the entries that report to it, by demand, and an entry sends to such an upstream only with a grant: first sends, retries, resumes, successors and isolated requests all pass the placer's assign. Unused rights lapse. Entries without a keeper use a small fixed part. Others' capacity goes first; a request that the grants of the last second would not serve in time is refused at once. A limit ends with the next answer that does not state it; entries with requests ask such an upstream with ordinary work after 2 s; without traffic it rises after 15 s and ends after 30 s.

--- a/pkg/attach/attach.go
+++ b/pkg/attach/attach.go
@@ -40,19 +40,33 @@
 }
 
 // Reporter fills in an entry's report to a keeper, except for the version of the
-// configuration. Only reports over the primary link carry loads and demand. evidenceSent is the
-// version of the crash evidence that the link has carried; the reporter updates it.
-type Reporter func(now time.Time, primary bool, evidenceSent *uint64, r *peerpb.EntryReport)
+// configuration. Only reports over the primary link carry loads and demand. The reporter updates
+// what the link has carried.
+type Reporter func(now time.Time, primary bool, sent *Sent, r *peerpb.EntryReport)
+
+// Sent holds the versions of the crash evidence and of the statements of upstreams that a link has carried.
+type Sent struct{ Evidence, Statements uint64 }
+
+// Handlers are the functions that an attachment calls. None of them may block.
+type Handlers struct {
+	// View gets each new view.
+	View func(*View)
+	// Evidence gets the crash evidence of other nodes, Statements what upstreams stated to them.
+	Evidence   func(time.Time, *peerpb.CrashEvidence)
+	Statements func(time.Time, *peerpb.Statements)
+	// Granted gets the upstreams with stated limits to which the entry may send one more request each.
+	Granted func(time.Time, []*peerpb.UpstreamIncarnation)
+	// Report fills in reports.
+	Report Reporter
+}
 
 // Attachment keeps an entry attached to keepers.
 type Attachment struct {
-	opts       Options
-	onView     func(*View)
-	onEvidence func(time.Time, *peerpb.CrashEvidence)
-	fillReport Reporter
-	updates    *ring.Ring[update]
-	view       atomic.Pointer[View]
-	freshness  freshness
+	opts      Options
+	handlers  Handlers
+	updates   *ring.Ring[update]
+	view      atomic.Pointer[View]
+	freshness freshness
 
 	mu      sync.Mutex
 	keepers []keeperAddress
@@ -90,12 +104,8 @@
 	return a
 }
 
-// SetHandlers sets the functions that are called with each new view and with the crash evidence
-// of other nodes, which must not block, and the one that fills in reports. It must be called
-// before Run.
-func (a *Attachment) SetHandlers(onView func(*View), onEvidence func(time.Time, *peerpb.CrashEvidence), report Reporter) {
-	a.onView, a.onEvidence, a.fillReport = onView, onEvidence, report
-}
+// SetHandlers sets the functions that are called. It must be called before Run.
+func (a *Attachment) SetHandlers(h Handlers) { a.handlers = h }
 
 // ReportNow has each link send a report before the next one is due.
 func (a *Attachment) ReportNow() {
@@ -256,9 +266,15 @@
 	}
 	f := u.fleet
 	s.attached = true
-	// The evidence must be known before a first document lets this entry serve.
+	// Evidence and statements must be known before a first document lets this entry serve.
 	if f.GetCrashEvidence() != nil {
-		a.onEvidence(u.at, f.GetCrashEvidence())
+		a.handlers.Evidence(u.at, f.GetCrashEvidence())
+	}
+	if f.GetStatements() != nil {
+		a.handlers.Statements(u.at, f.GetStatements())
+	}
+	if len(f.GetGranted()) > 0 {
+		a.handlers.Granted(u.at, f.GetGranted())
 	}
 	a.choosePrimary(u.keeper, f.GetFailureDomain())
 	s.apply(f, u.at)
@@ -315,7 +331,7 @@
 		Entries: a.entries, Retries: a.retries,
 	}
 	a.view.Store(v)
-	a.onView(v)
+	a.handlers.View(v)
 }
 
 // ConfigAge returns the time since a quorum last confirmed that the configuration in force is
--- a/pkg/attach/link.go
+++ b/pkg/attach/link.go
@@ -107,7 +107,7 @@
 	tick := time.NewTicker(reportInterval)
 	defer tick.Stop()
 	var confirmAt time.Time
-	var evidenceSent uint64
+	var sent Sent
 	for first := true; ; first = false {
 		now := boottime.Now()
 		r := &peerpb.EntryReport{DocumentVersion: l.attachment.View().Document.VersionOrZero(), Primary: l.attachment.isPrimary(l.address)}
@@ -117,8 +117,8 @@
 		if now.Sub(confirmAt) >= confirmInterval {
 			confirmAt, r.ConfirmToken = now, l.attachment.freshness.token(now)
 		}
-		l.attachment.fillReport(now, r.GetPrimary(), &evidenceSent, r)
-		if first || r.GetPrimary() || r.GetConfirmToken() > 0 || len(r.GetEvidence()) > 0 || r.GetCrashEvidence() != nil {
+		l.attachment.handlers.Report(now, r.GetPrimary(), &sent, r)
+		if first || r.GetPrimary() || r.GetConfirmToken() > 0 || len(r.GetEvidence()) > 0 || r.GetCrashEvidence() != nil || r.GetStatements() != nil {
 			if err := stream.Send(r); err != nil {
 				cancel(err)
 				return
--- a/pkg/attach/link_test.go
+++ b/pkg/attach/link_test.go
@@ -33,11 +33,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		a := New(Options{})
 		var crashed atomic.Bool
-		a.SetHandlers(nil, nil, func(_ time.Time, _ bool, _ *uint64, r *peerpb.EntryReport) {
+		a.SetHandlers(Handlers{Report: func(_ time.Time, _ bool, _ *Sent, r *peerpb.EntryReport) {
 			if crashed.Swap(false) {
 				r.CrashEvidence = &peerpb.CrashEvidence{}
 			}
-		})
+		}})
 		l := &link{attachment: a, address: "keeper", urgent: make(chan struct{}, 1)}
 		a.links[l.address] = l
 		stream := &recordedStream{began: time.Now()}
--- a/pkg/attach/view_test.go
+++ b/pkg/attach/view_test.go
@@ -269,7 +269,7 @@
 	a := New(Options{NodeID: "n", Decode: func(content []byte) (*document.Document, error) {
 		return &document.Document{Version: uint64(content[0])}, nil
 	}})
-	a.SetHandlers(func(*View) {}, func(time.Time, *peerpb.CrashEvidence) {}, nil)
+	a.SetHandlers(Handlers{View: func(*View) {}, Evidence: func(time.Time, *peerpb.CrashEvidence) {}})
 	packed, err := document.Pack([]byte{9})
 	require.NoError(t, err)
 	a.apply(updateOf("k", &peerpb.FleetUpdate{DocumentVersion: 9, Document: packed, ConfirmedToken: uint64(start.UnixNano())}))
@@ -304,10 +304,10 @@
 		return &document.Document{Version: uint64(content[0])}, nil
 	}})
 	applied := 0
-	a.SetHandlers(func(*View) {}, func(_ time.Time, e *peerpb.CrashEvidence) {
+	a.SetHandlers(Handlers{View: func(*View) {}, Evidence: func(_ time.Time, e *peerpb.CrashEvidence) {
 		assert.Nil(t, a.View().Document, "no request is served before")
 		applied += len(e.GetCrashes())
-	}, nil)
+	}})
 	packed, err := document.Pack([]byte{9})
 	require.NoError(t, err)
 	a.apply(updateOf("k", &peerpb.FleetUpdate{
--- a/pkg/control/attach.go
+++ b/pkg/control/attach.go
@@ -9,6 +9,7 @@
 
 	"github.com/masticmount/masticmount/pkg/boottime"
 	"github.com/masticmount/masticmount/pkg/peerpb"
+	"github.com/masticmount/masticmount/pkg/statement"
 )
 
 const (
@@ -29,6 +30,10 @@
 	sentVersion  uint64
 	sentDocument uint64
 	sentEvidence uint64
+	// sentStatements is the version of the statements that the entry was sent.
+	sentStatements uint64
+	// granted are the limited upstreams that the entry may send a request to, and was not told of yet.
+	granted []statement.Incarnation
 	// primary is true for the entry's primary link, which gets documents immediately.
 	primary atomic.Bool
 	// reportedVersion is the document version that the entry last reported.
@@ -81,6 +86,8 @@
 	c.loads.setNode(boottime.Now(), s.nodeID, r)
 	c.mu.Unlock()
 	c.mergeCrashEvidence(r.GetCrashEvidence())
+	c.mergeStatements(r.GetStatements())
+	c.grantLimited(s, r.GetLimitedWork())
 	if len(r.GetEvidence()) == 0 && len(r.GetDemand()) == 0 {
 		return
 	}
@@ -149,6 +156,8 @@
 	u.Upstreams, u.Forgotten = c.upstreamsSince(s.sentVersion, boottime.Now())
 	s.sentVersion = c.changes.version
 	u.CrashEvidence, s.sentEvidence = c.crashes.Encode(boottime.Now(), s.sentEvidence)
+	u.Statements, s.sentStatements = c.statements.Encode(boottime.Now(), s.sentStatements)
+	u.Granted, s.granted = encodeIncarnations(s.granted), nil
 	if s.needsDocument(boottime.Now(), c.content.GetVersion()) {
 		s.sentDocument, u.Document = c.content.GetVersion(), c.content.GetContent()
 	}
--- a/pkg/control/control.go
+++ b/pkg/control/control.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,6 +24,7 @@
 	"github.com/masticmount/masticmount/pkg/quarantine"
 	"github.com/masticmount/masticmount/pkg/ring"
 	"github.com/masticmount/masticmount/pkg/state"
+	"github.com/masticmount/masticmount/pkg/statement"
 	"github.com/masticmount/masticmount/pkg/telemetry"
 )
 
@@ -89,6 +91,10 @@
 	content   *peerpb.DocumentChange
 	loads     loadSums
 	crashes   *quarantine.Table
+	// statements are what upstreams stated in their answers, as entries reported it.
+	statements *statement.Table
+	// limits grants entries requests to those that state limits.
+	limits *statement.Dispenser
 	// evidenceChanged signals that the crash evidence has to be stored.
 	evidenceChanged chan struct{}
 
@@ -117,8 +123,9 @@
 		inbox:  ring.New[event](inboxSize, ring.DropOldest),
 		orders: ring.New[queuedOrder](orderQueueSize, ring.RejectNew),
 
-		directory: fleet.NewDirectory(opts.AnnounceInterval), crashes: quarantine.NewTable(), evidenceChanged: make(chan struct{}, 1),
+		directory: fleet.NewDirectory(opts.AnnounceInterval), crashes: quarantine.NewTable(), statements: statement.NewTable(), evidenceChanged: make(chan struct{}, 1),
 	}
+	c.limits = statement.NewDispenser(c.statements, rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 3)))
 	c.changes.init()
 	c.loads.init()
 	c.confirmations.init()
--- a/pkg/control/relay.go
+++ b/pkg/control/relay.go
@@ -147,9 +147,10 @@
 	}
 	// A keeper that has just started has an empty directory, and deregistrations are not
 	// repeated.
-	var evidenceSent uint64
+	var evidenceSent, statementsSent uint64
 	first := r.directoryBatch()
 	first.CrashEvidence, evidenceSent = r.control.encodeCrashEvidence(evidenceSent)
+	first.Statements, statementsSent = r.control.encodeStatements(statementsSent)
 	if err := stream.Send(first); err != nil {
 		return err
 	}
@@ -164,6 +165,7 @@
 		}
 		merged := link.mergeQueued(batch)
 		merged.CrashEvidence, evidenceSent = r.control.encodeCrashEvidence(evidenceSent)
+		merged.Statements, statementsSent = r.control.encodeStatements(statementsSent)
 		if err := stream.Send(merged); err != nil {
 			return err
 		}
@@ -218,6 +220,7 @@
 			c.record(fleet.Decode(r, now))
 		}
 		c.mergeCrashEvidence(b.GetCrashEvidence())
+		c.mergeStatements(b.GetStatements())
 		if b.GetLoads() != nil {
 			c.mu.Lock()
 			c.loads.setKeeper(now, stream, b.GetLoads())
--- a/pkg/dispatch/call.go
+++ b/pkg/dispatch/call.go
@@ -3,7 +3,11 @@
 // never decides whether a request may be retried.
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"github.com/masticmount/masticmount/pkg/statement"
+)
 
 // Headers that masticmount exchanges with upstreams.
 const (
@@ -20,6 +24,9 @@
 	HeaderResumeFrom = "Masticmount-Resume-From"
 	// HeaderAccount names the client account.
 	HeaderAccount = "Masticmount-Account"
+	// HeaderRateLimit is the number of requests a second that the upstream takes from all
+	// nodes together, a decimal number, for as long as its responses carry it.
+	HeaderRateLimit = "Masticmount-Rate-Limit"
 	// HeaderIdempotencyKey forwards the caller's key to plain services.
 	HeaderIdempotencyKey = "Idempotency-Key"
 )
@@ -27,8 +34,11 @@
 // Call is one request to an upstream. The call owns its byte slices: the caller must
 // not modify them.
 type Call struct {
-	RequestID   string
-	Address     string
+	RequestID string
+	Address   string
+	// Upstream is the incarnation that the call is meant for; empty if what the response
+	// states of its upstream is not of interest.
+	Upstream    statement.Incarnation
 	Method      string
 	Path        string
 	Query       string
--- a/pkg/dispatch/client.go
+++ b/pkg/dispatch/client.go
@@ -7,6 +7,8 @@
 	"net"
 	"sync/atomic"
 	"time"
+
+	"github.com/masticmount/masticmount/pkg/statement"
 )
 
 const (
@@ -58,6 +60,9 @@
 type Client struct {
 	opts Options
 	pool *pool
+	// onStatement is called with what each response states of its upstream; nil if nobody
+	// wants to know.
+	onStatement func(statement.Incarnation, statement.Statement)
 	// bufferedBytes is the memory of all bodies that are being buffered.
 	bufferedBytes atomic.Int64
 }
@@ -77,6 +82,12 @@
 	return &Client{opts: opts, pool: newPool()}
 }
 
+// SetStatementHandler sets the function that is called with what each response states of
+// its upstream, before the response is returned. It must be called before the first call.
+func (c *Client) SetStatementHandler(f func(statement.Incarnation, statement.Statement)) {
+	c.onStatement = f
+}
+
 // CloseExpired closes the connections that have been idle for longer than maxIdleAge. It
 // should be called about once a second.
 func (c *Client) CloseExpired(now time.Time) { c.pool.closeExpired(now) }
--- a/pkg/dispatch/exchange.go
+++ b/pkg/dispatch/exchange.go
@@ -95,6 +95,7 @@
 	if !x.echoed && (len(echo) > 0 || x.reused) && x.client.opts.fault != skipRequestIDCheck {
 		return x.abort(ResponseMismatch, fmt.Errorf("response carries request ID %q", echo))
 	}
+	x.reportStatement()
 	if !x.refused() {
 		return nil
 	}
@@ -107,6 +108,16 @@
 	return err
 }
 
+// reportStatement reports what the response states of the upstream that the call is meant for.
+func (x *exchange) reportStatement() {
+	if x.client.onStatement == nil || x.call.Upstream.Upstream == "" {
+		return
+	}
+	if s, ok := x.client.opts.Protocol.Statement(x.resp.StatusCode(), x.resp.Header.PeekAll); ok {
+		x.client.onStatement(x.call.Upstream, s)
+	}
+}
+
 // discardBody reads the rest of a refusal, so that its connection can be reused, or closes
 // the connection.
 func (x *exchange) discardBody() {
--- a/pkg/dispatch/protocol.go
+++ b/pkg/dispatch/protocol.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"github.com/masticmount/masticmount/pkg/fault"
+	"github.com/masticmount/masticmount/pkg/statement"
 )
 
 // maxRefusalBytes bounds the body of a refusal that is read to reuse its connection.
@@ -19,6 +20,10 @@
 	// AtFault returns the upstream that a refusal names as the cause; nil means that
 	// refusals name none.
 	AtFault func(peek func(name string) []byte) string
+	// Statement returns what a response states of its upstream; false if it says nothing,
+	// because it is not the upstream's own or cannot be read. peekAll returns all fields of a
+	// header.
+	Statement func(status int, peekAll func(name string) [][]byte) (statement.Statement, bool)
 	// AllowUnframed accepts a response without a length that ends with its connection.
 	AllowUnframed bool
 }
@@ -33,6 +38,11 @@
 			return isRefusalStatus(status) && string(peek(fault.OutcomeHeader)) == string(fault.NotRun)
 		}
 	}
+	if p.Statement == nil {
+		p.Statement = func(_ int, peekAll func(string) [][]byte) (statement.Statement, bool) {
+			return statement.ParseLimit(peekAll(HeaderRateLimit))
+		}
+	}
 }
 
 func (p *Protocol) atFault(peek func(string) []byte) string {
--- a/pkg/explain/cause.go
+++ b/pkg/explain/cause.go
@@ -47,6 +47,9 @@
 func refusalCause(f map[string]string) string {
 	switch f["kind"] {
 	case "overloaded":
+		if f["limited"] != "" {
+			return fmt.Sprintf("upstreams had stated how many requests they take, and no other had capacity: %s (waited %s ms)", f["limited"], cmp.Or(f["queued_ms"], "0"))
+		}
 		return fmt.Sprintf("no capacity became available in time (%s, waited %s ms)", strings.TrimPrefix(f["detail"], "no place for the request: "), cmp.Or(f["queued_ms"], "0"))
 	case "":
 		return UnknownCause
--- a/pkg/fleetnode/entry.go
+++ b/pkg/fleetnode/entry.go
@@ -75,9 +75,12 @@
 	entry := forward.New(forward.Options{
 		FailureDomain: e.opts.FailureDomain, View: attachment.View, ConfigAge: attachment.ConfigAge, MaxConfigAge: e.opts.MaxConfigAge,
 		Client: do.MustInvoke[*dispatch.Client](i), HeaderNames: e.opts.HeaderNames, Mechanisms: e.opts.Mechanisms, Metrics: e.opts.Metrics, Log: e.opts.Log,
-		OnCrash: attachment.ReportNow,
+		OnNews: attachment.ReportNow,
+	})
+	attachment.SetHandlers(attach.Handlers{
+		View: entry.UpdateView, Evidence: entry.MergeCrashEvidence, Statements: entry.MergeStatements, Granted: entry.AddGrants,
+		Report: entry.Report,
 	})
-	attachment.SetHandlers(entry.UpdateView, entry.MergeCrashEvidence, entry.Report)
 	return entry, nil
 }
 
--- a/pkg/forward/allowance.go
+++ b/pkg/forward/allowance.go
@@ -80,7 +80,8 @@
 	reserve := 0
 	for _, k := range p.targetKeys {
 		s := p.targets[k]
-		if !p.eligible(now, s, &work) {
+		// A target with a stated limit has an allotment of its own.
+		if _, _, limited := p.limitOf(now, s); limited || !p.eligible(now, s, &work) {
 			continue
 		}
 		c.total, c.all, reserve = c.total+s.limit(), c.all+s.ownRequests+s.otherRequests, reserve+s.limit()-p.limitFor(s, &lateWork)
--- a/pkg/forward/crashes.go
+++ b/pkg/forward/crashes.go
@@ -101,8 +101,8 @@
 	}
 	crashed := dispatch.IsConnectionRefused(err)
 	e.recordVerdict(check, crashed, err)
-	if crashed && e.opts.OnCrash != nil {
-		e.opts.OnCrash()
+	if crashed && e.opts.OnNews != nil {
+		e.opts.OnNews()
 	}
 }
 
--- a/pkg/forward/crashing_part_test.go
+++ b/pkg/forward/crashing_part_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/masticmount/masticmount/pkg/attach"
 	"github.com/masticmount/masticmount/pkg/document"
 	"github.com/masticmount/masticmount/pkg/explain"
 	"github.com/masticmount/masticmount/pkg/peerpb"
@@ -203,7 +204,7 @@
 		assert.Empty(t, engines.sends)
 		status, whole := engines.request("r2", "first", "sound", "own")
 		assert.True(t, whole, "status %d", status)
-		report, sent := &peerpb.EntryReport{}, uint64(0)
+		report, sent := &peerpb.EntryReport{}, attach.Sent{}
 		h.entry.Report(time.Now(), false, &sent, report)
 		assert.Len(t, report.GetCrashEvidence().GetCrashes(), 3, "on every link, to keepers that lack it")
 		report = &peerpb.EntryReport{}
--- a/pkg/forward/crashing_request_test.go
+++ b/pkg/forward/crashing_request_test.go
@@ -146,7 +146,7 @@
 // exchange announces the upstreams that are back as new incarnations, and passes the evidence of
 // each entry on to the others, until done is closed.
 func (c *crashingService) exchange(done <-chan struct{}) {
-	sent := make([]uint64, len(c.entries))
+	sent := make([]attach.Sent, len(c.entries))
 	for {
 		select {
 		case <-done:
--- a/pkg/forward/entry.go
+++ b/pkg/forward/entry.go
@@ -20,6 +20,7 @@
 	"github.com/masticmount/masticmount/pkg/mechanism"
 	"github.com/masticmount/masticmount/pkg/peerpb"
 	"github.com/masticmount/masticmount/pkg/quarantine"
+	"github.com/masticmount/masticmount/pkg/statement"
 	"github.com/masticmount/masticmount/pkg/telemetry"
 )
 
@@ -49,9 +50,9 @@
 	HeaderNames  HeaderNames
 	// EvidenceClock reads the time by which crash evidence ages; nil reads the boot time.
 	EvidenceClock func() time.Time
-	// OnCrash is called when this entry has found that an upstream crashed, so that the evidence
-	// is reported at once; it must not block. It may be nil.
-	OnCrash func()
+	// OnNews is called when this entry has found that an upstream crashed, or what one states in its
+	// answers, so that it is reported at once; it must not block. It may be nil.
+	OnNews func()
 	// Mechanisms selects the mechanisms that are enabled; the zero value enables all.
 	Mechanisms mechanism.Set
 	Metrics    *telemetry.Registry
@@ -70,12 +71,16 @@
 	crashes     *quarantine.Table
 	// crashChecks are the upstreams that may have crashed, until it is known whether they did.
 	crashChecks map[incarnation]*crashCheck
+	// statements are what upstreams have stated in their answers.
+	statements *statement.Table
 	// unanswered are the sends to upstreams that have not begun the answer.
 	unanswered map[*unansweredSend]struct{}
 	unbegun    unbegunSessions
 	lastWorkID uint64
-	random     *rand.Rand
-	reports    reports
+	// askedAt is when this entry last asked for grants before its next report was due.
+	askedAt time.Time
+	random  *rand.Rand
+	reports reports
 	// numberings holds the observed event numbering of each service.
 	numberings map[string]*numbering
 
@@ -101,11 +106,13 @@
 	seed := uint64(now.UnixNano())
 	e := &Entry{
 		opts: opts, startedAt: now, waiters: map[uint64]waiter{}, retryBudget: newRetryBudget(), numberings: map[string]*numbering{},
-		crashes: quarantine.NewTable(), crashChecks: map[incarnation]*crashCheck{}, unanswered: map[*unansweredSend]struct{}{}, unbegun: unbegunSessions{sessions: map[*session]struct{}{}},
+		crashes: quarantine.NewTable(), statements: statement.NewTable(), crashChecks: map[incarnation]*crashCheck{}, unanswered: map[*unansweredSend]struct{}{}, unbegun: unbegunSessions{sessions: map[*session]struct{}{}},
 		random: rand.New(rand.NewPCG(seed, 1)), placer: NewPlacer(opts.FailureDomain, rand.New(rand.NewPCG(seed, 2))),
 	}
 	e.reports.init()
 	e.placer.SetMechanisms(opts.Mechanisms)
+	e.placer.SetStatements(e.statements)
+	opts.Client.SetStatementHandler(e.observeStatement)
 	e.retryBudget.pooling = opts.Mechanisms.Enabled(mechanism.SharedRetryBudget)
 	e.server = &fasthttp.Server{
 		Handler: e.serve, ReadBufferSize: maxHeaderBytes, MaxRequestBodySize: maxBodyBytes,
@@ -139,6 +146,10 @@
 	e.opts.Metrics.Set("config.age_ms", min(e.opts.ConfigAge(), time.Hour).Milliseconds())
 	e.opts.Metrics.Set("config.version", int64(e.opts.View().Document.VersionOrZero()))
 	e.opts.Metrics.Set("requests.in_flight", e.inFlight.Load())
+	e.mu.Lock()
+	limited := e.placer.limitedTargets(boottime.Now())
+	e.mu.Unlock()
+	e.opts.Metrics.Set("upstreams.limited", int64(limited))
 }
 
 // UpdateView applies a new view.
@@ -174,14 +185,15 @@
 	return e.opts.View().Document != nil && e.opts.ConfigAge() <= e.opts.MaxConfigAge
 }
 
-// Report fills in this entry's report to the keepers. evidenceSent is the version of the crash
-// evidence that the link has carried.
-func (e *Entry) Report(now time.Time, primary bool, evidenceSent *uint64, r *peerpb.EntryReport) {
+// Report fills in this entry's report to the keepers. sent holds what the link has carried.
+func (e *Entry) Report(now time.Time, primary bool, sent *attach.Sent, r *peerpb.EntryReport) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	r.CrashEvidence, *evidenceSent = e.crashes.Encode(now, *evidenceSent)
+	r.CrashEvidence, sent.Evidence = e.crashes.Encode(now, sent.Evidence)
+	r.Statements, sent.Statements = e.statements.Encode(now, sent.Statements)
 	r.Evidence = e.reports.takeEvidence(now, primary, e.placer)
 	if primary {
+		r.LimitedWork = e.placer.limitedWork(now)
 		r.Loads, r.Demand, r.Repeats = e.placer.loads(), e.reports.takeDemand(), e.retryBudget.takeCounts()
 	}
 }
--- a/pkg/forward/isolation.go
+++ b/pkg/forward/isolation.go
@@ -115,6 +115,12 @@
 	if s == nil || p.isolationOf(w.Service).inFlight >= limit || now.Before(s.backoffUntil) || s.load(1) >= float64(s.limit()) {
 		return nil
 	}
+	q := p.queueOf(*w)
+	q.blocked = q.blocked[:0]
+	if !p.withinLimit(now, s) {
+		q.blocked = append(q.blocked, incarnationOf(&s.target))
+		return nil
+	}
 	return s
 }
 
--- a/pkg/forward/pick.go
+++ b/pkg/forward/pick.go
@@ -35,11 +35,16 @@
 		return nil
 	}
 	var candidates []candidate
+	q.blocked = q.blocked[:0]
 	avoided := p.avoided(now, w.Service)
 	activeShare := 1 - p.endedShare(now, q)
 	for _, key := range p.targetKeys {
 		s := p.targets[key]
 		if load := s.load(activeShare); p.eligible(now, s, w) && load < float64(p.limitFor(s, w)) && (!w.Late || s.ownRequests+s.otherRequests < p.limitFor(s, w)) {
+			if !p.withinLimit(now, s) {
+				q.blocked = append(q.blocked, incarnationOf(&s.target))
+				continue
+			}
 			c := candidate{s, p.score(now, s, load)}
 			if s == avoided {
 				c.score += avoidPenalty
--- a/pkg/forward/placer.go
+++ b/pkg/forward/placer.go
@@ -8,6 +8,7 @@
 
 	"github.com/masticmount/masticmount/pkg/attach"
 	"github.com/masticmount/masticmount/pkg/mechanism"
+	"github.com/masticmount/masticmount/pkg/statement"
 )
 
 const (
@@ -76,6 +77,8 @@
 	RetryAfter time.Duration
 	// Reason is the reason of a refusal.
 	Reason Reason
+	// Limits are the stated limits behind a refusal for LimitsStated.
+	Limits []StatedLimit
 }
 
 // Reason says why a request got no target.
@@ -86,6 +89,8 @@
 	NoTarget     Reason = "no-target"
 	QueueFull    Reason = "crowded"
 	WaitTimedOut Reason = "waited-long-enough"
+	// LimitsStated means that the request would wait for too long as upstreams have stated limits.
+	LimitsStated Reason = "limits-stated"
 	// NoIsolation means that an isolated request would leave too few other upstreams.
 	NoIsolation Reason = "no-isolation"
 )
@@ -139,6 +144,12 @@
 	entries int
 	// allowancesUpdatedAt is when the allowances were last updated.
 	allowancesUpdatedAt time.Time
+	// statements are what upstreams have stated in their answers. grants are the requests that
+	// keepers let this entry send to those with limits, allotments those that it may send without
+	// a keeper.
+	statements *statement.Table
+	grants     statement.Grants
+	allotments *statement.Allotments
 	// mechanisms selects the mechanisms that are enabled; the zero value enables all.
 	mechanisms mechanism.Set
 }
@@ -148,9 +159,14 @@
 	return &Placer{
 		failureDomain: failureDomain, rand: random, targets: map[string]*targetState{}, queues: map[queueKey]*requestQueue{},
 		isolations: map[string]*isolation{},
+		statements: statement.NewTable(), allotments: statement.NewAllotments(random),
 	}
 }
 
+// SetStatements sets the statements of upstreams that limit their requests. Call it before the
+// first request.
+func (p *Placer) SetStatements(t *statement.Table) { p.statements = t }
+
 // Update applies a new view and returns the grants that it makes possible.
 func (p *Placer) Update(now time.Time, v *attach.View) []Grant {
 	p.viewNumber++
@@ -165,6 +181,7 @@
 	}
 	maps.DeleteFunc(p.targets, func(_ string, s *targetState) bool { return s.seenInView != p.viewNumber && s.ownRequests == 0 })
 	p.targetKeys, p.loadsAt, p.entries = slices.Sorted(maps.Keys(p.targets)), v.LoadsAt, v.Entries
+	p.expireAllotments(now)
 	p.recordUpstreams(now)
 	p.updateAllowances(now)
 	return p.grantWaiting(now)
@@ -218,11 +235,11 @@
 // enqueue has a request wait, or refuses it when it would wait for too long.
 func (p *Placer) enqueue(now time.Time, q *requestQueue, w Work) Placement {
 	capacity := p.capacity(now, &w)
-	if capacity == 0 && w.Isolated {
+	if capacity.running == 0 && w.Isolated {
 		return p.refuse(now, q, &w, NoIsolation)
 	}
-	if capacity == 0 {
-		return p.refuse(now, q, &w, NoTarget)
+	if capacity.running == 0 {
+		return p.refuse(now, q, &w, capacity.refusal(NoTarget))
 	}
 	wait := q.expectedWait(now, &w, capacity)
 	if !w.Late && q.missesObjective(now, &w, wait) {
@@ -230,7 +247,7 @@
 		wait = q.expectedWait(now, &w, capacity)
 	}
 	if now.Add(wait).After(w.WaitDeadline) {
-		return p.refuse(now, q, &w, QueueFull)
+		return p.refuse(now, q, &w, capacity.refusal(QueueFull))
 	}
 	q.insert(w)
 	return Placement{Waiting: true, LateAt: q.latestSend(&w)}
@@ -248,7 +265,11 @@
 }
 
 func (p *Placer) refuse(now time.Time, q *requestQueue, w *Work, reason Reason) Placement {
-	return Placement{Reason: reason, RetryAfter: retryAfter(p.rand, w.TimeLeft, q.full(now) && p.mechanisms.Enabled(mechanism.OverloadRetryDelay))}
+	var limits []StatedLimit
+	if reason == LimitsStated || reason == WaitTimedOut {
+		limits = p.statedLimits(now, w)
+	}
+	return Placement{Reason: reason, Limits: limits, RetryAfter: retryAfter(p.rand, w.TimeLeft, q.full(now) && p.mechanisms.Enabled(mechanism.OverloadRetryDelay))}
 }
 
 // Claim assigns a target with free capacity to a request that does not wait; nil when there is
@@ -328,6 +349,7 @@
 func (p *Placer) assign(now time.Time, s *targetState, q *requestQueue, w *Work) *attach.Target {
 	s.ownRequests++
 	q.inFlight++
+	p.countSend(now, s)
 	if w.Isolated {
 		p.isolationOf(w.Service).inFlight++
 	}
@@ -344,7 +366,7 @@
 		for len(q.waiting) > 0 {
 			w := q.waiting[0]
 			s := p.pick(now, &w)
-			if s == nil && w.Isolated && p.capacity(now, &w) == 0 {
+			if s == nil && w.Isolated && p.capacity(now, &w).running == 0 {
 				q.waiting = q.waiting[1:]
 				grants = append(grants, Grant{ID: w.ID})
 				continue
@@ -409,6 +431,9 @@
 	if now.Sub(s.sentAt) < warmFor {
 		score -= warmBonus
 	}
+	if _, age, limited := p.limitOf(now, s); limited && age < limitCheckAge {
+		score += limitedPenalty
+	}
 	if s.crashed || s.target.Suspected && !s.answeredRecently(now) {
 		score += suspicionPenalty
 	}
@@ -443,17 +468,49 @@
 	return s.target.Slots + engineQueueDepth
 }
 
-// capacity is the number of requests that the eligible targets of a request accept at once.
-func (p *Placer) capacity(now time.Time, w *Work) int {
+// targetCapacity is what the eligible targets of a request accept.
+type targetCapacity struct {
+	// running is the number of requests that they run at once. A target with a stated limit counts
+	// with those that the limit lets this entry have there.
+	running float64
+	// limited is true if any of them has stated a limit.
+	limited bool
+}
+
+// refusal returns the reason of a refusal: that limits were stated, or another one.
+func (c targetCapacity) refusal(otherwise Reason) Reason {
+	if c.limited {
+		return LimitsStated
+	}
+	return otherwise
+}
+
+// capacity returns what the eligible targets of a request accept.
+func (p *Placer) capacity(now time.Time, w *Work) targetCapacity {
 	if w.Isolated {
 		_, limit := p.isolationTarget(now, w)
-		return limit
+		return targetCapacity{running: float64(limit)}
 	}
-	total := 0
+	var c targetCapacity
+	detachedRate := 0.0
 	for _, s := range p.targets {
-		if p.eligible(now, s, w) {
-			total += s.limit()
+		if !p.eligible(now, s, w) {
+			continue
+		}
+		limit, _, limited := p.limitOf(now, s)
+		if !limited {
+			c.running += float64(s.limit())
+			continue
+		}
+		c.limited = true
+		detachedRate += p.detachedRate(limit)
+	}
+	if c.limited {
+		perSecond := detachedRate
+		if p.attached(now) {
+			perSecond = max(p.queueOf(*w).grantRate.at(now), minGrantRate)
 		}
+		c.running += perSecond * w.ServiceTime.Seconds()
 	}
-	return total
+	return c
 }
--- a/pkg/forward/queue.go
+++ b/pkg/forward/queue.go
@@ -1,10 +1,13 @@
 package forward
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/masticmount/masticmount/pkg/statement"
 )
 
 const (
@@ -26,6 +29,16 @@
 	isolated       bool
 }
 
+func (k queueKey) compare(other queueKey) int {
+	if k.isolated != other.isolated {
+		if k.isolated {
+			return 1
+		}
+		return -1
+	}
+	return cmp.Or(cmp.Compare(k.service, other.service), cmp.Compare(k.model, other.model))
+}
+
 // requestQueue holds the requests that wait for the targets of one service and model.
 type requestQueue struct {
 	// waiting is ordered by rank, then by arrival.
@@ -39,6 +52,11 @@
 	onTimeAllowance, lateAllowance allowance
 	// lateRate is the rate at which late requests get a target.
 	lateRate rate
+	// grantRate is the rate at which keepers grant requests to limited targets.
+	grantRate rate
+	// blocked are the targets with free slots whose stated limits kept the first waiting request
+	// from being sent.
+	blocked []statement.Incarnation
 	// startLatency is the mean time from a send to the first event or the whole answer.
 	startLatency time.Duration
 }
@@ -121,20 +139,27 @@
 // expectedWait estimates the time until a request gets a target: the requests ahead of it, at
 // the rate at which capacity becomes free. Other entries take a part of that capacity, so the
 // real wait is at least as long. Late requests get targets at the rate measured for them.
-func (q *requestQueue) expectedWait(now time.Time, w *Work, capacity int) time.Duration {
+func (q *requestQueue) expectedWait(now time.Time, w *Work, capacity targetCapacity) time.Duration {
 	ahead := 1
 	for _, other := range q.waiting {
 		if other.rank() <= w.rank() && (other.Late || !w.Late) {
 			ahead++
 		}
 	}
-	if w.Late {
-		return time.Duration(float64(ahead) / max(q.lateRate.at(now), minLateRate) * float64(time.Second))
+	wait := time.Duration(math.Min(float64(ahead)*float64(q.serviceTime)/capacity.running, float64(maxExpectedWait)))
+	if !w.Late {
+		return wait
 	}
-	perSlot := float64(q.serviceTime) / float64(capacity)
-	return time.Duration(float64(ahead) * perSlot)
+	lateWait := time.Duration(float64(ahead) / max(q.lateRate.at(now), minLateRate) * float64(time.Second))
+	if capacity.limited {
+		return max(wait, lateWait)
+	}
+	return lateWait
 }
 
+// maxExpectedWait bounds an expected wait, so that it can be added to a time.
+const maxExpectedWait = time.Hour
+
 // minLateRate is the least rate, in requests a second, at which an entry is assumed to serve
 // late requests: a few must wait to find out when capacity becomes free again.
 const minLateRate = 2
--- a/pkg/forward/reports.go
+++ b/pkg/forward/reports.go
@@ -8,6 +8,7 @@
 	"github.com/masticmount/masticmount/pkg/attach"
 	"github.com/masticmount/masticmount/pkg/fleet"
 	"github.com/masticmount/masticmount/pkg/peerpb"
+	"github.com/masticmount/masticmount/pkg/statement"
 )
 
 // stallReportPeriod is how long a stalled target is reported, so that each keeper gets at
@@ -88,6 +89,33 @@
 	return evidence
 }
 
+// limitedWork returns the requests that wait for targets with stated limits, and one for each limit that no answer has
+// confirmed for limitCheckAge.
+func (p *Placer) limitedWork(now time.Time) []*peerpb.LimitedWork {
+	var all []*peerpb.LimitedWork
+	for _, key := range slices.SortedFunc(maps.Keys(p.queues), queueKey.compare) {
+		q := p.queues[key]
+		if n := len(q.waiting); n > 0 && len(q.blocked) > 0 {
+			all = append(all, newLimitedWork(key.service, n, q.blocked))
+		}
+	}
+	for _, key := range p.targetKeys {
+		s := p.targets[key]
+		if _, age, limited := p.limitOf(now, s); limited && age >= limitCheckAge && s.seenInView == p.viewNumber && p.grants.Count(now, incarnationOf(&s.target)) == 0 {
+			all = append(all, newLimitedWork(s.target.Service, 1, []statement.Incarnation{incarnationOf(&s.target)}))
+		}
+	}
+	return all
+}
+
+func newLimitedWork(service string, requests int, upstreams []statement.Incarnation) *peerpb.LimitedWork {
+	w := &peerpb.LimitedWork{Service: service, Requests: uint32(requests)}
+	for _, u := range upstreams {
+		w.Upstreams = append(w.Upstreams, &peerpb.UpstreamIncarnation{Upstream: u.Upstream, BornMs: u.StartTime})
+	}
+	return w
+}
+
 // loads returns the number of this entry's requests at each target.
 func (p *Placer) loads() []*peerpb.GroupLoad {
 	loads := []*peerpb.GroupLoad{}
--- a/pkg/forward/respond.go
+++ b/pkg/forward/respond.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/samber/lo"
 	"github.com/valyala/fasthttp"
 
 	"github.com/masticmount/masticmount/pkg/dispatch"
@@ -57,6 +58,10 @@
 		line = line.Str("content", s.request.content).Str("prompt_parts", promptPartsOf(s.request.contents))
 		line = report.Fields(e.opts.EvidenceClock(), *s.finding, line)
 	}
+	if s != nil && len(s.limits) > 0 {
+		e.opts.Metrics.Add("refusals.limits_stated", 1)
+		line = line.Str("limited", strings.Join(lo.Map(s.limits, func(l StatedLimit, _ int) string { return l.String() }), ", "))
+	}
 	line.Msg("request_refused")
 }
 
--- a/pkg/forward/session.go
+++ b/pkg/forward/session.go
@@ -59,7 +59,9 @@
 	position    position
 	lastFailure *dispatch.CallError
 	// finding is the evidence on which the request was refused; nil otherwise.
-	finding           *quarantine.Finding
+	finding *quarantine.Finding
+	// limits are the limits of upstreams on which the request was refused.
+	limits            []StatedLimit
 	queueTime         time.Duration
 	firstEventLatency time.Duration
 }
@@ -261,7 +263,7 @@
 		lines = append(lines, dispatch.HeaderLine{Name: names.LastEvent, Value: after})
 	}
 	return dispatch.Call{
-		RequestID: r.id, Address: target.Address, Method: r.method, RequestTarget: r.target, Host: r.host, HeaderLines: lines,
+		RequestID: r.id, Address: target.Address, Upstream: incarnationOf(target), Method: r.method, RequestTarget: r.target, Host: r.host, HeaderLines: lines,
 		Body: r.body, Deadline: r.deadline, MaxIdle: s.maxConnIdle(),
 	}
 }
--- a/pkg/forward/wait.go
+++ b/pkg/forward/wait.go
@@ -104,6 +104,7 @@
 	if !p.Waiting {
 		return s.placementRefusal(p)
 	}
+	s.entry.askForGrants()
 	waitStart := time.Now()
 	defer func() { s.queueTime += time.Since(waitStart) }()
 	return s.awaitGrant(w, p, granted)
@@ -163,6 +164,7 @@
 }
 
 func (s *session) placementRefusal(p Placement) *fault.Error {
+	s.limits = p.Limits
 	if s.stopped() {
 		return s.stopRefusal()
 	}
