--- a/pkg/fleetnode/entry.go
+++ b/pkg/fleetnode/entry.go
@@ -26,6 +26,10 @@
 	NodeID, FailureDomain string
 	// ListenAddress is the listen address for callers.
 	ListenAddress string
+	// PeerAddress is the listen address for other entries; empty serves none.
+	PeerAddress string
+	// DialUpstream opens connections to upstreams; nil dials TCP.
+	DialUpstream dispatch.DialFunc
 	// Seeds returns the peer addresses of keepers in the current settings.
 	Seeds func() []string
 	// Decode decodes the content of a document.
@@ -57,7 +61,7 @@
 func NewEntry(opts EntryOptions) *Entry {
 	e := &Entry{opts: opts, injector: do.New()}
 	do.ProvideValue(e.injector, peers.NewDialer(nil))
-	do.ProvideValue(e.injector, dispatch.NewClientWith(dispatch.Options{Protocol: opts.Protocol}))
+	do.ProvideValue(e.injector, dispatch.NewClientWith(dispatch.Options{Protocol: opts.Protocol, Dial: opts.DialUpstream}))
 	do.Provide(e.injector, e.provideAttachment)
 	do.Provide(e.injector, e.provideForward)
 	return e
