Entries without a path to upstreams reach them through other entries (RECOVER)

Class: a component that cannot tell its own failure from that of what it observes.

Change: pkg/tunnel. An entry that cannot open a connection directly has another entry open it (CONNECT on the peer port) and copies bytes over it, so requests, answers, order, cancellation, resets and deadlines stay as they are, and the entry that serves the caller goes on deciding about sends, retries, limits and claims. New connections return over 2 s after three probes in a row. No blame: a failure counts against an upstream only if another entry, itself proven reachable within 0.2 s, confirms it, or the own path is up; stalls are reported only once something came from another upstream meanwhile; failures recorded before the path was known to be lost are taken back.

--- a/pkg/attach/attach.go
+++ b/pkg/attach/attach.go
@@ -44,8 +44,11 @@
 // what the link has carried.
 type Reporter func(now time.Time, primary bool, sent *Sent, r *peerpb.EntryReport)
 
-// Sent holds the versions of the crash evidence and of the statements of upstreams that a link has carried.
-type Sent struct{ Evidence, Statements uint64 }
+// Sent is what a link has carried: versions of the crash evidence and of the statements of upstreams, and the tunnel peer.
+type Sent struct {
+	Evidence, Statements uint64
+	Tunnel               *peerpb.TunnelPeer
+}
 
 // Handlers are the functions that an attachment calls. None of them may block.
 type Handlers struct {
@@ -56,6 +59,8 @@
 	Statements func(time.Time, *peerpb.Statements)
 	// Granted gets the upstreams with stated limits to which the entry may send one more request each.
 	Granted func(time.Time, []*peerpb.UpstreamIncarnation)
+	// Tunnels gets all other entries that open connections to upstreams for this one; it may be nil.
+	Tunnels func([]*peerpb.TunnelPeer)
 	// Report fills in reports.
 	Report Reporter
 }
@@ -79,6 +84,8 @@
 	primaryIsLocal bool
 
 	sources map[string]*source
+	// tunnels are the entries that each keeper last named.
+	tunnels map[string][]*peerpb.TunnelPeer
 	loads   map[string]int
 	loadsAt time.Time
 	entries int
@@ -98,7 +105,7 @@
 func New(opts Options) *Attachment {
 	a := &Attachment{
 		opts: opts, updates: ring.New[update](updateQueueSize, ring.RejectNew), links: map[string]*link{}, failedAt: map[string]time.Time{},
-		sources: map[string]*source{}, loads: map[string]int{},
+		sources: map[string]*source{}, tunnels: map[string][]*peerpb.TunnelPeer{}, loads: map[string]int{},
 	}
 	a.view.Store(&View{})
 	return a
@@ -278,6 +285,7 @@
 	}
 	a.choosePrimary(u.keeper, f.GetFailureDomain())
 	s.apply(f, u.at)
+	a.applyTunnels(u.keeper, f.GetTunnels())
 	changed := f.GetFull() || len(f.GetUpstreams())+len(f.GetForgotten()) > 0
 	if len(f.GetKeepers()) > 0 {
 		a.mu.Lock()
@@ -298,6 +306,30 @@
 	return changed
 }
 
+// applyTunnels passes on the entries that any keeper has named; nil means that those of the keeper have not changed.
+// Entries of a lost keeper are kept: they are as likely to be there as before.
+func (a *Attachment) applyTunnels(keeper string, peers *peerpb.TunnelPeers) {
+	if peers == nil || a.handlers.Tunnels == nil {
+		return
+	}
+	a.tunnels[keeper] = peers.GetPeers()
+	byNode := map[string]*peerpb.TunnelPeer{}
+	for _, named := range a.tunnels {
+		for _, p := range named {
+			byNode[p.GetNodeId()] = p
+		}
+	}
+	// The keeper that has just sent its list knows best.
+	for _, p := range peers.GetPeers() {
+		byNode[p.GetNodeId()] = p
+	}
+	all := make([]*peerpb.TunnelPeer, 0, len(byNode))
+	for _, id := range slices.Sorted(maps.Keys(byNode)) {
+		all = append(all, byNode[id])
+	}
+	a.handlers.Tunnels(all)
+}
+
 func (a *Attachment) applyLoads(f *peerpb.FleetUpdate, now time.Time) {
 	a.loads, a.loadsAt = map[string]int{}, now
 	a.entries, a.retries = int(f.GetEntries()), f.GetRepeats()
--- a/pkg/attach/link.go
+++ b/pkg/attach/link.go
@@ -118,7 +118,7 @@
 			confirmAt, r.ConfirmToken = now, l.attachment.freshness.token(now)
 		}
 		l.attachment.handlers.Report(now, r.GetPrimary(), &sent, r)
-		if first || r.GetPrimary() || r.GetConfirmToken() > 0 || len(r.GetEvidence()) > 0 || r.GetCrashEvidence() != nil || r.GetStatements() != nil {
+		if first || r.GetPrimary() || r.GetConfirmToken() > 0 || len(r.GetEvidence()) > 0 || r.GetCrashEvidence() != nil || r.GetStatements() != nil || r.GetTunnel() != nil {
 			if err := stream.Send(r); err != nil {
 				cancel(err)
 				return
--- a/pkg/control/attach.go
+++ b/pkg/control/attach.go
@@ -41,6 +41,8 @@
 	// behindSince is the time from which the entry has lacked the newest document.
 	behindSince time.Time
 	sentKeepers int
+	// sentTunnels is the version of the tunnel peers that the entry was sent.
+	sentTunnels uint64
 }
 
 // Attach serves one entry until its stream ends.
@@ -59,6 +61,9 @@
 	err = c.sendUpdates(s, ended)
 	c.mu.Lock()
 	c.loads.removeNode(s.nodeID)
+	if c.tunnels.remove(s) {
+		c.changes.bump()
+	}
 	c.mu.Unlock()
 	c.confirmations.remove(s)
 	c.opts.Log.Info().Str("entry", s.nodeID).AnErr("reason", err).Msg("entry_detached")
@@ -84,6 +89,9 @@
 	}
 	c.mu.Lock()
 	c.loads.setNode(boottime.Now(), s.nodeID, r)
+	if c.tunnels.set(s, r.GetTunnel()) {
+		c.changes.bump()
+	}
 	c.mu.Unlock()
 	c.mergeCrashEvidence(r.GetCrashEvidence())
 	c.mergeStatements(r.GetStatements())
@@ -157,6 +165,9 @@
 	s.sentVersion = c.changes.version
 	u.CrashEvidence, s.sentEvidence = c.crashes.Encode(boottime.Now(), s.sentEvidence)
 	u.Statements, s.sentStatements = c.statements.Encode(boottime.Now(), s.sentStatements)
+	if s.sentTunnels != c.tunnels.version {
+		s.sentTunnels, u.Tunnels = c.tunnels.version, c.tunnels.except(s.nodeID)
+	}
 	u.Granted, s.granted = encodeIncarnations(s.granted), nil
 	if s.needsDocument(boottime.Now(), c.content.GetVersion()) {
 		s.sentDocument, u.Document = c.content.GetVersion(), c.content.GetContent()
--- a/pkg/control/control.go
+++ b/pkg/control/control.go
@@ -95,6 +95,8 @@
 	statements *statement.Table
 	// limits grants entries requests to those that state limits.
 	limits *statement.Dispenser
+	// tunnels are the attached entries as other entries reach upstreams through them.
+	tunnels tunnelPeers
 	// evidenceChanged signals that the crash evidence has to be stored.
 	evidenceChanged chan struct{}
 
--- a/pkg/dispatch/client.go
+++ b/pkg/dispatch/client.go
@@ -29,6 +29,8 @@
 type Options struct {
 	// Dial opens connections; nil dials TCP.
 	Dial DialFunc
+	// Usable reports whether an idle connection of Dial may be reused; nil means always.
+	Usable func(net.Conn) bool
 	// TLS secures the connections; nil means plain text.
 	TLS *tls.Config
 	// Protocol is the protocol of the upstreams; the zero value means masticmount's own.
@@ -79,7 +81,7 @@
 		}
 	}
 	opts.Protocol.complete()
-	return &Client{opts: opts, pool: newPool()}
+	return &Client{opts: opts, pool: newPool(opts.Usable)}
 }
 
 // SetStatementHandler sets the function that is called with what each response states of
--- a/pkg/dispatch/connection_reuse_test.go
+++ b/pkg/dispatch/connection_reuse_test.go
@@ -213,7 +213,7 @@
 	c := newConn("a", raw, raw)
 	now := time.Now()
 	require.NoError(t, c.SetDeadline(now.Add(-time.Second)))
-	p := newPool()
+	p := newPool(nil)
 	defer p.close()
 	p.put(c, now)
 	require.Same(t, c, p.take("a", now, 0))
--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -405,7 +405,7 @@
 }
 
 func TestPoolClosesExpiredConnections(t *testing.T) {
-	p := newPool()
+	p := newPool(nil)
 	now := time.Now()
 	for i := range 3 {
 		client, _ := net.Pipe()
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"time"
 )
@@ -19,9 +20,13 @@
 	mu     sync.Mutex
 	idle   map[string][]*conn
 	closed bool
+	// usable reports whether a connection may be reused; nil means always.
+	usable func(net.Conn) bool
 }
 
-func newPool() *pool { return &pool{idle: map[string][]*conn{}} }
+func newPool(usable func(net.Conn) bool) *pool {
+	return &pool{idle: map[string][]*conn{}, usable: usable}
+}
 
 // take returns an idle connection that has received nothing since its last response, or
 // nil.
@@ -31,7 +36,7 @@
 		if c == nil {
 			return nil
 		}
-		if now.Sub(c.idleSince) < c.maxIdle(callMaxIdle) && c.noPendingInput() {
+		if now.Sub(c.idleSince) < c.maxIdle(callMaxIdle) && (p.usable == nil || p.usable(c.raw.Conn)) && c.noPendingInput() {
 			return c
 		}
 		_ = c.Close()
--- a/pkg/fleetnode/entry.go
+++ b/pkg/fleetnode/entry.go
@@ -19,6 +19,7 @@
 	"github.com/masticmount/masticmount/pkg/mechanism"
 	"github.com/masticmount/masticmount/pkg/peers"
 	"github.com/masticmount/masticmount/pkg/telemetry"
+	"github.com/masticmount/masticmount/pkg/tunnel"
 )
 
 // EntryOptions configure an entry.
@@ -61,7 +62,9 @@
 func NewEntry(opts EntryOptions) *Entry {
 	e := &Entry{opts: opts, injector: do.New()}
 	do.ProvideValue(e.injector, peers.NewDialer(nil))
-	do.ProvideValue(e.injector, dispatch.NewClientWith(dispatch.Options{Protocol: opts.Protocol, Dial: opts.DialUpstream}))
+	do.Provide(e.injector, e.provideTunnelDialer)
+	do.Provide(e.injector, e.provideTunnelServer)
+	do.Provide(e.injector, e.provideClient)
 	do.Provide(e.injector, e.provideAttachment)
 	do.Provide(e.injector, e.provideForward)
 	return e
@@ -79,11 +82,11 @@
 	entry := forward.New(forward.Options{
 		FailureDomain: e.opts.FailureDomain, View: attachment.View, ConfigAge: attachment.ConfigAge, MaxConfigAge: e.opts.MaxConfigAge,
 		Client: do.MustInvoke[*dispatch.Client](i), HeaderNames: e.opts.HeaderNames, Mechanisms: e.opts.Mechanisms, Metrics: e.opts.Metrics, Log: e.opts.Log,
-		OnNews: attachment.ReportNow,
+		OnNews: attachment.ReportNow, PathProven: do.MustInvoke[*tunnel.Dialer](i).Proven,
 	})
 	attachment.SetHandlers(attach.Handlers{
 		View: entry.UpdateView, Evidence: entry.MergeCrashEvidence, Statements: entry.MergeStatements, Granted: entry.AddGrants,
-		Report: entry.Report,
+		Tunnels: e.setPeers, Report: e.report,
 	})
 	return entry, nil
 }
@@ -107,6 +110,9 @@
 	var workers workerGroup
 	workers.start(func() { attachment.Run(workCtx) })
 	workers.start(func() { entry.Run(workCtx) })
+	if err := e.serveTunnels(&workers); err != nil {
+		return err
+	}
 	workers.start(func() {
 		if err := entry.Serve(disconnect.WrapListener(listener)); err != nil {
 			e.opts.Log.Error().Err(err).Msg("callers_not_served")
@@ -129,8 +135,15 @@
 	ctx, cancel := context.WithTimeout(context.Background(), e.opts.StopTimeout)
 	defer cancel()
 	entry.BeginStop(time.Now().Add(e.opts.StopTimeout))
+	tunnels := do.MustInvoke[*tunnel.Server](e.injector)
+	tunnels.BeginStop()
+	do.MustInvoke[*attach.Attachment](e.injector).ReportNow()
 	<-time.After(e.opts.BalancerWait)
 	if left := entry.Finish(ctx); left > 0 {
 		e.opts.Log.Warn().Int("requests", left).Msg("requests_cut_off")
 	}
+	tunnels.Drain(ctx)
+	if err := tunnels.Close(); err != nil {
+		e.opts.Log.Info().Err(err).Msg("tunnels_not_closed")
+	}
 }
--- a/pkg/fleetnode/entry_path_test.go
+++ b/pkg/fleetnode/entry_path_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -16,6 +17,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/samber/do/v2"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -24,6 +26,7 @@
 	"github.com/masticmount/masticmount/pkg/fleet"
 	"github.com/masticmount/masticmount/pkg/forward"
 	"github.com/masticmount/masticmount/pkg/grouping"
+	"github.com/masticmount/masticmount/pkg/tunnel"
 )
 
 // cutKind is how an entry loses its path to the upstreams.
@@ -149,12 +152,13 @@
 
 func (noOrders) SendOrder(context.Context, grouping.Order) grouping.Result { return grouping.Result{} }
 
-// freeAddress returns a loopback address on which nothing listens.
-func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+// lastHost numbers the loopback addresses of this process's nodes.
+var lastHost atomic.Uint32
+
+// freeAddress returns a loopback address that no other node and no outgoing connection uses.
+func freeAddress() string {
+	n := lastHost.Add(1)
+	return fmt.Sprintf("127.%d.%d.%d:18511", 1+os.Getpid()%250, n/250, 1+n%250)
 }
 
 // pathRegion is a keeper and entries before three plain upstreams.
@@ -174,7 +178,7 @@
 		stop()
 		nodes.Wait()
 	})
-	keeperAddress := freeAddress(t)
+	keeperAddress := freeAddress()
 	keeper := NewKeeper(KeeperOptions{
 		Address: keeperAddress, FailureDomain: "fd", Seeds: []string{keeperAddress}, DataFolder: t.TempDir(), Bootstrap: true,
 		AnnounceInterval: time.Second, StallTimeout: 4 * time.Second, Decode: testDecode, OrderSender: noOrders{}, Log: zerolog.Nop(),
@@ -184,14 +188,16 @@
 		RequestID: "Test-Id", TimeLeft: "Test-Left", Key: "Test-Key", Account: "Test-Account", ExpectedUpstream: "Test-Expect", Signature: "Test-Signature",
 		LastEvent: "Last-Event-Id", Model: "Test-Model", Priority: "Test-Priority", Tokens: func(func(string) []byte) (int, int) { return 0, 0 },
 	}
+	var nodesUnderTest []*Entry
 	for i := range entries {
-		link, address := newUplink(), freeAddress(t)
+		link, address := newUplink(), freeAddress()
 		r.uplinks, r.addresses = append(r.uplinks, link), append(r.addresses, address)
 		entry := NewEntry(EntryOptions{
-			NodeID: fmt.Sprintf("entry-%d", i), FailureDomain: "fd", ListenAddress: address, PeerAddress: freeAddress(t), DialUpstream: link.dial,
+			NodeID: fmt.Sprintf("entry-%d", i), FailureDomain: "fd", ListenAddress: address, PeerAddress: freeAddress(), DialUpstream: link.dial,
 			Seeds: func() []string { return []string{keeperAddress} }, Decode: testDecode, HeaderNames: names,
 			Protocol: dispatch.Protocol{RequestID: "Test-Id"}, MaxConfigAge: time.Minute, StopTimeout: time.Second, Log: zerolog.Nop(),
 		})
+		nodesUnderTest = append(nodesUnderTest, entry)
 		nodes.Go(func() { assert.NoError(t, entry.Run(ctx)) })
 	}
 	var servers []string
@@ -218,7 +224,9 @@
 			}
 		}
 	})
-	for i := range entries {
+	for i, entry := range nodesUnderTest {
+		dialer := do.MustInvoke[*tunnel.Dialer](entry.injector)
+		require.Eventually(t, func() bool { return dialer.Peers() == entries-1 }, 20*time.Second, 10*time.Millisecond)
 		require.Eventually(t, func() bool { return r.call(i, "repeat") == http.StatusOK }, 20*time.Second, 50*time.Millisecond)
 	}
 	return r
--- a/pkg/forward/entry.go
+++ b/pkg/forward/entry.go
@@ -53,6 +53,10 @@
 	// OnNews is called when this entry has found that an upstream crashed, or what one states in its
 	// answers, so that it is reported at once; it must not block. It may be nil.
 	OnNews func()
+	// PathProven reports whether something came from an upstream directly since a given boot time.
+	// Without that, silence and failed connections may be due to this entry's own path. nil means
+	// always.
+	PathProven func(since time.Time) bool
 	// Mechanisms selects the mechanisms that are enabled; the zero value enables all.
 	Mechanisms mechanism.Set
 	Metrics    *telemetry.Registry
--- a/pkg/forward/session.go
+++ b/pkg/forward/session.go
@@ -16,6 +16,7 @@
 	"github.com/masticmount/masticmount/pkg/document"
 	"github.com/masticmount/masticmount/pkg/fault"
 	"github.com/masticmount/masticmount/pkg/quarantine"
+	"github.com/masticmount/masticmount/pkg/tunnel"
 )
 
 var (
@@ -360,6 +361,9 @@
 // backOffTarget records a failure against its target; the caller holds the lock.
 func (s *session) backOffTarget(now time.Time, target *attach.Target, err *dispatch.CallError) {
 	switch {
+	case tunnel.IsUnconfirmed(err):
+		// This entry's own path may be down.
+		s.entry.opts.Metrics.Add("sends_failed.own_path", 1)
 	case err.Reason == dispatch.Refused:
 		s.entry.placer.BackOffUntil(target, now.Add(refusedBackoff))
 		if err.AtFault != "" {
@@ -372,7 +376,7 @@
 	case !err.Sent || err.Reason == dispatch.Stalled:
 		// A connection that cannot be opened is as much evidence of a stall as a silent
 		// stream.
-		if !s.entry.placer.AnsweredSince(target, now.Add(-eventGapTimeout/2)) {
+		if !s.entry.placer.AnsweredSince(target, now.Add(-eventGapTimeout/2)) && (!err.Sent || s.entry.pathProven(now.Add(-eventGapTimeout))) {
 			s.entry.placer.RecordFailure(now, target)
 			s.entry.reports.recordStall(now, target)
 		}
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -31,6 +31,8 @@
 	run     *upstreamRun
 	// successors may replace the run while it is silent.
 	successors successors
+	// stallReported is true once the silent target was reported.
+	stallReported bool
 	// header is that of the answer's first run.
 	header []dispatch.HeaderLine
 	// pending are complete events that were not passed on yet.
--- a/pkg/forward/successor.go
+++ b/pkg/forward/successor.go
@@ -84,6 +84,7 @@
 		}
 	}
 	if n := len(all.pending); n > 0 && time.Since(all.pending[n-1].send.at) < firstEventTimeout {
+		st.reportStallLate()
 		return
 	}
 	if sc := st.beginSuccessor(); sc != nil {
@@ -140,9 +141,7 @@
 	e := s.entry
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if st.run.end == nil && !e.placer.AnsweredSince(s.target, now.Add(-eventGapTimeout/2)) {
-		e.reports.recordStall(now, s.target)
-	}
+	st.reportStall(now)
 	if !s.canRetry() || !e.retryBudget.available(s.request.service.Name) {
 		return nil
 	}
@@ -153,6 +152,35 @@
 	return target
 }
 
+// reportStallLate reports a silent target that could not be reported when its successor began.
+func (st *stream) reportStallLate() {
+	e, now := st.session.entry, boottime.Now()
+	if st.stallReported || !e.pathProven(now.Add(-eventGapTimeout)) {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	st.reportStall(now)
+}
+
+// reportStall reports the silent target, once something came from another upstream meanwhile: until then the silence may
+// be that of this entry's own path. The caller holds the lock.
+func (st *stream) reportStall(now time.Time) {
+	s := st.session
+	e := s.entry
+	if st.run.end != nil || e.placer.AnsweredSince(s.target, now.Add(-eventGapTimeout/2)) {
+		return
+	}
+	if e.pathProven(now.Add(-eventGapTimeout)) {
+		st.stallReported = true
+		e.reports.recordStall(now, s.target)
+		return
+	}
+	st.stallReported = false
+	e.opts.Metrics.Add("stalls.not_reported", 1)
+	e.probePath(s.target)
+}
+
 // receive sends the call and reads the answer up to its first event.
 func (sc *successor) receive(ctx context.Context, s *session, call dispatch.Call) {
 	ctx, stopWatching := s.cancelWhenQuarantined(ctx)
--- /dev/null
+++ b/pkg/tunnel/path.go
@@ -0,0 +1,134 @@
+package tunnel
+
+import "time"
+
+const (
+	// minFailures and minAddresses are the failures in a row to open direct connections, and the upstreams among
+	// them, after which the direct path counts as down. One upstream may have ended.
+	minFailures  = 3
+	minAddresses = 2
+	// answerTimeout is the time in which some upstream answers an entry that has sent something, by far: prompts
+	// are read in less, and other streams go on meanwhile.
+	answerTimeout = 300 * time.Millisecond
+	// connsValidFor is how long bytes from an open connection show that open connections still work while new ones
+	// fail.
+	connsValidFor = time.Second
+	// probeInterval is the time between two probes while the path is down or suspected to be.
+	probeInterval = 250 * time.Millisecond
+	// recoverySuccesses is the number of direct connections in a row after which the path counts as up.
+	recoverySuccesses = 3
+	// recoveryTime is the time after that in which new connections return to the direct path, so that not all are
+	// opened in one moment.
+	recoveryTime = 2 * time.Second
+)
+
+// Path is what an entry knows of its own path to the upstreams: whether connections can be opened directly, and
+// whether open ones still carry something. It does no I/O, reads no clock and is not safe for concurrent use.
+type Path struct {
+	// failed are the addresses at which direct connections failed since the last success; failures counts them all.
+	failed   map[string]struct{}
+	failures int
+	// successes counts direct connections in a row while the path is down.
+	successes int
+	down      bool
+	// changedAt is when the path went down or came up.
+	changedAt time.Time
+	probedAt  time.Time
+	// openedAt is when a direct connection was last opened, receivedAt when the last byte came over one.
+	openedAt, receivedAt time.Time
+	// lastAnswered is the address of the upstream that sent that byte.
+	lastAnswered string
+	// waitingSince is the first send over a direct connection since the last byte; zero if there is none.
+	waitingSince time.Time
+}
+
+// Opened records that a direct connection was opened.
+func (p *Path) Opened(now time.Time) (changed bool) {
+	clear(p.failed)
+	p.failures, p.openedAt, p.waitingSince = 0, now, time.Time{}
+	if !p.down {
+		return false
+	}
+	if p.successes++; p.successes < recoverySuccesses {
+		return false
+	}
+	p.down, p.changedAt = false, now
+	return true
+}
+
+// Failed records that a direct connection to an address could not be opened, although another path to it exists or
+// is not known.
+func (p *Path) Failed(now time.Time, address string) (changed bool) {
+	if p.failed == nil {
+		p.failed = map[string]struct{}{}
+	}
+	p.failed[address] = struct{}{}
+	p.failures++
+	p.successes = 0
+	if p.down || !p.suspected() || !p.lastAnsweredFailed() {
+		return false
+	}
+	p.down, p.changedAt, p.probedAt = true, now, now
+	return true
+}
+
+// suspected reports whether so many connections failed that the path may be down.
+func (p *Path) suspected() bool { return p.failures >= minFailures && len(p.failed) >= minAddresses }
+
+// lastAnsweredFailed reports whether the upstream that answered last cannot be reached either; others may have ended together.
+func (p *Path) lastAnsweredFailed() bool {
+	_, failed := p.failed[p.lastAnswered]
+	return failed || p.lastAnswered == ""
+}
+
+// probeDue reports whether a connection is to be opened to find out whether the path works, and counts it.
+func (p *Path) probeDue(now time.Time) bool {
+	if !p.suspected() && !p.down || now.Sub(p.probedAt) < probeInterval {
+		return false
+	}
+	p.probedAt = now
+	return true
+}
+
+// Sent records that bytes were sent over a direct connection.
+func (p *Path) Sent(now time.Time) {
+	if p.waitingSince.IsZero() {
+		p.waitingSince = now
+	}
+}
+
+// Received records that bytes came over a direct connection from an address.
+func (p *Path) Received(now time.Time, address string) {
+	p.receivedAt, p.lastAnswered, p.waitingSince = now, address, time.Time{}
+}
+
+// Down reports whether direct connections cannot be opened.
+func (p *Path) Down() bool { return p.down }
+
+// Silent reports whether no upstream has sent anything for a time although some were sent something.
+func (p *Path) Silent(now time.Time) bool {
+	return !p.waitingSince.IsZero() && now.Sub(p.waitingSince) > answerTimeout
+}
+
+// ConnsUsable reports whether open direct connections may carry requests: they may have survived while new ones fail.
+func (p *Path) ConnsUsable(now time.Time) bool {
+	return !p.Silent(now) && (!p.down || now.Sub(p.receivedAt) <= connsValidFor)
+}
+
+// Proven reports whether something came over the direct path since a given time. Without that, silence and failures
+// show nothing of an upstream.
+func (p *Path) Proven(since time.Time) bool {
+	return p.openedAt.After(since) || p.receivedAt.After(since)
+}
+
+// DirectShare is the share of new connections that go directly first. It rises for recoveryTime after the path came up.
+func (p *Path) DirectShare(now time.Time) float64 {
+	switch {
+	case p.down:
+		return 0
+	case p.changedAt.IsZero():
+		return 1
+	default:
+		return min(1, float64(now.Sub(p.changedAt))/float64(recoveryTime))
+	}
+}
