dispatch: a repeated refusal is not taken for that of a later send of the same request

Reported by other operators: a faulty upstream wrote an earlier refusal once more on a kept connection; callers were told 'not run' for requests that ran, or they ran twice.

Here the echoed request identifier tells a repeated refusal from the answer to another request (TestRepeatedRefusalOfOtherRequestIsNoRefusal), but not from the answer to a further send of the same one: after a 421 at an address that another upstream has taken over, or where the gateway has only one group, the same request may go over the same connection again. A connection now never carries a request again that was refused on it, and is not reused after 16 refusals.

TestPooledConnectionHasNoDeadline asks for the pooled connection for another request, as the same one no longer gets it after a refusal.

--- a/pkg/dispatch/conn.go
+++ b/pkg/dispatch/conn.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -125,6 +126,9 @@
 	writer  *bufio.Writer
 	// idleSince is when the connection was returned to the pool.
 	idleSince time.Time
+	// refused are the identifiers of the requests that were refused on it: an upstream may repeat a
+	// refusal, and a further send of the same request could not tell it from its own.
+	refused []string
 	// keepAlive is the idle time after which the upstream closes the connection, as
 	// stated in its last Keep-Alive header; 0 if it stated none.
 	keepAlive time.Duration
@@ -138,6 +142,14 @@
 	}
 }
 
+// maxRefused is the number of refusals after which a connection is not reused.
+const maxRefused = 16
+
+// mayCarry reports whether a request may be sent on the connection.
+func (c *conn) mayCarry(requestID string) bool {
+	return len(c.refused) < maxRefused && !slices.Contains(c.refused, requestID)
+}
+
 // hasServed reports whether the connection has served an earlier call.
 func (c *conn) hasServed() bool { return !c.idleSince.IsZero() }
 
--- a/pkg/dispatch/connection_reuse_test.go
+++ b/pkg/dispatch/connection_reuse_test.go
@@ -152,7 +152,7 @@
 			}})
 			defer c.Close()
 			require.Equal(t, test.want, outcomeOf(test.call(c)))
-			kept := c.pool.take("10.0.0.1:80", time.Now(), 0)
+			kept := c.pool.take("10.0.0.1:80", "next", time.Now(), 0)
 			require.NotNil(t, kept)
 			defer func() { _ = kept.Close() }()
 			require.Zero(t, last.readDeadline)
@@ -216,11 +216,11 @@
 	p := newPool(nil)
 	defer p.close()
 	p.put(c, now)
-	require.Same(t, c, p.take("a", now, 0))
+	require.Same(t, c, p.take("a", "r", now, 0))
 	p.put(c, now)
 	_, err := server.Write([]byte("x"))
 	require.NoError(t, err)
-	require.Nil(t, p.take("a", now, 0))
+	require.Nil(t, p.take("a", "r", now, 0))
 }
 
 // socketPair returns both ends of a connection that can be peeked at.
--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -349,7 +349,7 @@
 		c := u.client(0)
 		_, err := c.Do(ctx, testCall("r"))
 		require.Equal(t, outcome{Canceled, false}, outcomeOf(err))
-		require.Nil(t, c.pool.take("10.0.0.1:80", time.Now(), 0))
+		require.Nil(t, c.pool.take("10.0.0.1:80", "r", time.Now(), 0))
 		<-time.After(time.Minute)
 	})
 }
--- a/pkg/dispatch/exchange.go
+++ b/pkg/dispatch/exchange.go
@@ -104,6 +104,7 @@
 	err := x.fail(Refused, fmt.Errorf("status %d", status))
 	err.RetryAfter = time.Duration(max(seconds, 0)) * time.Second
 	err.AtFault = x.client.opts.Protocol.atFault(header.Peek)
+	x.conn.refused = append(x.conn.refused, x.call.RequestID)
 	x.discardBody()
 	return err
 }
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -28,15 +28,15 @@
 	return &pool{idle: map[string][]*conn{}, usable: usable}
 }
 
-// take returns an idle connection that has received nothing since its last response, or
-// nil.
-func (p *pool) take(address string, now time.Time, callMaxIdle time.Duration) *conn {
+// take returns an idle connection for a request that has received nothing since its last
+// response, or nil.
+func (p *pool) take(address, requestID string, now time.Time, callMaxIdle time.Duration) *conn {
 	for {
 		c := p.pop(address)
 		if c == nil {
 			return nil
 		}
-		if now.Sub(c.idleSince) < c.maxIdle(callMaxIdle) && (p.usable == nil || p.usable(c.raw.Conn)) && c.noPendingInput() {
+		if now.Sub(c.idleSince) < c.maxIdle(callMaxIdle) && c.mayCarry(requestID) && (p.usable == nil || p.usable(c.raw.Conn)) && c.noPendingInput() {
 			return c
 		}
 		_ = c.Close()
@@ -138,7 +138,7 @@
 		return nil, err
 	}
 	if !call.FreshConnection && call.RequestID != "" {
-		if idle := c.pool.take(call.Address, time.Now(), call.MaxIdle); idle != nil {
+		if idle := c.pool.take(call.Address, call.RequestID, time.Now(), call.MaxIdle); idle != nil {
 			return idle, nil
 		}
 	}
--- a/pkg/forward/resume_failures_test.go
+++ b/pkg/forward/resume_failures_test.go
@@ -298,6 +298,34 @@
 	}
 }
 
+// A stream had begun and broke off, and the next upstream answered with an error: its text or head was appended to the
+// stream, or the stream ended as if it were complete.
+func TestErrorOfNextUpstreamIsNoPartOfBegunStream(t *testing.T) {
+	for name, second := range map[string]string{
+		"server error":   answer(500, "out of memory\n\n"),
+		"client error":   answer(400, "bad prompt\n\n"),
+		"refusal":        answer(503, "full\n\n", "Test-Refused: 1"),
+		"truncated head": "HTTP/1.1 500 Internal",
+		"head in a body": answer(500, "HTTP/1.1 200 OK\r\n\r\n"+event(2)),
+	} {
+		t.Run(name, func(t *testing.T) {
+			runs := 0
+			upstream := func(*http.Request, string, net.Conn) (string, bool) {
+				if runs++; runs == 1 {
+					return fmt.Sprintf(streamHead, "p") + chunk(event(1)), false
+				}
+				return second, false
+			}
+			inBubble(t, map[string]script{"a:1": upstream, "b:1": upstream, "c:1": upstream}, func(h *harness) {
+				_, body, err := h.call("POST", "/stream/x", "prompt")
+				assert.Error(t, err, "the stream must not look complete")
+				assert.Equal(t, event(1), body)
+				assert.Greater(t, runs, 1)
+			})
+		})
+	}
+}
+
 // Guards against unbounded buffering of an event that never ends; the events before it must
 // be passed on.
 func TestUnterminatedEventIsBounded(t *testing.T) {
