--- a/pkg/explain/explain.go
+++ b/pkg/explain/explain.go
@@ -58,7 +58,7 @@
 // lines about the groups and upstreams that it was sent to.
 func Request(id string, lines []Line) []Line {
 	var own []Line
-	related := map[string]bool{}
+	related, nodes := map[string]bool{}, map[string]bool{}
 	quarantined := ""
 	for _, l := range lines {
 		if l.Fields["request_id"] != id {
@@ -71,7 +71,13 @@
 				related[name] = true
 			}
 		}
+		for limit := range strings.SplitSeq(l.Fields["limited"], ", ") {
+			upstream, _, _ := strings.Cut(limit, " ")
+			related[upstream] = true
+		}
+		nodes[l.Node] = true
 	}
+	delete(related, "")
 	if len(own) == 0 {
 		return nil
 	}
@@ -82,7 +88,7 @@
 		if l.Fields["request_id"] != "" || !l.Time.Before(last) {
 			continue
 		}
-		if l.Time.After(first) && isRelated(l, related) || isEvidence(l, quarantined) {
+		if l.Time.After(first) && (isRelated(l, related) || isPathChange(l) && nodes[l.Node]) || isEvidence(l, quarantined) {
 			found = append(found, l)
 		}
 	}
@@ -98,13 +104,18 @@
 // upstreams.
 func isRelated(l Line, related map[string]bool) bool {
 	switch l.Event {
-	case "group_changed", "group_suspected", "upstream_silent", "upstream_deregistered":
+	case "group_changed", "group_suspected", "upstream_silent", "upstream_deregistered", "upstream_limit_stated":
 		return related[l.Fields["group"]] || related[l.Fields["upstream"]]
 	default:
 		return false
 	}
 }
 
+// isPathChange reports whether a line says that a node lost its path to the upstreams, or has it again.
+func isPathChange(l Line) bool {
+	return l.Event == "upstream_path_lost" || l.Event == "upstream_path_back"
+}
+
 // isEvidence reports whether a line describes evidence against a content of a request, however old.
 func isEvidence(l Line, content string) bool {
 	if content == "" {
@@ -173,6 +184,15 @@
 		return fmt.Sprintf("%s crashed as it began to answer a prompt with parts %s", f["upstream"], f["prompt_parts"])
 	case "group_suspected":
 		return fmt.Sprintf("an entry reports that the group of %s stopped responding", f["upstream"])
+	case "upstream_limit_stated":
+		if f["limited"] == "false" {
+			return f["upstream"] + " no longer states a limit"
+		}
+		return fmt.Sprintf("%s states that it takes %s requests a second", f["upstream"], f["limit_per_s"])
+	case "upstream_path_lost":
+		return "this entry lost its path to the upstreams; it uses tunnels through other entries"
+	case "upstream_path_back":
+		return fmt.Sprintf("this entry has its path to the upstreams again, after %s ms", f["lost_for_ms"])
 	case "upstream_silent":
 		return fmt.Sprintf("announcements of %s stopped", f["upstream"])
 	case "upstream_deregistered":
--- a/pkg/explain/explain_test.go
+++ b/pkg/explain/explain_test.go
@@ -72,3 +72,24 @@
 17:18:34.400 edge-1 answered with status 200 by i-3 after 300 ms, 3 sends, whole, 12 events from 1 to 12
 `, explainRequest(t, "r1", log))
 }
+
+// A request that was refused because of stated limits, at an entry without a path of its own.
+func TestExplainStatedLimitsAndLostPath(t *testing.T) {
+	log := `time=2026-08-16T17:18:30.000Z level=info event=upstream_limit_stated node=edge-1 born=7 last_stated_ms=0 limit_per_s=2.8 limited=true upstream=i-1 was_limited=false was_per_s=0
+time=2026-08-16T17:18:31.000Z level=info event=upstream_limit_stated node=edge-1 born=7 last_stated_ms=0 limit_per_s=3 limited=true upstream=i-2 was_limited=false was_per_s=0
+time=2026-08-16T17:18:32.000Z level=warn event=upstream_path_lost node=edge-2 failures=3 upstream_address=10.0.0.1:1
+time=2026-08-16T17:18:33.000Z level=warn event=upstream_path_lost node=edge-3 failures=3 upstream_address=10.0.0.1:1
+time=2026-08-16T17:18:34.000Z level=info event=request_refused node=edge-2 request_id=r1 account=a class=c config_age_ms=300 detail="no place for the request: limits-stated" kind=overloaded limited="i-1 2.8/s 310 ms ago" may_have_run=false outcome=not-run queued_ms=0 retry_after_ms=700 sends=0 status=503
+time=2026-08-16T17:18:35.000Z level=info event=upstream_path_back node=edge-2 lost_for_ms=3000
+time=2026-08-16T17:18:36.000Z level=info event=upstream_limit_stated node=edge-1 born=7 last_stated_ms=40 limit_per_s=0 limited=false upstream=i-1 was_limited=true was_per_s=2.8
+`
+	assert.Equal(t, `17:18:30.000 edge-1 i-1 states that it takes 2.8 requests a second
+17:18:32.000 edge-2 this entry lost its path to the upstreams; it uses tunnels through other entries
+17:18:34.000 edge-2 refused with status 503 (overloaded): no place for the request: limits-stated; retry after 700 ms; the request did not run; configuration confirmed 300 ms earlier
+17:18:35.000 edge-2 this entry has its path to the upstreams again, after 3000 ms
+17:18:36.000 edge-1 i-1 no longer states a limit
+`, explainRequest(t, "r1", log))
+	lines, err := Read(strings.NewReader(log))
+	require.NoError(t, err)
+	assert.Equal(t, "upstreams had stated how many requests they take, and no other had capacity: i-1 2.8/s 310 ms ago (waited 0 ms)", Cause(Request("r1", lines)))
+}
