--- a/cmd/mastic-platformd/main.go
+++ b/cmd/mastic-platformd/main.go
@@ -30,9 +30,14 @@
 const megabyte = 1 << 20
 
 func main() {
+	// Before anything else: until then these signals end the process at once.
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	var args arguments
 	arg.MustParse(&args)
-	if err := run(args); err != nil {
+	if err := run(ctx, reload, args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
@@ -41,7 +46,7 @@
 // without lists mechanisms to disable; scripts/ablation.sh sets it at link time.
 var without string
 
-func run(args arguments) error {
+func run(ctx context.Context, reload <-chan os.Signal, args arguments) error {
 	s, err := platform.LoadSettings(args.Settings)
 	if err != nil || args.CheckSettings {
 		return err
@@ -56,10 +61,6 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
 	go func() {
 		for range reload {
 			// The seeds are reread whenever the file changes; the signal is only logged.
