soak: upstreams of the plain service state limits, and count what reaches them

From 3 s after an upstream first stated its limit, no span of 4 s may bring more than one and a half times that, and 5, from all entries together, while these are killed, stopped, frozen and restarted. Entries that lose their path can't be brought about here: a loopback proxy accepts connections, and all nodes send from one address.

--- a/cmd/mastic-soak/concurrentfaults.go
+++ b/cmd/mastic-soak/concurrentfaults.go
@@ -36,6 +36,7 @@
 		}
 	}
 	all.Go(func() { c.runSilences(seed, until) })
+	all.Go(func() { c.runLimits(seed, until) })
 	all.Go(func() { (&faults{region: c.region, service: c.service, random: faultSource(seed)}).run(until) })
 	all.Wait()
 }
--- a/cmd/mastic-soak/main.go
+++ b/cmd/mastic-soak/main.go
@@ -135,6 +135,7 @@
 	service.faultsActive.Store(false)
 	engines.faultsActive.Store(false)
 	violations := append(service.violations(c.answers()), service.givenUp(c.answers())...)
+	violations = append(violations, service.limitViolations()...)
 	var crashViolations []string
 	var calm sync.WaitGroup
 	calm.Go(func() { crashViolations = kioskCalls.check() })
--- a/cmd/mastic-soak/plainservice.go
+++ b/cmd/mastic-soak/plainservice.go
@@ -49,6 +49,8 @@
 	silent atomic.Bool
 	// pauses are the silences of a sound upstream.
 	pauses silence
+	// limit is what it states in its answers.
+	limit statedLimit
 }
 
 const (
@@ -113,11 +115,13 @@
 	w.Header().Set("X-Request-Id", id)
 	w.Header().Set("X-Response-Stamp", "soak")
 	instance := u.instance()
-	switch expected := req.Header.Get("X-Expect-Instance"); {
-	case expected != "" && expected != instance:
+	if expected := req.Header.Get("X-Expect-Instance"); expected != "" && expected != instance {
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
+	}
+	u.limit.apply(w)
+	switch {
 	case u.refuses.Load():
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
