--- a/cmd/mastic-platformd/main.go
+++ b/cmd/mastic-platformd/main.go
@@ -32,12 +32,13 @@
 func main() {
 	// Before anything else: until then these signals end the process at once.
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	var args arguments
 	arg.MustParse(&args)
-	if err := run(ctx, reload, args); err != nil {
+	err := run(ctx, reload, args)
+	stop()
+	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
