gateway: keep the limits that upstreams state in their answers (LIMIT)

Each attempt, hedge and successor is now admitted by the same table. The nodes of a region are in the settings, so each uses an even share and learns from its own answers; an attempt that is not admitted counts as not run and goes to another group, which costs one of its attempts. Statements are not spread between the nodes here.

--- a/pkg/dispatch/errors.go
+++ b/pkg/dispatch/errors.go
@@ -17,6 +17,8 @@
 	DialFailed Reason = "dial-failed"
 	// Refused means that the upstream stated that it did not run the request.
 	Refused Reason = "refused"
+	// LimitStated means that the call was not sent, as the upstream has stated a limit.
+	LimitStated Reason = "limit-stated"
 	// WriteFailed means that the connection broke while the request was sent.
 	WriteFailed Reason = "write-failed"
 	// TimedOut means that the deadline passed.
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -61,6 +61,9 @@
 	Metrics   *telemetry.Registry
 	// ReportFailure is called when an upstream fails a request; it may be nil.
 	ReportFailure func(upstreamID, reason string)
+	// Entries is the number of entries in the region, which share the limits that upstreams state; 0
+	// means that this is the only one.
+	Entries int
 	// Evidence is the crash evidence that this process knows; nil keeps it in the gateway.
 	Evidence *evidence.Store
 	Log      zerolog.Logger
@@ -78,6 +81,7 @@
 	app      *fiber.App
 	monitor  *groupMonitor
 	crashes  *crashWatch
+	limits   *statedLimits
 	inFlight inFlightTracker
 	// ctx is canceled with errStopping by RefuseRemaining.
 	ctx    context.Context
@@ -94,7 +98,8 @@
 	if opts.Evidence == nil {
 		opts.Evidence = evidence.New(evidence.Options{Metrics: opts.Metrics, Log: opts.Log})
 	}
-	g := &Gateway{opts: opts, monitor: newGroupMonitor(opts.View), crashes: newCrashWatch(opts), stallTimeout: stallTimeout}
+	g := &Gateway{opts: opts, monitor: newGroupMonitor(opts.View), crashes: newCrashWatch(opts), limits: newStatedLimits(opts.Entries, opts.Log), stallTimeout: stallTimeout}
+	opts.Client.SetStatementHandler(g.limits.observe)
 	g.ctx, g.cancel = context.WithCancelCause(context.Background())
 	g.app = fiber.New(fiber.Config{
 		BodyLimit: opts.MaxBodyBytes, ReadBufferSize: maxHeaderBytes, ReadTimeout: opts.ReadTimeout, IdleTimeout: idleTimeout,
--- a/pkg/gateway/session.go
+++ b/pkg/gateway/session.go
@@ -297,8 +297,12 @@
 // send makes one attempt. It reads only immutable fields of the session, so that
 // two attempts can run concurrently.
 func (s *session) send(sl *slot, call dispatch.Call, from int) result {
-	sl.started = time.Now()
 	r := result{slot: sl, address: call.Address}
+	if !s.g.limits.admit(call.Upstream) {
+		r.err = limitError(call.Address)
+		return r
+	}
+	sl.started = time.Now()
 	if s.req.streamed() {
 		r.stream, r.answer, r.err = s.g.opts.Client.OpenStream(sl.ctx, call, from)
 	} else {
@@ -335,7 +339,7 @@
 func (s *session) addressCall(call dispatch.Call, sl *slot, number int) dispatch.Call {
 	group := sl.assignment.Group
 	call.RequestID = s.req.id + "." + strconv.Itoa(number)
-	call.Address = group.Address()
+	call.Address, call.Upstream = group.Address(), headOf(group)
 	call.Headers = lo.Assign(call.Headers, map[string]string{
 		dispatch.HeaderGroup:      group.Name,
 		dispatch.HeaderGeneration: strconv.FormatUint(group.Generation, 10),
@@ -402,7 +406,7 @@
 	}
 	line.Err(callErr).Msg("attempt_failed")
 	report := s.g.opts.ReportFailure
-	if report == nil || sl == nil || callErr.Reason == dispatch.Refused || callErr.Reason == dispatch.Canceled {
+	if report == nil || sl == nil || callErr.Reason == dispatch.Refused || callErr.Reason == dispatch.Canceled || callErr.Reason == dispatch.LimitStated {
 		return
 	}
 	report(sl.assignment.Group.Members[0].ID, string(callErr.Reason))
--- /dev/null
+++ b/pkg/gateway/stated_limits_test.go
@@ -0,0 +1,55 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/stretchr/testify/assert"
+
+	"github.com/masticmount/masticmount/pkg/api"
+	"github.com/masticmount/masticmount/pkg/dispatch"
+)
+
+// addLimitedService adds a plain service that states a limit; empty states none. It returns the number of its requests.
+func (h *harness) addLimitedService(name, limit string) *atomic.Int32 {
+	arrivals := &atomic.Int32{}
+	app := fiber.New()
+	app.All("/*", func(c fiber.Ctx) error {
+		arrivals.Add(1)
+		if limit != "" {
+			c.Set(dispatch.HeaderRateLimit, limit)
+		}
+		c.Set(dispatch.HeaderRequestID, c.Get(dispatch.HeaderRequestID))
+		return c.SendString("ok")
+	})
+	h.addGroup(name, "licence-desk", "desk", api.UpstreamService, app)
+	return arrivals
+}
+
+// masticmountd sent an upstream that states a limit as much as others.
+func TestStatedLimitIsKept(t *testing.T) {
+	h := newHarness(t)
+	limited, free := h.addLimitedService("limited", "2"), h.addLimitedService("free", "")
+	for i := range 60 {
+		assert.Equal(t, http.StatusOK, h.send(http.MethodGet, fmt.Sprintf("/lookup?n=%d", i), "").status, "the other upstream has capacity")
+	}
+	assert.LessOrEqual(t, limited.Load(), int32(17))
+	assert.Greater(t, free.Load(), int32(40))
+}
+
+func TestRequestBeyondStatedLimitIsRefusedAtOnce(t *testing.T) {
+	h := newHarness(t)
+	limited := h.addLimitedService("limited", "0.1")
+	refused := 0
+	for i := range 30 {
+		if a := h.send(http.MethodGet, fmt.Sprintf("/lookup?n=%d", i), ""); a.status == http.StatusServiceUnavailable {
+			refused++
+			assert.Equal(t, "not-run", a.outcome)
+		}
+	}
+	assert.GreaterOrEqual(t, refused, 25)
+	assert.LessOrEqual(t, limited.Load(), int32(5))
+}
--- a/pkg/node/gateway.go
+++ b/pkg/node/gateway.go
@@ -33,7 +33,9 @@
 		Claims:    do.MustInvoke[*claims.Replicated](i),
 		Client:    do.MustInvoke[*dispatch.Client](i),
 		Evidence:  do.MustInvoke[*evidence.Store](i),
-		Log:       n.log,
+		// The settings do not tell which peers are entries.
+		Entries: len(n.settings.Peers),
+		Log:     n.log,
 
 		ReportFailure:   do.MustInvoke[*domain.Domain](i).ReportFailure,
 		DefaultDeadline: n.settings.Callers.DefaultDeadline.Std(),
