tunnel: the loss of the entry that holds a tunnel is no orderly end

A killed process's connections are closed in order by its operating system. An entry that reached an upstream through it took that for the upstream's orderly end: an answer without a length would have looked complete (the promise of whole answers).

The upstream's bytes now come in frames, with an explicit end; anything else counts as a reset (TestLossOfEntryThatHeldTunnelIsNoOrderlyEnd, which read an orderly end before). The other direction needs none: an entry never ends only its own side, and its end closes the upstream's connection. A direct attempt has 120 ms while none has failed, so that busy VMs do not use tunnels.

--- a/pkg/tunnel/dialer.go
+++ b/pkg/tunnel/dialer.go
@@ -22,9 +22,10 @@
 )
 
 const (
-	// headStart is the time that a direct attempt has before a tunnel is tried, too: several round trips between
-	// failure domains.
-	headStart = 60 * time.Millisecond
+	// headStart is the time that the first attempt has before the other way is tried, too: several round trips between
+	// failure domains. calmHeadStart is that of a direct attempt while none has failed: a busy VM must not use tunnels.
+	headStart     = 60 * time.Millisecond
+	calmHeadStart = 120 * time.Millisecond
 	// maxPeersTried bounds the entries that are asked for one tunnel.
 	maxPeersTried = 3
 	// handshakeTimeout bounds the opening of a tunnel.
@@ -153,28 +154,32 @@
 
 // Dial opens a connection to an upstream.
 func (d *Dialer) Dial(ctx context.Context, address string) (net.Conn, error) {
-	directFirst, tunnels := d.plan(address)
+	directFirst, tunnels, start := d.plan(address)
 	if !tunnels {
 		return d.DialDirect(ctx, address)
 	}
 	d.probe(address)
-	return d.race(ctx, address, directFirst)
+	return d.race(ctx, address, directFirst, start)
 }
 
-// plan decides how a connection is opened: directly first or through a tunnel, and whether tunnels are tried at all.
-func (d *Dialer) plan(address string) (directFirst, tunnels bool) {
+// plan decides how a connection is opened: directly first or through a tunnel, whether tunnels are tried at all, and the
+// head start of the first attempt.
+func (d *Dialer) plan(address string) (directFirst, tunnels bool, start time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := boottime.Now()
 	directFirst = d.random.Float64() < d.path.DirectShare(now)
 	at, confirmed := d.confirmed[address]
 	tunnels = !directFirst || !confirmed || now.Sub(at) >= confirmedFor
-	return directFirst, tunnels
+	if start = headStart; directFirst && d.path.failures == 0 {
+		start = calmHeadStart
+	}
+	return directFirst, tunnels, start
 }
 
 // race opens a connection in both ways. The second one begins when the first has failed or its head start is over, and the
 // first connection is taken.
-func (d *Dialer) race(ctx context.Context, address string, directFirst bool) (net.Conn, error) {
+func (d *Dialer) race(ctx context.Context, address string, directFirst bool, start time.Duration) (net.Conn, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	results := make(chan attempt, 2)
@@ -190,7 +195,7 @@
 		}()
 	}
 	begin(directFirst)
-	timer := time.NewTimer(headStart)
+	timer := time.NewTimer(start)
 	defer timer.Stop()
 	begun, failures := 1, map[bool]error{}
 	for {
@@ -436,9 +441,17 @@
 		return nil, errors.Join(err, ctx.Err())
 	}
 	_ = conn.SetDeadline(time.Time{})
-	return conn, nil
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		_ = conn.Close()
+		return nil, errNotTCP
+	}
+	return &tunnelConn{TCPConn: tcp}, nil
 }
 
+// errNotTCP means that DialPeer opened something else.
+var errNotTCP = errors.New("the connection to another entry is no TCP connection")
+
 // handshake asks an entry to connect a connection to an upstream.
 func (d *Dialer) handshake(conn net.Conn, peer Peer, address string) error {
 	_, err := fmt.Fprintf(conn, "CONNECT %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %s\r\n\r\n", address, address, headerKey, peer.Key, headerFrom, d.opts.NodeID)
--- a/pkg/tunnel/server.go
+++ b/pkg/tunnel/server.go
@@ -210,29 +210,20 @@
 	}
 }
 
-// join copies two connections to each other until both have ended. An orderly end of one is passed on as such, a reset
-// as a reset: the end of some answers is that of their connection.
-func join(a, b net.Conn) {
-	var directions sync.WaitGroup
-	directions.Go(func() { copyConn(a, b) })
-	directions.Go(func() { copyConn(b, a) })
-	directions.Wait()
-	_ = a.Close()
-	_ = b.Close()
-}
-
-// copyConn copies one direction.
-func copyConn(to, from net.Conn) {
-	// The structs hide the connections' own ways of copying, which keep bytes in the kernel.
-	_, err := io.CopyBuffer(struct{ io.Writer }{to}, struct{ io.Reader }{from}, make([]byte, copyBufferBytes))
-	if err == nil {
-		if half, ok := to.(interface{ CloseWrite() error }); ok {
-			_ = half.CloseWrite()
-			return
-		}
+// join copies what an upstream sends to an entry and the other way round until either has ended. An orderly end of the
+// upstream is passed on as such, everything else as a reset: the end of some answers is that of their connection.
+func join(entry, upstream net.Conn) {
+	go func() {
+		// The structs hide the connections' own ways of copying, which keep bytes in the kernel.
+		_, _ = io.CopyBuffer(struct{ io.Writer }{upstream}, struct{ io.Reader }{entry}, make([]byte, copyBufferBytes))
+		// The entry closed the connection or was lost: its work is to be cancelled.
+		_ = upstream.Close()
+	}()
+	if !copyFrames(entry, upstream) {
+		reset(entry)
 	}
-	reset(to)
-	reset(from)
+	_ = entry.Close()
+	_ = upstream.Close()
 }
 
 // reset closes a connection so that the other side sees a reset.
