tunnel: open connections that bring something keep the path up

The path now counts as down only if no open direct connection has brought anything since connections began to fail. An entry whose old connections live while new ones are refused is not down then; each new connection that fails goes through a tunnel at once, as before. Such an entry must not confirm the failure of an upstream to others: it does so only if that upstream alone has failed since it last opened a connection.

--- a/pkg/tunnel/dialer.go
+++ b/pkg/tunnel/dialer.go
@@ -135,6 +135,16 @@
 	return d.path.Proven(since)
 }
 
+// provenFor is how recent something from an upstream must be for the failure of another one to count as that upstream's.
+const provenFor = 200 * time.Millisecond
+
+// isUpstreams reports whether the failure to connect to an upstream is that upstream's and not this entry's.
+func (d *Dialer) isUpstreams(address string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.path.Proven(boottime.Now().Add(-provenFor)) && d.path.failedAlone(address)
+}
+
 // Usable reports whether an open connection may carry another request.
 func (d *Dialer) Usable(conn net.Conn) bool {
 	if _, direct := conn.(*directConn); !direct {
--- a/pkg/tunnel/path.go
+++ b/pkg/tunnel/path.go
@@ -28,6 +28,8 @@
 	// failed are the addresses at which direct connections failed since the last success; failures counts them all.
 	failed   map[string]struct{}
 	failures int
+	// failedSince is the first of these failures.
+	failedSince time.Time
 	// successes counts direct connections in a row while the path is down.
 	successes int
 	down      bool
@@ -63,9 +65,11 @@
 		p.failed = map[string]struct{}{}
 	}
 	p.failed[address] = struct{}{}
-	p.failures++
+	if p.failures++; p.failures == 1 {
+		p.failedSince = now
+	}
 	p.successes = 0
-	if p.down || !p.suspected() || !p.lastAnsweredFailed() {
+	if p.down || !p.suspected() || !p.lastAnsweredFailed() || p.receives(now) {
 		return false
 	}
 	p.down, p.changedAt, p.probedAt = true, now, now
@@ -81,6 +85,17 @@
 	return failed || p.lastAnswered == ""
 }
 
+// receives reports whether open connections have gone on to bring something since connections began to fail.
+func (p *Path) receives(now time.Time) bool {
+	return p.receivedAt.After(p.failedSince) && now.Sub(p.receivedAt) <= answerTimeout
+}
+
+// failedAlone reports whether no other address failed since a connection was last opened.
+func (p *Path) failedAlone(address string) bool {
+	_, failed := p.failed[address]
+	return failed && len(p.failed) == 1
+}
+
 // probeDue reports whether a connection is to be opened to find out whether the path works, and counts it.
 func (p *Path) probeDue(now time.Time) bool {
 	if !p.suspected() && !p.down || now.Sub(p.probedAt) < probeInterval {
--- a/pkg/tunnel/path_test.go
+++ b/pkg/tunnel/path_test.go
@@ -50,6 +50,28 @@
 	assert.True(t, p.Down())
 }
 
+// The path was given up, and streams depended on other entries, while all open streams went on.
+func TestPathIsUpWhileOpenConnectionsBringSomething(t *testing.T) {
+	p := &Path{}
+	p.Received(start, "a")
+	p.Failed(at(time.Millisecond), "a")
+	p.Received(at(2*time.Millisecond), "a")
+	for i, address := range []string{"b", "a", "c"} {
+		assert.False(t, p.Failed(at(time.Duration(3+i)*time.Millisecond), address))
+	}
+	assert.True(t, p.Failed(at(time.Second), "a"), "nothing has come for a time")
+}
+
+func TestFailureIsTheUpstreamsOnlyIfNoOtherFails(t *testing.T) {
+	p := &Path{}
+	p.Failed(start, "a")
+	assert.True(t, p.failedAlone("a"))
+	p.Failed(start, "b")
+	assert.False(t, p.failedAlone("a"))
+	p.Opened(start)
+	assert.False(t, p.failedAlone("a"))
+}
+
 func TestPathReturnsGradually(t *testing.T) {
 	p := downPath()
 	assert.True(t, p.Down())
--- a/pkg/tunnel/server.go
+++ b/pkg/tunnel/server.go
@@ -17,7 +17,6 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/masticmount/masticmount/pkg/boottime"
 	"github.com/masticmount/masticmount/pkg/telemetry"
 )
 
@@ -34,9 +33,6 @@
 	handshakeTime = time.Second
 	// maxHandshakeBytes bounds that request.
 	maxHandshakeBytes = 2 << 10
-	// provenFor is how recent something from an upstream must be for the failure of another one to count as that
-	// upstream's.
-	provenFor = 200 * time.Millisecond
 	// drainCheckInterval is the time between two checks of whether a stopping server has tunnels left.
 	drainCheckInterval = 50 * time.Millisecond
 )
@@ -150,7 +146,7 @@
 	dialCtx, cancel := context.WithTimeout(context.Background(), serverDialTimeout)
 	defer cancel()
 	upstream, err := s.opts.Dialer.DialDirect(dialCtx, address)
-	if err != nil && !s.opts.Dialer.Proven(boottime.Now().Add(-provenFor)) {
+	if err != nil && !s.opts.Dialer.isUpstreams(address) {
 		// This entry may have lost its path, too.
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
