--- a/cmd/mastic-soak/engines.go
+++ b/cmd/mastic-soak/engines.go
@@ -116,7 +116,7 @@
 		if err != nil {
 			return
 		}
-		conn := &pausableConn{accepted, &e.pauses}
+		conn := &pausableConn{Conn: accepted, silence: &e.pauses}
 		e.mu.Lock()
 		e.conns[conn] = true
 		e.mu.Unlock()
@@ -184,6 +184,7 @@
 // reset closes a connection and discards unsent data.
 func reset(conn net.Conn) {
 	if pausable, ok := conn.(*pausableConn); ok {
+		pausable.wasReset.Store(true)
 		conn = pausable.Conn
 	}
 	if tcp, ok := conn.(*net.TCPConn); ok {
--- a/cmd/mastic-soak/silence.go
+++ b/cmd/mastic-soak/silence.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -55,6 +56,8 @@
 type pausableConn struct {
 	net.Conn
 	silence *silence
+	// wasReset is true once the upstream's incarnation ended: what it had read is lost with it.
+	wasReset atomic.Bool
 }
 
 // Read implements io.Reader. A read deadline that passed during a silence is extended, so that
@@ -64,6 +67,9 @@
 		silentBefore := c.silence.wait()
 		n, err := c.Conn.Read(p)
 		silent := c.silence.wait() || silentBefore
+		if c.wasReset.Load() {
+			return 0, net.ErrClosed
+		}
 		if !silent || n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
@@ -91,7 +97,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &pausableConn{conn, l.silence}, nil
+	return &pausableConn{Conn: conn, silence: l.silence}, nil
 }
 
 // runSilences injects only silences, signals that end nothing and planned restarts until a time.
--- a/cmd/mastic-soak/silence_test.go
+++ b/cmd/mastic-soak/silence_test.go
@@ -20,7 +20,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		pauses := &silence{}
 		near, far := net.Pipe()
-		conn := &pausableConn{near, pauses}
+		conn := &pausableConn{Conn: near, silence: pauses}
 		began := time.Now()
 		assert.NoError(t, conn.SetReadDeadline(began.Add(minIdle)))
 		pauses.begin(minSilence)
