forward: the causes test waits for the crash checks of earlier requests

Its requests all have the same content, and one that begins while the check of the one before is pending is a suspect. It asserts what it did.

--- a/pkg/forward/causes_test.go
+++ b/pkg/forward/causes_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"testing/synctest"
 
 	"github.com/samber/lo"
 	"github.com/stretchr/testify/assert"
@@ -97,6 +98,9 @@
 			for i := range 20 {
 				id := fmt.Sprintf("r%02d", i)
 				kindOf[id] = kinds[random.IntN(len(kinds))]
+				// The crash checks of earlier requests, which have the same content, end first: a request is a
+				// suspect meanwhile.
+				synctest.Wait()
 				// A new placer clears the backoff that earlier requests caused.
 				h.entry.placer = NewPlacer("fd", random)
 				h.entry.UpdateView(h.view)
