--- a/review/stand/engine.go
+++ b/review/stand/engine.go
@@ -16,7 +16,6 @@
 // The model of the stand-in engines.
 const (
 	modelName = "daka510000"
-	modelSize = 2
 	loadTime  = 2 * time.Second
 	warmTime  = 1100 * time.Millisecond
 	lastTime  = 200 * time.Millisecond
@@ -26,7 +25,7 @@
 )
 
 // engineManifest has one service of engines, reached by one streaming route.
-func engineManifest(version int) map[string]any {
+func engineManifest(version, modelSize int) map[string]any {
 	return map[string]any{
 		"version": version,
 		"routes": []any{map[string]any{
@@ -74,6 +73,8 @@
 	broken  []string
 	// late decides which orders get no answer and are carried out after the returned time; 0 for none.
 	late func(e *engine, o order) time.Duration
+	// crashes reports whether a request crashes the engine that begins to answer it; nil for none.
+	crashes func(r *http.Request) bool
 }
 
 // engine is a stand-in for a model worker. Its state is guarded by the pool's lock.
@@ -95,14 +96,20 @@
 	reported []byte
 	changed  chan struct{}
 	done     chan struct{}
+	stopOnce sync.Once
+	// begun are the requests that the engine has begun to answer.
+	begun []string
 }
 
-func (p *pool) start(id string) (*engine, error) {
+func (p *pool) start(id string) (*engine, error) { return p.startStaged(id, []string{}) }
+
+// startStaged starts an engine on a host that holds the given models.
+func (p *pool) startStaged(id string, staged []string) (*engine, error) {
 	l, err := net.Listen("tcp", fmt.Sprintf("127.0.%d.201:0", p.d.base))
 	if err != nil {
 		return nil, err
 	}
-	e := &engine{pool: p, id: id, address: l.Addr().String(), born: time.Now().UnixMilli(), state: "ready", staged: []string{}, changed: make(chan struct{}, 1), done: make(chan struct{})}
+	e := &engine{pool: p, id: id, address: l.Addr().String(), born: time.Now().UnixMilli(), state: "ready", staged: staged, changed: make(chan struct{}, 1), done: make(chan struct{})}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /api/report", e.report)
 	mux.HandleFunc("POST /api/order", e.order)
@@ -118,8 +125,10 @@
 }
 
 func (e *engine) stop() {
-	close(e.done)
-	_ = e.http.Close()
+	e.stopOnce.Do(func() {
+		close(e.done)
+		_ = e.http.Close()
+	})
 }
 
 // fields is what the engine says of itself; the caller holds the lock.
@@ -209,7 +218,10 @@
 	record := e.pool.d.record
 	text := fmt.Sprintf("order %s %s epoch %d members %v expected %v to %s", o.Op, o.Group, o.Epoch, o.Members, o.Expected != nil, e.id)
 	e.pool.mu.Lock()
-	delay := e.pool.late(e, o)
+	delay := time.Duration(0)
+	if e.pool.late != nil {
+		delay = e.pool.late(e, o)
+	}
 	if delay > 0 {
 		e.pool.mu.Unlock()
 		record.add("%s: no answer, to be carried out in %v", text, delay)
@@ -344,11 +356,46 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	w.Header().Set("X-Response-Stamp", e.id+"."+r.Header.Get("X-Request-Id"))
+	id := r.Header.Get("X-Request-Id")
+	e.pool.mu.Lock()
+	e.begun = append(e.begun, id)
+	e.pool.mu.Unlock()
+	e.pool.d.record.add("request %s begins at %s: parts %s", id, e.id, r.Header.Get("X-Prompt-Prefix"))
+	w.Header().Set("X-Response-Stamp", e.id+"."+id)
 	w.Header().Set("Content-Type", "text/event-stream")
-	_, _ = fmt.Fprint(w, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
+	w.WriteHeader(http.StatusOK)
+	_ = http.NewResponseController(w).Flush()
+	if e.pool.crashes != nil && e.pool.crashes(r) {
+		e.crash()
+		return
+	}
+	for n := range 4 {
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece\n\n", n+1)
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(20 * time.Millisecond)
+	}
 }
 
+// crash ends the engine as the end of its process would: it listens no longer and its connections break. It comes back
+// after backAfter as a new incarnation of the same host, with what is staged there.
+func (e *engine) crash() {
+	e.pool.d.record.add("%s crashes", e.id)
+	e.stop()
+	time.AfterFunc(backAfter, func() {
+		e.pool.mu.Lock()
+		staged, name := e.staged, fmt.Sprintf("i-%d", 100+len(e.pool.engines))
+		e.pool.mu.Unlock()
+		next, err := e.pool.startStaged(name, staged)
+		if err != nil {
+			return
+		}
+		e.pool.d.record.add("%s is back as %s", e.id, next.id)
+	})
+}
+
+// backAfter is how long an engine that crashed is away.
+const backAfter = 3 * time.Second
+
 // groupState returns the engine's membership; the zero value means none.
 func (e *engine) groupState() membership {
 	e.pool.mu.Lock()
--- a/review/stand/latejoin.go
+++ b/review/stand/latejoin.go
@@ -65,7 +65,7 @@
 		}
 		defer e.stop()
 	}
-	if err := d.replace(engineManifest(3), 10*time.Second); err != nil {
+	if err := d.replace(engineManifest(3, 2), 10*time.Second); err != nil {
 		return nil, err
 	}
 	if err := d.awaitReady(10 * time.Second); err != nil {
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -17,6 +17,7 @@
 	"farewell": {3, 2, farewell},
 	"uploads":  {3, 1, uploads},
 	"latejoin": {3, 1, lateJoin},
+	"badpart":  {3, 2, badPrompt},
 }
 
 func main() { os.Exit(run()) }
