quarantine: refuse only requests that have all contents which crashed together

Cause: contents that share all their crashes are companions, and a request was refused if it had one and any companion of it, also when it lacked the part that ends the engines. No answer could clear the two any more.

Evidence: the log of the case names three quarantined parts, each with the two others as companions, and refusals of requests with two of them.

Fix: a request is refused if it has the content and all companions; any other one is sent, and its answer or crash shrinks the set. A crash record says whether some node saw the service answer in the 10 minutes before (service_answered, only ever becomes true). Then contents are refused before another request has been answered, for 30 s after the last crash, and for 10 minutes once one has; otherwise they are sent. 30 s outlasts the restart of an engine and bounds what a service that failed as a whole loses; 10 minutes is the time of a quarantine. Nodes of the last landing ignore and drop the field.

--- a/pkg/explain/cause.go
+++ b/pkg/explain/cause.go
@@ -60,8 +60,24 @@
 
 // quarantineCause explains the refusal of a request with a quarantined part.
 func quarantineCause(f map[string]string) string {
-	return fmt.Sprintf("part %s of the prompt is quarantined: engines %s crashed as they began to answer prompts with it, the first one %s ms and the last one %s ms earlier; requests with it are refused for another %s ms",
-		f["part"], f["crashed"], f["first_crash_age_ms"], f["last_crash_age_ms"], f["quarantined_for_ms"])
+	return fmt.Sprintf("part %s of the prompt is quarantined: engines %s crashed as they began to answer prompts with it, the first one %s ms and the last one %s ms earlier; requests with it%s are refused for another %s ms%s",
+		f["part"], f["crashed"], f["first_crash_age_ms"], f["last_crash_age_ms"], together(f), f["quarantined_for_ms"], unconfirmed(f))
+}
+
+// together names the contents that a refused request has beside the quarantined one.
+func together(f map[string]string) string {
+	if f["companions"] == "" {
+		return ""
+	}
+	return " together with " + f["companions"] + ", which all these crashes share,"
+}
+
+// unconfirmed tells that the service itself may be at fault.
+func unconfirmed(f map[string]string) string {
+	if f["unconfirmed"] != "true" {
+		return ""
+	}
+	return "; no request of the service was answered since the first crash, so that its upstreams may fail by themselves"
 }
 
 // requestQuarantineCause explains the refusal of a request that crashes upstreams.
--- a/pkg/explain/explain.go
+++ b/pkg/explain/explain.go
@@ -172,7 +172,7 @@
 	case "prompt_part_quarantined", "request_quarantined":
 		text := fmt.Sprintf("%s quarantined after %s crashes (%s), the first one %s ms earlier", contentText(f["part"]), f["crashes"], f["crashed"], f["first_crash_age_ms"])
 		if f["companions"] != "" {
-			text += "; only beside " + f["companions"]
+			text += "; only together with " + f["companions"]
 		}
 		return text
 	case "prompt_part_released", "request_released":
--- a/pkg/forward/crashes.go
+++ b/pkg/forward/crashes.go
@@ -278,8 +278,17 @@
 	if quarantine.IsRequest(f.Content) {
 		return fault.New(fault.RequestQuarantined, "do not send this request again", "%s", crashesText(now, f))
 	}
-	return fault.New(fault.PromptQuarantined, "leave the named part out of the prompt", "%d engines crashed as they began to answer prompts with part %s, the last one %d s ago",
-		len(f.Upstreams), f.Content, int(now.Sub(f.Last).Seconds()))
+	return fault.New(fault.PromptQuarantined, "leave the named part out of the prompt", "%d engines crashed as they began to answer prompts with part %s%s, the last one %d s ago",
+		len(f.Upstreams), f.Content, companionsText(f), int(now.Sub(f.Last).Seconds()))
+}
+
+// companionsText names the prompt parts that were in all crashes, too.
+func companionsText(f *quarantine.Finding) string {
+	parts := promptPartsOf(f.Companions)
+	if parts == "" {
+		return ""
+	}
+	return " together with " + parts
 }
 
 // crashesText describes the evidence against a whole request.
--- a/pkg/quarantine/codec.go
+++ b/pkg/quarantine/codec.go
@@ -15,7 +15,10 @@
 	}
 	e := &peerpb.CrashEvidence{}
 	for _, c := range crashes {
-		e.Crashes = append(e.Crashes, &peerpb.CrashRecord{Upstream: c.Upstream, BornMs: c.StartTime, Service: c.Service, Parts: c.Contents, AgeMs: age(now, c.At), AfterCrash: c.AfterCrash})
+		e.Crashes = append(e.Crashes, &peerpb.CrashRecord{
+			Upstream: c.Upstream, BornMs: c.StartTime, Service: c.Service, Parts: c.Contents, AgeMs: age(now, c.At),
+			AfterCrash: c.AfterCrash, ServiceAnswered: c.ServiceAnswered,
+		})
 	}
 	for _, s := range successes {
 		e.Successes = append(e.Successes, &peerpb.PartSuccess{Part: s.Content, AgeMs: age(now, s.At)})
@@ -29,7 +32,7 @@
 	for _, c := range e.GetCrashes() {
 		added := t.AddCrash(now, Crash{
 			Upstream: c.GetUpstream(), StartTime: c.GetBornMs(), Service: c.GetService(), Contents: c.GetParts(), At: now.Add(-time.Duration(c.GetAgeMs()) * time.Millisecond),
-			AfterCrash: c.GetAfterCrash(),
+			AfterCrash: c.GetAfterCrash(), ServiceAnswered: c.GetServiceAnswered(),
 		})
 		changed = changed || added
 	}
--- a/pkg/quarantine/simulation_test.go
+++ b/pkg/quarantine/simulation_test.go
@@ -38,6 +38,12 @@
 	entries int
 	// crashing are the parts that crash engines, and the share of the requests that have each.
 	crashing map[string]float64
+	// arrivalsPerStep is the mean number of requests in a step; 0 stands for 1.
+	arrivalsPerStep float64
+	// sharesParts is true if requests with a crashing part have all parts of sound requests beside it.
+	sharesParts bool
+	// burst is the number of requests with a crashing part that come at once; 0 stands for 1.
+	burst int
 	// companion is true if requests with a crashing part come with a part that is rare otherwise.
 	companion bool
 	// crashesPerSecond is the rate of ordinary crashes, crashGroup how many engines end together.
@@ -68,6 +74,9 @@
 	{name: "cut failure domain", entries: 9, crashing: map[string]float64{"d1": 0.02}, cutFrom: 300, cutTo: 1200},
 	{name: "frozen keeper", entries: 9, crashing: map[string]float64{"d1": 0.02}, frozenFrom: 100, frozenTo: 1000},
 	{name: "entries that start and return later", entries: 9, crashing: map[string]float64{"d1": 0.02}, joinAt: 1500, restartAt: 2000},
+	{name: "low traffic, parts shared with sound requests", entries: 2, arrivalsPerStep: 0.02, crashing: map[string]float64{"d1": 0.3}, sharesParts: true, hotShare: 1, burst: 6},
+	{name: "low traffic, crashing part alone", entries: 2, arrivalsPerStep: 0.02, crashing: map[string]float64{"d1": 0.3}, burst: 6},
+	{name: "parts shared with sound requests", entries: 9, crashing: map[string]float64{"d1": 0.02}, sharesParts: true, hotShare: 0.5},
 	{name: "sixty entries", entries: 60, crashing: map[string]float64{"d1": 0.02, "d2": 0.01}, crashesPerSecond: 0.3, crashGroup: 1, hotShare: 0.3},
 }
 
@@ -154,11 +163,14 @@
 	}
 }
 
-// arrive draws the requests of a step: about one.
+// arrive draws the requests of a step.
 func (s *simulation) arrive() {
 	if s.joinAt > 0 && s.step == s.joinAt {
 		s.restartEntry(s.entries - 1)
 	}
+	if s.arrivalsPerStep > 0 && s.random.Float64() >= s.arrivalsPerStep {
+		return
+	}
 	s.requests++
 	entry := s.random.IntN(s.entries)
 	if entry == s.entries-1 && s.step < s.joinAt {
@@ -171,10 +183,20 @@
 	at := s.random.Float64()
 	for _, part := range slices.Sorted(maps.Keys(s.crashing)) {
 		if at -= s.crashing[part]; at < 0 {
-			f.crashing, f.parts[1] = part, part
+			f.crashing = part
+			if s.sharesParts {
+				f.parts = append(f.parts, part)
+			} else {
+				f.parts[1] = part
+			}
 			if s.companion {
 				f.parts[0] = "rare"
 			}
+			for range s.burst - 1 {
+				copied := f
+				copied.entry = s.random.IntN(s.entries)
+				s.send(copied)
+			}
 			break
 		}
 	}
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -5,9 +5,13 @@
 // request, with the contents of that request; and successes, each a content of a request that an
 // upstream answered. A content with a crash since its last success is a suspect. After
 // crashesToQuarantine separate crashes it is quarantined, provided that upstreams of the service
-// answer other requests and that no other content explains the crashes as well; in the latter case a
-// whole request is held for a time that grows with each crash. The evidence of several nodes is
-// merged in any order, and merging it again changes nothing.
+// answer other requests. Contents that were in the same crashes are quarantined together: a request
+// is refused if it has all of them, and one that lacks any of them is sent and shows whether that one
+// is the cause. A whole request that other ones explain is held for a time that grows with each crash.
+// The evidence of several nodes is merged in any order, and merging it again changes nothing.
+//
+// While no request of a service is answered, its upstreams may fail by themselves. If the service
+// was working before the crashes, contents are refused for UnconfirmedTime only; else not at all.
 //
 // The package is pure: the caller passes the time, and a Table is not safe for concurrent use.
 package quarantine
@@ -34,6 +38,11 @@
 	// QuarantineTime is how long a content stays quarantined after its last crash. After that
 	// requests with it are sent again, and one more crash quarantines it again.
 	QuarantineTime = 10 * time.Minute
+	// UnconfirmedTime is how long a prompt part stays quarantined after its last crash while no request
+	// of the service has been answered since the first one.
+	UnconfirmedTime = 30 * time.Second
+	// workingTime is how long after an answer an upstream's service still counts as working.
+	workingTime = 10 * time.Minute
 	// SettleTime is how long a whole request is held instead of quarantined after a crash: other
 	// nodes may have seen other requests in that crash, and their evidence takes that long.
 	SettleTime = 500 * time.Millisecond
@@ -76,6 +85,9 @@
 	// within correlationWindow. The node that sent it decides that, as its times are not exact
 	// elsewhere.
 	AfterCrash bool
+	// ServiceAnswered is true if a node saw the service answer a request within workingTime before
+	// the crash.
+	ServiceAnswered bool
 }
 
 // Success is the latest request with a content that an upstream answered.
@@ -95,9 +107,12 @@
 	// quarantine.
 	First, Last, Until time.Time
 	// Companions were beside the content in all these crashes, in the same request or in others, so
-	// that any of them may be the cause. Only requests that have one of them beside the content are
+	// that any of them may be the cause. Only requests that have all of them beside the content are
 	// quarantined. Empty when the content alone explains the crashes.
 	Companions []string
+	// Unconfirmed is true if no request of the service was answered since the first crash, although
+	// some were before it.
+	Unconfirmed bool
 }
 
 // Change is the beginning or the end of a content's quarantine.
@@ -160,12 +175,14 @@
 		return false
 	}
 	c.AfterCrash = c.AfterCrash || c.Ran > 0 && t.crashedBefore(&c)
+	c.ServiceAnswered = c.ServiceAnswered || t.answeredBefore(&c)
 	if record, known := t.crashes[key]; known {
-		if !c.AfterCrash || record.AfterCrash {
+		if (!c.AfterCrash || record.AfterCrash) && (!c.ServiceAnswered || record.ServiceAnswered) {
 			return false
 		}
 		t.version++
-		record.AfterCrash, record.version = true, t.version
+		record.AfterCrash, record.ServiceAnswered = record.AfterCrash || c.AfterCrash, record.ServiceAnswered || c.ServiceAnswered
+		record.version = t.version
 		t.crashes[key], t.examined = record, false
 		return true
 	}
@@ -194,6 +211,12 @@
 	})
 }
 
+// answeredBefore reports whether this node saw the service of a crash answer a request shortly before.
+func (t *Table) answeredBefore(c *Crash) bool {
+	at, known := t.others.at(anyRequestOf(c.Service))
+	return known && !at.After(c.At) && c.At.Sub(at) < workingTime
+}
+
 // withService returns the contents of a crash and what stands for all requests of its service.
 func (c *Crash) withService() []string {
 	return append([]string{anyRequestOf(c.Service)}, c.Contents...)
@@ -250,7 +273,7 @@
 		case !found || !now.Before(f.Until) || !t.settled(now, &f):
 		case len(f.Companions) == 0:
 			return f, true
-		case !refused && containsAny(contents, f.Companions):
+		case !refused && containsAll(contents, f.Companions):
 			first, refused = f, true
 		}
 	}
@@ -433,6 +456,8 @@
 	at time.Time
 	// afterCrash is true if a request with the content was sent after another crash.
 	afterCrash bool
+	// serviceAnswered is true if the service was working before the crash.
+	serviceAnswered bool
 }
 
 // crashSets returns the crashes since the last success of each content.
@@ -449,6 +474,7 @@
 			times := sets[content][c.incarnation()]
 			times.at = t.ended[c.incarnation()]
 			times.afterCrash = times.afterCrash || c.AfterCrash
+			times.serviceAnswered = times.serviceAnswered || c.ServiceAnswered
 			sets[content][c.incarnation()] = times
 		}
 	}
@@ -480,7 +506,11 @@
 			continue
 		}
 		for _, other := range slices.Sorted(maps.Keys(explanations)) {
-			if other != content && sets[other].includes(sets[content]) {
+			switch {
+			case other == content || !sets[other].includes(sets[content]):
+			case isAnyRequest(other) && !IsRequest(content) && sets[content].serviceAnswered():
+				f.Unconfirmed, f.Until = true, f.Last.Add(UnconfirmedTime)
+			default:
 				f.Companions = append(f.Companions, other)
 			}
 		}
@@ -533,6 +563,16 @@
 	return f
 }
 
+// serviceAnswered reports whether the service was working before one of the crashes.
+func (s crashSet) serviceAnswered() bool {
+	for _, c := range s {
+		if c.serviceAnswered {
+			return true
+		}
+	}
+	return false
+}
+
 // includes reports whether a content explains all crashes of another.
 func (s crashSet) includes(other crashSet) bool {
 	for i := range other {
@@ -561,8 +601,8 @@
 	return at, known
 }
 
-func containsAny(contents, others []string) bool {
-	return slices.ContainsFunc(contents, func(content string) bool { return slices.Contains(others, content) })
+func containsAll(contents, others []string) bool {
+	return !slices.ContainsFunc(others, func(other string) bool { return !slices.Contains(contents, other) })
 }
 
 // normalize returns the identifiers of the contents that are examined.
--- a/pkg/quarantine/table_test.go
+++ b/pkg/quarantine/table_test.go
@@ -493,3 +493,106 @@
 	_, refused = table.Check(at(21), []string{soundRequest})
 	assert.True(t, refused, "it was alone in a crash")
 }
+
+// promptCrashes are crashes of engines a pass apart, each under a request with the given prompt parts.
+func promptCrashes(t *Table, from float64, count int, contents func(i int) []string) {
+	for i := range count {
+		second := from + 0.06*float64(i)
+		t.AddCrash(at(second), Crash{Upstream: fmt.Sprint("engine", i, "-", from), StartTime: 1, Service: "chat", Contents: contents(i), At: at(second)})
+	}
+}
+
+// Guards against sound requests that are refused for 10 minutes because two of their parts were in all crashes
+// by a third part that they lack, before any request succeeded in between.
+func TestRequestThatLacksOneOfPartsThatCrashedTogetherIsSent(t *testing.T) {
+	sound, crashing := []string{"p", "q"}, []string{"p", "q", "crashing"}
+	for name, contents := range map[string]func(i int) []string{
+		"prompt parts alone":        func(int) []string { return crashing },
+		"distinct whole requests":   func(i int) []string { return Contents(fmt.Sprint(requestPrefix, i), crashing) },
+		"one whole request, resent": func(int) []string { return Contents(crashingRequest, crashing) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := NewTable()
+			table.ObserveSuccess(at(0), "chat", Contents(soundRequest, sound))
+			promptCrashes(table, 1, 4, contents)
+			finding, refused := table.Check(at(1.3), contents(0))
+			assert.True(t, refused)
+			assert.True(t, finding.Unconfirmed)
+			finding, refused = table.Check(at(1.3), Contents(soundRequest, sound))
+			assert.False(t, refused, "%+v", finding)
+
+			table.ObserveSuccess(at(2), "chat", Contents(soundRequest, sound))
+			for _, second := range []float64{2, 60, QuarantineTime.Seconds()} {
+				_, refused = table.Check(at(second), Contents(soundRequest, sound))
+				assert.False(t, refused)
+				finding, refused = table.Check(at(second), contents(0))
+				assert.True(t, refused)
+				assert.Contains(t, []string{"crashing", crashingRequest}, finding.Content)
+				assert.False(t, finding.Unconfirmed)
+			}
+		})
+	}
+}
+
+// Guards against a crashing part that ends engine after engine at low traffic: no request of the service
+// succeeds between its crashes, and its requests share nothing else.
+func TestPartOfWorkingServiceIsQuarantinedBeforeAnotherRequestSucceeds(t *testing.T) {
+	contents := func(i int) []string { return []string{fmt.Sprint("own", i), "crashing"} }
+	table := NewTable()
+	table.ObserveSuccess(at(0), "chat", []string{"p"})
+	promptCrashes(table, 200, 3, contents)
+	_, refused := table.Check(at(201), contents(7))
+	assert.True(t, refused)
+	_, refused = table.Check(at(201), []string{"own0", "p"})
+	assert.False(t, refused)
+
+	late := NewTable()
+	late.ObserveSuccess(at(0), "chat", []string{"p"})
+	promptCrashes(late, 1+workingTime.Seconds(), 3, contents)
+	_, refused = late.Check(at(2+workingTime.Seconds()), contents(7))
+	assert.False(t, refused, "nothing shows that the service was working before")
+}
+
+// Guards against a part of all requests that stays refused for 10 minutes after its service failed as a whole
+// for some seconds.
+func TestPartIsRefusedShortlyWhileServiceFailsAsWhole(t *testing.T) {
+	table := NewTable()
+	table.ObserveSuccess(at(0), "chat", []string{"shared"})
+	promptCrashes(table, 1, 12, func(i int) []string { return []string{"shared", fmt.Sprint("own", i)} })
+	last := 1 + 0.06*11
+	_, refused := table.Check(at(2), []string{"shared"})
+	assert.True(t, refused)
+	assert.Len(t, table.Changes(at(2)), 1)
+	_, refused = table.Check(at(last+UnconfirmedTime.Seconds()), []string{"shared"})
+	assert.False(t, refused)
+	ended := table.Changes(at(last + UnconfirmedTime.Seconds()))
+	require.Len(t, ended, 1)
+	assert.False(t, ended[0].Quarantined)
+	table.ObserveSuccess(at(40), "chat", []string{"shared"})
+	_, refused = table.Check(at(40), []string{"shared"})
+	assert.False(t, refused)
+}
+
+// Guards against nodes that judge the same crashes differently because only some of them saw the service
+// work before, or because an older node drops what they saw.
+func TestNodesAgreeThatServiceWorkedBeforeCrashes(t *testing.T) {
+	contents := []string{"p", "crashing"}
+	saw, crashed, keeper := NewTable(), NewTable(), NewTable()
+	saw.ObserveSuccess(at(0), "chat", []string{"p"})
+	promptCrashes(crashed, 1, 3, func(int) []string { return contents })
+	_, refused := crashed.Check(at(2), contents)
+	assert.False(t, refused)
+	older, _ := crashed.Encode(at(2), 0)
+	assert.False(t, older.GetCrashes()[0].GetServiceAnswered())
+	assert.True(t, keeper.Merge(at(2), older))
+
+	exchange(at(2), keeper, saw)
+	assert.True(t, exchange(at(2.1), saw, keeper))
+	assert.True(t, exchange(at(2.2), keeper, crashed))
+	for _, table := range []*Table{saw, keeper, crashed} {
+		_, refused = table.Check(at(2.3), contents)
+		assert.True(t, refused)
+		assert.False(t, table.Merge(at(2.4), older), "records of older nodes take nothing back")
+	}
+	assert.False(t, exchange(at(2.5), saw, crashed))
+}
