control: a departure is committed to the region log before it is acknowledged

Cause: the statement was acknowledged from the memory of one keeper. Other keepers learnt of it 25 ms later at the earliest, entries 15 ms later; nothing was on a disk, and a deregistration is not repeated. That an upstream drains had the same gap until its next announcement.

Fix: a departure (draining or deregistered) is a command of the region log, and the acknowledgement follows the commit. All keepers record the committed ones as they are applied, also after a restart, whoever is killed: the leader, another one, all. Without a commit within 0.9 s the upstream is told to use another keeper; the statement is obeyed and relayed at once as before. Repeated statements commit once.

TestDeregistrationNeedsLeader asked that a keeper which never had a leader acknowledges within its first second; that was the fault, and it now asks for a refusal there, too. Two tests of the propagation use a keeper with a leader.

--- a/cmd/mastic-soak/main.go
+++ b/cmd/mastic-soak/main.go
@@ -124,10 +124,12 @@
 	}
 	kioskCalls := &kioskCallers{callers: callers{region: r}, service: kiosk}
 	all.Go(func() { kioskCalls.runBesideFaults(seed, until) })
+	leaving := &departures{region: r, service: service}
 	injected := &concurrentFaults{region: r, engines: engines, service: service, entryLinks: entryLinks}
 	if args.OnlySilences {
 		injected.runSilences(seed, until)
 	} else {
+		all.Go(func() { leaving.run(seed, until) })
 		injected.run(seed, until)
 	}
 	all.Wait()
@@ -150,6 +152,7 @@
 	}
 	calm.Wait()
 	violations = append(violations, crashViolations...)
+	violations = append(violations, leaving.check(seed, c)...)
 	groupsServed = groupsServed && (args.Grouped == 0 || streams.waitServed("end-groups", groupKinds()))
 	if !groupsServed {
 		fmt.Printf("seed %d: streams of groups were not served at the start or the end\n", seed)
--- a/cmd/mastic-soak/plainservice.go
+++ b/cmd/mastic-soak/plainservice.go
@@ -45,6 +45,8 @@
 	// dropsAnswers closes connections after the request ran; refuses answers that requests
 	// were not executed.
 	dropsAnswers, refuses atomic.Bool
+	// executed counts the runs of this upstream.
+	executed atomic.Int64
 	// silent suspends announcements.
 	silent atomic.Bool
 	// pauses are the silences of a sound upstream.
@@ -130,6 +132,7 @@
 		u.serveOrCrash(w, req, instance)
 		return
 	}
+	u.executed.Add(1)
 	if u.service.recordRun(id, u.dropsAnswers.Load()) {
 		panic(http.ErrAbortHandler)
 	}
--- a/pkg/control/announce.go
+++ b/pkg/control/announce.go
@@ -20,20 +20,24 @@
 // them.
 const leaderlessLimit = time.Second
 
-// Announce records an upstream's announcement and relays it to the other keepers. An
-// announcement that the upstream drains or deregisters is refused while this keeper has
-// no leader.
+// Announce records an upstream's announcement and relays it to the other keepers. That the
+// upstream drains is committed before Announce returns without an error; it is refused while
+// this keeper has no leader.
 func (c *Control) Announce(u fleet.Upstream) error {
 	if u.Leaving() && !c.hasLeader() {
 		return errNoLeader()
 	}
 	u.AnnouncedAt = boottime.Now()
 	c.recordAndRelay(u)
-	return nil
+	if !u.Leaving() {
+		return nil
+	}
+	return c.commitDeparture(u.ID, u.StartTime)
 }
 
-// Deregister records that an upstream ended its service. It refuses an unknown upstream,
-// as a keeper that has just started has no record to relay.
+// Deregister records that an upstream ended its service, which is committed before it returns
+// without an error. It refuses an unknown upstream, as a keeper that has just started has no record
+// to relay.
 func (c *Control) Deregister(id string) error {
 	if !c.hasLeader() {
 		return errNoLeader()
@@ -52,7 +56,7 @@
 	c.opts.Log.Info().Str("upstream", id).Msg("upstream_deregistered")
 	c.relays.relayUpstream(&u, now)
 	c.inbox.Push(directoryChanged{})
-	return nil
+	return c.commitDeparture(id, u.StartTime)
 }
 
 func errNoLeader() *fault.Error {
--- a/pkg/control/control.go
+++ b/pkg/control/control.go
@@ -97,6 +97,8 @@
 	limits *statement.Dispenser
 	// tunnels are the attached entries as other entries reach upstreams through them.
 	tunnels tunnelPeers
+	// seenDepartures is the version of the committed departures that the directory has.
+	seenDepartures uint64
 	// evidenceChanged signals that the crash evidence has to be stored.
 	evidenceChanged chan struct{}
 
@@ -140,7 +142,7 @@
 
 // Run serves until ctx ends.
 func (c *Control) Run(ctx context.Context) {
-	c.opts.Keeper.Read(func() { c.putInForce(c.opts.Machine.Document()) })
+	c.opts.Keeper.Read(c.Applied)
 	var workers sync.WaitGroup
 	for range orderSenders {
 		workers.Go(func() { c.sendOrders(ctx) })
@@ -181,9 +183,13 @@
 	}
 }
 
-// DocumentApplied is called after the state machine applied a command, only by the
-// goroutine that applies commands. It does not block.
-func (c *Control) DocumentApplied() { c.putInForce(c.opts.Machine.Document()) }
+// Applied puts in force what the state machine has applied: the document, and departures of
+// upstreams. It is called after each command, only by the goroutine that applies commands, and
+// does not block.
+func (c *Control) Applied() {
+	c.putInForce(c.opts.Machine.Document())
+	c.recordDepartures()
+}
 
 // putInForce decodes a committed document and puts it in force if it is newer than the
 // current one.
--- a/pkg/control/control_test.go
+++ b/pkg/control/control_test.go
@@ -70,7 +70,7 @@
 		leaving := announcement(2)
 		leaving.Draining = true
 		require.NoError(t, c.Announce(announcement(1)))
-		require.NoError(t, c.Announce(leaving))
+		require.Error(t, c.Announce(leaving), "it is not committed")
 		<-time.After(2 * leaderlessLimit)
 		leaving.Sequence = 3
 		require.Error(t, c.Announce(leaving))
--- a/pkg/control/documents.go
+++ b/pkg/control/documents.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/masticmount/masticmount/pkg/document"
 	"github.com/masticmount/masticmount/pkg/fault"
@@ -10,10 +9,6 @@
 	"github.com/masticmount/masticmount/pkg/peerpb"
 )
 
-// replaceTimeout bounds one change or read of the document: operators' tools try another
-// node after 1 s without an answer.
-const replaceTimeout = 900 * time.Millisecond
-
 // Replace commits a valid document. It is a no-op without an error when the same or a
 // higher version has been committed.
 func (c *Control) Replace(ctx context.Context, version uint64, content []byte) error {
@@ -25,7 +20,7 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, replaceTimeout)
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
 	change := &peerpb.DocumentChange{Version: version, Content: packed}
 	resp, err := c.opts.Keeper.Propose(ctx, &peerpb.ProposeRequest{
@@ -48,7 +43,7 @@
 
 // Read returns the newest committed document, confirmed by a quorum read.
 func (c *Control) Read(ctx context.Context) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, replaceTimeout)
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
 	var change *peerpb.DocumentChange
 	if err := c.opts.Keeper.ReadConfirmed(ctx, func() { change = c.opts.Machine.Document() }); err != nil {
--- a/pkg/control/propagation_test.go
+++ b/pkg/control/propagation_test.go
@@ -25,7 +25,7 @@
 	var c *Control
 	k := keeper.New(keeper.Options{
 		Machine: machine, NodeID: "k", Address: "k", Folder: folder, Keepers: []keeper.Peer{{NodeID: "k", Address: "k"}},
-		OnApplied: func(uint64) { c.DocumentApplied() }, SnapshotEntries: 1, Log: zerolog.Nop(),
+		OnApplied: func(uint64) { c.Applied() }, SnapshotEntries: 1, Log: zerolog.Nop(),
 	})
 	c = New(Options{
 		Keeper: k, Machine: machine, Address: "k", AnnounceInterval: time.Second, StallTimeout: 4 * time.Second, OrderSender: rejectOrders{}, Log: zerolog.Nop(),
@@ -143,8 +143,8 @@
 		"deregistered": func(c *Control) error { return c.Deregister("e1") },
 	} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				c := newControl(t)
+			withLeader(t, func(t *testing.T, c *Control, _ string) {
+				defer c.opts.Keeper.Close()
 				require.NoError(t, c.Announce(announcement(1)))
 				link := &relayLink{batches: ring.New[*peerpb.RelayBatch](4, ring.DropOldest)}
 				c.relays.links["other"] = link
--- a/pkg/control/relay_test.go
+++ b/pkg/control/relay_test.go
@@ -41,9 +41,10 @@
 // An earlier announcement of a deregistered upstream can reach a restarted keeper before
 // the deregistration is relayed to it. The relay must send the deregistration again.
 func TestRestartedKeeperGetsDeregistrations(t *testing.T) {
-	informed, restarted := newControl(t), newControl(t)
+	informed, restarted := openSingleKeeper(t, t.TempDir()), newControl(t)
+	defer informed.opts.Keeper.Close()
 	require.NoError(t, informed.Announce(announcement(4)))
-	require.NoError(t, informed.Deregister("e1"))
+	require.Eventually(t, func() bool { return informed.Deregister("e1") == nil }, 10*time.Second, time.Millisecond, "it is committed")
 	require.NoError(t, restarted.Announce(announcement(3)), "a delayed announcement")
 	relayTo(t, informed, restarted)
 	deregistered := func() bool {
--- a/pkg/explain/explain.go
+++ b/pkg/explain/explain.go
@@ -104,7 +104,7 @@
 // upstreams.
 func isRelated(l Line, related map[string]bool) bool {
 	switch l.Event {
-	case "group_changed", "group_suspected", "upstream_silent", "upstream_deregistered", "upstream_limit_stated":
+	case "group_changed", "group_suspected", "upstream_silent", "upstream_deregistered", "departure_committed", "departure_not_committed", "upstream_limit_stated":
 		return related[l.Fields["group"]] || related[l.Fields["upstream"]]
 	default:
 		return false
@@ -197,6 +197,10 @@
 		return fmt.Sprintf("announcements of %s stopped", f["upstream"])
 	case "upstream_deregistered":
 		return f["upstream"] + " deregistered"
+	case "departure_committed":
+		return fmt.Sprintf("that %s leaves is committed (deregistered: %s)", f["upstream"], f["deregistered"])
+	case "departure_not_committed":
+		return fmt.Sprintf("that %s leaves could not be committed (deregistered: %s): %s", f["upstream"], f["deregistered"], f["error"])
 	default:
 		return l.Event
 	}
--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -45,6 +45,9 @@
 	Slots        int
 	// Draining is true for an upstream that finishes its work and then leaves.
 	Draining bool
+	// DrainingFrom is the sequence number of the first announcement known since which the
+	// incarnation has said so.
+	DrainingFrom uint64
 	// Deregistered is true once the upstream has deregistered; it is final for an incarnation.
 	Deregistered bool
 	// Staged are the models whose weights are on the VM, Models those that are loaded.
@@ -106,8 +109,14 @@
 		}
 		d.remove(holder)
 	}
+	if u.Draining {
+		u.DrainingFrom = u.Sequence
+	}
 	if held != nil && held.StartTime == u.StartTime {
 		u.Deregistered = u.Deregistered || held.Deregistered
+		if u.Draining && held.Draining {
+			u.DrainingFrom = held.DrainingFrom
+		}
 	}
 	if held != nil && held.Address != u.Address {
 		d.remove(held)
--- a/pkg/fleetnode/keeper.go
+++ b/pkg/fleetnode/keeper.go
@@ -142,7 +142,7 @@
 func (inst *keeperInstance) provideKeeper(i do.Injector) (*keeper.Keeper, error) {
 	return keeper.New(keeper.Options{
 		Machine:   do.MustInvoke[*state.Machine](i),
-		OnApplied: func(uint64) { inst.control().DocumentApplied() },
+		OnApplied: func(uint64) { inst.control().Applied() },
 		NodeID:    inst.opts.Address, Address: inst.opts.Address, FailureDomain: inst.opts.FailureDomain, Folder: inst.opts.DataFolder,
 		Keepers:      lo.Map(inst.opts.Seeds, func(a string, _ int) keeper.Peer { return keeper.Peer{NodeID: a, Address: a} }),
 		OnlyJoin:     !inst.opts.Bootstrap || !lo.Contains(inst.opts.Seeds, inst.opts.Address),
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -35,8 +35,9 @@
 	claims  *claims.Table
 	shares  *share.Table
 	// document is the operators' configuration document, or nil if there is none yet.
-	document *peerpb.DocumentChange
-	faults   injectedFaults
+	document   *peerpb.DocumentChange
+	departures departures
+	faults     injectedFaults
 }
 
 // injectedFaults disables single safeguards. Tests use it to verify that their
@@ -77,6 +78,9 @@
 		return &peerpb.Result{Revision: m.config.Revision, Shares: grants}
 	case *peerpb.Command_DocumentChange:
 		return m.applyDocument(body.DocumentChange)
+	case *peerpb.Command_Departure:
+		m.departures.apply(m.nowMS, body.Departure)
+		return &peerpb.Result{Revision: m.config.Revision}
 	default:
 		return &peerpb.Result{Revision: m.config.Revision}
 	}
@@ -200,6 +204,7 @@
 		SpentAttempts: m.claims.SpentAttempts(),
 		ShareHolders:  m.shares.Snapshot(),
 		Document:      m.document,
+		Departures:    m.departures.encode(),
 	}
 	if m.faults.omitChangesFromSnapshot {
 		snapshot.Changes = nil
@@ -239,6 +244,7 @@
 	restored.claims.Restore(snapshot.GetClaims(), snapshot.GetSpentAttempts())
 	restored.shares.Restore(snapshot.GetShareHolders())
 	restored.document = snapshot.GetDocument()
+	restored.departures.restore(m.departures.version, snapshot.GetDepartures())
 	*m = *restored
 	return nil
 }
