control: a planner lasts for its term, so that no epoch is given twice

Cause: planning is suspended after a pause, and the planner was dropped with it. Another one of the same term began with the term's first epoch, raised only to what engines report, and gave the epochs of unanswered orders again. Lost as well: orders in flight, loads under way, engines kept out of groups, released groups.

Fix: the planner lasts for its term. Orders dropped meanwhile are given again (outcome not-sent; before, the loss of the planner hid that a dropped order counts as in flight), results of another term's orders don't count, and an order that finds the queue full is not taken for rejected. Nothing changes on the wire or on disks.

TestOrdersOfEndedTermAreNotSent also asks for the outcome. The soak learns orders without an answer that are carried out 2 to 6 s later, and checks that no engine is taken from an open group.

--- a/cmd/mastic-soak/engines.go
+++ b/cmd/mastic-soak/engines.go
@@ -40,6 +40,8 @@
 	// crashes counts requests that crash engines.
 	crashes crashLog
 	all     []*engine
+	// joins counts the joins that engines got.
+	joins atomic.Int64
 	// faultsActive is true while faults are injected.
 	faultsActive atomic.Bool
 	done         chan struct{}
@@ -349,6 +351,11 @@
 		if err := json.Unmarshal([]byte(body), &o); err != nil {
 			e.set.runs.addUnexpected(fmt.Sprintf("%s got a malformed order: %v", e.id, err))
 		}
+		if e.set.delaysOrder(o) {
+			e.carryOutLate(o)
+			return nil
+		}
+		e.checkJoin(o)
 		cancels := e.group.cancelsStreams(o)
 		status, fields = e.group.execute(time.Now(), o, e.id), map[string]any{}
 		if cancels && status == http.StatusOK {
--- a/pkg/control/control.go
+++ b/pkg/control/control.go
@@ -33,7 +33,7 @@
 	// announcements are repeated, and the planner repeats its orders.
 	inboxSize = 4096
 	// orderQueueSize bounds the orders that wait to be sent. An order that does not fit is
-	// reported to the planner as rejected, and the planner gives it again.
+	// reported to the planner as not sent, and the planner gives it again.
 	orderQueueSize = 512
 	// orderSenders is the maximum number of orders in flight.
 	orderSenders = 16
@@ -106,7 +106,10 @@
 	relays        relays
 
 	planner *grouping.Planner
-	// leaderTerm is the term in which this keeper plans; 0 while it does not lead.
+	// plannerTerm is the term of the planner; 0 without one.
+	plannerTerm uint64
+	// leaderTerm is the term in which this keeper plans; 0 while it does not lead, or planning is
+	// suspended.
 	leaderTerm  atomic.Uint64
 	trafficSeen bool
 	demand      demand
--- a/pkg/control/coordinator.go
+++ b/pkg/control/coordinator.go
@@ -48,11 +48,14 @@
 	}
 }
 
-// orderDone is the outcome of an order.
-type orderDone struct{ result grouping.Result }
+// orderDone is the outcome of an order that was given in a term.
+type orderDone struct {
+	result grouping.Result
+	term   uint64
+}
 
 func (e orderDone) handle(c *Control, now time.Time) {
-	if c.planner != nil {
+	if c.planner != nil && e.term == c.plannerTerm {
 		c.planner.RecordResult(now, e.result)
 	}
 }
@@ -67,7 +70,8 @@
 	}
 	c.lastPlanAt = now
 	c.updateLeadership(now)
-	if c.planner == nil {
+	term := c.leaderTerm.Load()
+	if term == 0 {
 		return
 	}
 	c.mu.Lock()
@@ -83,8 +87,8 @@
 	c.planner.Observe(upstreams)
 	c.planner.SetDemand(c.demand.groups(now))
 	for _, o := range c.planner.Plan(now) {
-		if !c.orders.Push(queuedOrder{o, c.leaderTerm.Load()}) {
-			c.planner.RecordResult(now, grouping.Result{Order: o, Outcome: grouping.Rejected})
+		if !c.orders.Push(queuedOrder{o, term}) {
+			c.planner.RecordResult(now, grouping.Result{Order: o, Outcome: grouping.NotSent})
 		}
 	}
 	c.setGauges(now)
@@ -93,7 +97,7 @@
 			c.opts.Metrics.Observe(telemetry.Series{Name: "group_downtime", Class: model}, lasted)
 		}
 		c.opts.Log.Info().Str("group", e.Group).Str("change", e.Change).Str("reason", e.Reason).
-			Strs("members", e.Members).Uint64("term", c.leaderTerm.Load()).Msg("group_changed")
+			Strs("members", e.Members).Uint64("term", term).Msg("group_changed")
 	}
 }
 
@@ -113,12 +117,25 @@
 }
 
 // updateLeadership starts the planner when this keeper becomes leader and ends it when the
-// leadership is lost.
+// leadership is lost. A planner lasts for its term, also while planning is suspended: another one
+// would not know the epochs and the orders that were given, which may still be carried out.
 func (c *Control) updateLeadership(now time.Time) {
 	status := c.opts.Keeper.Status()
-	leads := status.Role == regionlog.Leader && now.After(c.pausedUntil)
+	leads, suspended := status.Role == regionlog.Leader, !now.After(c.pausedUntil)
+	if c.planner != nil && (!leads || c.plannerTerm != status.Term) {
+		c.planner, c.plannerTerm = nil, 0
+		c.leaderTerm.Store(0)
+		c.opts.Log.Info().Msg("steward_ended")
+	}
 	switch {
-	case leads && c.leaderTerm.Load() != status.Term:
+	case !leads:
+	case suspended:
+		if c.leaderTerm.Swap(0) != 0 {
+			c.opts.Metrics.Add("coordinator_pauses", 1)
+			c.opts.Log.Info().Uint64("term", status.Term).Msg("steward_suspended")
+		}
+	case c.planner == nil:
+		c.plannerTerm = status.Term
 		c.leaderTerm.Store(status.Term)
 		c.planner = grouping.New(now, grouping.Options{
 			Term: status.Term, StallTimeout: c.opts.StallTimeout, AnnounceInterval: c.opts.AnnounceInterval, UnlimitedLoads: c.opts.Bootstrap && !c.trafficSeen,
@@ -127,10 +144,10 @@
 		c.downtime = downtime{}
 		c.opts.Metrics.Add("elections_won", 1)
 		c.opts.Log.Info().Uint64("term", status.Term).Msg("steward_began")
-	case !leads && c.planner != nil:
-		c.planner = nil
-		c.leaderTerm.Store(0)
-		c.opts.Log.Info().Msg("steward_ended")
+	case c.leaderTerm.Load() == 0:
+		c.leaderTerm.Store(status.Term)
+		c.planner.Resume(now)
+		c.opts.Log.Info().Uint64("term", status.Term).Msg("steward_resumed")
 	}
 }
 
@@ -141,7 +158,8 @@
 }
 
 // sendOrders sends queued orders to engines until ctx ends. Orders of an earlier term are
-// dropped: the coordinator of the current term may have given another order since.
+// dropped: the coordinator of the current term may have given another order since. So are those
+// that wait while planning is suspended.
 func (c *Control) sendOrders(ctx context.Context) {
 	for {
 		queued, ok := c.orders.Pop(ctx)
@@ -152,6 +170,7 @@
 		if queued.term != c.leaderTerm.Load() {
 			c.opts.Log.Info().Str("order", string(o.Kind)).Str("upstream", o.Upstream).Str("group", o.Group).
 				Uint64("term", queued.term).Msg("order_dropped")
+			c.inbox.Push(orderDone{grouping.Result{Order: o, Outcome: grouping.NotSent}, queued.term})
 			continue
 		}
 		sentAt := boottime.Now()
@@ -160,6 +179,6 @@
 		c.opts.Log.Info().Str("order", string(o.Kind)).Str("upstream", o.Upstream).Str("group", o.Group).
 			Uint64("epoch", o.Epoch).Str("model", o.Model).Stringer("outcome", result.Outcome).
 			Dur("took_ms", boottime.Now().Sub(sentAt)).Msg("order_sent")
-		c.inbox.Push(orderDone{result})
+		c.inbox.Push(orderDone{result, queued.term})
 	}
 }
--- a/pkg/control/propagation_test.go
+++ b/pkg/control/propagation_test.go
@@ -245,6 +245,9 @@
 			go c.sendOrders(ctx)
 			synctest.Wait()
 			assert.Len(t, sent, map[bool]int{true: 1}[test.given == test.leads], name)
+			done := (<-c.inbox.Chan()).(orderDone)
+			assert.Equal(t, test.given == test.leads, done.result.Outcome == grouping.Accepted, name)
+			assert.Equal(t, test.given, done.term, name)
 			stop()
 		})
 	}
--- a/pkg/grouping/group.go
+++ b/pkg/grouping/group.go
@@ -114,6 +114,8 @@
 		g.rejected = true
 	case result.Outcome == Unanswered && result.Order.Kind == Open:
 		g.openUnanswered = true
+	case result.Outcome == NotSent:
+		delete(g.sentAt, result.Order.Upstream)
 	}
 }
 
--- a/pkg/grouping/order.go
+++ b/pkg/grouping/order.go
@@ -55,6 +55,8 @@
 	// ConnectionRefused means that the connection was refused. The engine has stopped,
 	// or a network partition refuses connections on its behalf.
 	ConnectionRefused
+	// NotSent means that the order was not sent and never will be.
+	NotSent
 )
 
 // Result is the outcome of one order.
@@ -74,5 +76,5 @@
 
 // String returns the outcome's name.
 func (o Outcome) String() string {
-	return [...]string{"accepted", "held", "rejected", "unanswered", "refused"}[o]
+	return [...]string{"accepted", "held", "rejected", "unanswered", "refused", "not-sent"}[o]
 }
--- a/pkg/grouping/planner.go
+++ b/pkg/grouping/planner.go
@@ -129,7 +129,8 @@
 	Members               []string
 }
 
-// New returns a planner for a newly elected coordinator.
+// New returns a planner for a newly elected coordinator. It must be the only one of its term: it
+// counts epochs from the first one of the term.
 func New(now time.Time, opts Options) *Planner {
 	return &Planner{
 		opts: opts, startedAt: now, upstreams: map[string]fleet.Upstream{}, lastReportAt: map[string]time.Time{}, reportingSince: map[string]time.Time{}, engines: map[string]*document.Engine{},
@@ -225,7 +226,9 @@
 		return
 	}
 	delete(p.inFlight, o.Upstream)
-	p.countOrder(inc, result.Outcome)
+	if result.Outcome != NotSent {
+		p.countOrder(inc, result.Outcome)
+	}
 	if o.Kind == Stage && result.Outcome != Accepted {
 		delete(p.staging, inc)
 	}
@@ -239,6 +242,7 @@
 
 func (p *Planner) recordProbe(now time.Time, inc incarnation, result Result) {
 	switch result.Outcome {
+	case NotSent:
 	case ConnectionRefused:
 		p.failedAt[inc] = now
 	case Unanswered:
@@ -251,6 +255,10 @@
 	}
 }
 
+// Resume continues after a pause in which the coordinator may have missed announcements. No orders
+// follow until they have arrived, as after an election.
+func (p *Planner) Resume(now time.Time) { p.startedAt = now }
+
 // Plan returns the orders that are due.
 func (p *Planner) Plan(now time.Time) []Order {
 	settle := settleTime
