fleet: announcements are checked for what an upstream can have, also those of other nodes

Tried here: nesting, numbers beyond 64 bits and port 65536 were refused before. Accepted were port 0, 0.0.0.0 (the entry itself), multicast, start times and sequences near 2^64 (the upstream they name is stale from then on), an epoch near 2^64 (the next one of the coordinator is 0), negative or 33-bit slots and ranks (other values at other nodes), names of megabytes and identifiers that are no UTF-8: a message that can't be encoded or received ends its stream, again and again, until the record expires after 37 s.

Cause: types were checked, ranges were not; a record is as sound as the strictest reader on its way.

Fix: one check in pkg/fleet, at the control interface (400) and for records of other nodes; bounded epochs; an incarnation keeps its service, and an unknown service displaces no upstream in use; contents of crashes that are no text are hashed.

--- a/pkg/attach/view.go
+++ b/pkg/attach/view.go
@@ -150,7 +150,9 @@
 		s.records = map[string]fleet.Upstream{}
 	}
 	for _, r := range u.GetUpstreams() {
-		s.records[r.GetId()] = fleet.Decode(r, now)
+		if record := fleet.Decode(r, now); record.Validate() == nil {
+			s.records[r.GetId()] = record
+		}
 	}
 	for _, id := range u.GetForgotten() {
 		delete(s.records, id)
--- a/pkg/control/announce.go
+++ b/pkg/control/announce.go
@@ -27,6 +27,10 @@
 	if u.Leaving() && !c.hasLeader() {
 		return errNoLeader()
 	}
+	if c.intrudes(&u) {
+		c.opts.Metrics.Add("announcements_refused", 1)
+		return fault.New(fault.InvalidRequest, "configure the service first", "the service %q is not configured, and %s or its address belongs to an upstream of another one", u.Service, u.ID)
+	}
 	u.AnnouncedAt = boottime.Now()
 	c.recordAndRelay(u)
 	if !u.Leaving() {
@@ -35,6 +39,19 @@
 	return c.commitDeparture(u.ID, u.StartTime)
 }
 
+// intrudes reports whether an announcement of a service that is not configured would replace the record
+// of an upstream in use.
+func (c *Control) intrudes(u *fleet.Upstream) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.document == nil || c.document.Services[u.Service] != nil {
+		return false
+	}
+	return slices.ContainsFunc(c.directory.Displaced(u), func(held fleet.Upstream) bool {
+		return c.document.Services[held.Service] != nil && !held.Silent && !held.Deregistered
+	})
+}
+
 // Deregister records that an upstream ended its service, which is committed before it returns
 // without an error. It refuses an unknown upstream, as a keeper that has just started has no record
 // to relay.
@@ -73,6 +90,16 @@
 	}
 }
 
+// recordRelayed records an announcement that another keeper sent, unless it is not valid.
+func (c *Control) recordRelayed(u fleet.Upstream) {
+	if err := u.Validate(); err != nil {
+		c.opts.Metrics.Add("announcements_refused", 1)
+		c.opts.Log.Warn().Err(err).Str("upstream", u.ID).Msg("announcement_refused")
+		return
+	}
+	c.record(u)
+}
+
 // record stores an announcement in the directory. It returns false when the
 // directory already has a newer one.
 func (c *Control) record(u fleet.Upstream) bool {
--- a/pkg/control/relay.go
+++ b/pkg/control/relay.go
@@ -217,7 +217,7 @@
 		}
 		now := boottime.Now()
 		for _, r := range b.GetUpstreams() {
-			c.record(fleet.Decode(r, now))
+			c.recordRelayed(fleet.Decode(r, now))
 		}
 		c.mergeCrashEvidence(b.GetCrashEvidence())
 		c.mergeStatements(b.GetStatements())
--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -96,10 +96,13 @@
 
 // Observe records an announcement and reports whether the record changed: the announcement
 // is the newest, or the first deregistration of its incarnation. An announcement of an
-// earlier incarnation, or of an upstream whose address belongs to a later incarnation,
-// changes nothing.
+// earlier incarnation, of an upstream whose address belongs to a later incarnation, or of a
+// known incarnation with another service changes nothing.
 func (d *Directory) Observe(u Upstream) bool {
 	held := d.byID[u.ID]
+	if held != nil && held.StartTime == u.StartTime && held.Service != u.Service {
+		return false
+	}
 	if held != nil && !newer(held, &u) {
 		return held.applyDeregistration(&u)
 	}
@@ -186,6 +189,19 @@
 	return silent, removed
 }
 
+// Displaced returns the records that an announcement would replace: that of an earlier incarnation, and
+// that of another upstream at its address.
+func (d *Directory) Displaced(u *Upstream) []Upstream {
+	var displaced []Upstream
+	if held := d.byID[u.ID]; held != nil && held.StartTime < u.StartTime {
+		displaced = append(displaced, *held)
+	}
+	if holder := d.byAddress[u.Address]; holder != nil && holder.ID != u.ID && holder.StartTime <= u.StartTime {
+		displaced = append(displaced, *holder)
+	}
+	return displaced
+}
+
 // Remove deletes the record of an upstream.
 func (d *Directory) Remove(id string) {
 	if u := d.byID[id]; u != nil {
--- a/pkg/grouping/group.go
+++ b/pkg/grouping/group.go
@@ -89,6 +89,14 @@
 	return s[:i], s[i+1:], true
 }
 
+// assignedEpoch reports whether a coordinator may have assigned the epoch of a reported group: it is part of
+// the group's name. Any other number is that of another writer.
+func assignedEpoch(m fleet.Membership) bool {
+	_, number, ok := cutLast(m.Group)
+	epoch, err := strconv.ParseUint(number, 36, 64)
+	return ok && err == nil && epoch == m.Epoch && epoch < 1<<(maxTermBits+epochBits)
+}
+
 // ParseGroupName returns the model and the size encoded in a group's name. ok is false for a
 // name that no coordinator assigned.
 func ParseGroupName(name string) (model string, size int, ok bool) { return parseName(name) }
--- a/pkg/grouping/planner.go
+++ b/pkg/grouping/planner.go
@@ -64,6 +64,9 @@
 	stagingTimeout = 45 * time.Second
 	// epochBits is the number of low bits that number the epochs within one term.
 	epochBits = 20
+	// maxTermBits bounds the terms whose epochs are taken for those of a coordinator, also one of an
+	// earlier region: the epochs after them must stay exact in JSON.
+	maxTermBits = 28
 )
 
 // Planner holds the coordinator's plan. It is not safe for concurrent use.
@@ -162,7 +165,9 @@
 		}
 		p.upstreams[u.ID] = u
 		p.lastReportAt[u.FailureDomain] = maxTime(p.lastReportAt[u.FailureDomain], u.AnnouncedAt)
-		p.epoch = max(p.epoch, u.Group.Epoch)
+		if assignedEpoch(u.Group) {
+			p.epoch = max(p.epoch, u.Group.Epoch)
+		}
 		inc := incarnation{u.ID, u.StartTime}
 		if model, _, ok := parseName(u.Group.Group); ok && u.Group.State != fleet.Joining {
 			p.lastModel[inc] = model
--- a/pkg/grouping/planner_test.go
+++ b/pkg/grouping/planner_test.go
@@ -13,6 +13,29 @@
 	"github.com/masticmount/masticmount/pkg/mechanism"
 )
 
+// Guards against a report with an epoch near the largest number, which makes the epochs after it begin again at 0, so
+// that engines reject every join.
+func TestEpochOfAnotherWriterIsNotContinued(t *testing.T) {
+	for name, group := range map[string]fleet.Membership{
+		"the largest number":          {Group: groupName("big", 4, ^uint64(0)), Epoch: ^uint64(0), Rank: 1, State: fleet.Ready},
+		"beyond all terms":            {Group: groupName("big", 4, 1<<50), Epoch: 1 << 50, Rank: 1, State: fleet.Ready},
+		"not the one in its own name": {Group: "big.4.x", Epoch: 1 << 45, Rank: 1, State: fleet.Ready},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSimulation(t, firstStart())
+			s.add("odd", "fab")
+			s.engines["odd"].Group = group
+			s.run(10 * time.Second)
+			assert.Equal(t, initialGroups, s.openGroups())
+			for _, o := range s.orders {
+				if o.Kind == Join && o.Group != group.Group {
+					assert.EqualValues(t, firstStart().Term, o.Epoch>>epochBits)
+				}
+			}
+		})
+	}
+}
+
 func firstStart() Options { return Options{Term: 2, UnlimitedLoads: true} }
 
 // withSpares disables the mechanisms that use engines for two models.
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -23,6 +23,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -608,7 +609,7 @@
 // normalize returns the identifiers of the contents that are examined.
 func normalize(contents []string) []string {
 	contents = contents[:min(len(contents), maxContents)]
-	if !slices.ContainsFunc(contents, func(content string) bool { return len(content) > maxContentBytes }) {
+	if !slices.ContainsFunc(contents, isUnsuitable) {
 		return contents
 	}
 	short := make([]string, 0, len(contents))
@@ -618,9 +619,14 @@
 	return short
 }
 
-// shortened returns the identifier of a content, hashed when it is too long.
+// isUnsuitable reports whether an identifier is too long, or can't be sent to other nodes as text.
+func isUnsuitable(content string) bool {
+	return len(content) > maxContentBytes || !utf8.ValidString(content)
+}
+
+// shortened returns the identifier of a content, hashed when it is unsuitable.
 func shortened(content string) string {
-	if len(content) <= maxContentBytes {
+	if !isUnsuitable(content) {
 		return content
 	}
 	return strconv.FormatUint(xxhash.Sum64String(content), 16)
--- a/pkg/quarantine/table_test.go
+++ b/pkg/quarantine/table_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/masticmount/masticmount/pkg/peerpb"
 )
@@ -396,6 +397,22 @@
 	assert.LessOrEqual(t, len(table.requests.recent)+len(table.requests.older), 2*maxRecentSuccesses)
 }
 
+// Guards against an identifier that is no text: the evidence with it can't be encoded, and breaks each stream that is to
+// carry it.
+func TestIdentifiersThatAreNoTextAreSent(t *testing.T) {
+	contents := Contents("", []string{"p\xff", "\xc3\x28"})
+	table := tableWith(success(0.5, contents...), crash(1, "a", contents...), success(1.5, "x"), crash(2, "b", contents...), crash(3, "c", contents...))
+	evidence, _ := table.Encode(at(4), 0)
+	data, err := proto.Marshal(evidence)
+	require.NoError(t, err)
+	received := &peerpb.CrashEvidence{}
+	require.NoError(t, proto.Unmarshal(data, received))
+	other := NewTable()
+	other.Merge(at(4), received)
+	_, refused := other.Check(at(4), contents)
+	assert.True(t, refused)
+}
+
 // Evidence of older nodes names no service.
 func TestEvidenceWithoutServiceIsRead(t *testing.T) {
 	table := NewTable()
