forward: a late request of a planned stop is accepted only if its deadline is before the end

Cause: in a stop a request was accepted by its expected service time. Only its deadline bounds a run.

Fix: once the load balancer opens no more connections, and for run-once requests from the beginning, the deadline and a reserve of 0.5 s must fit into the time left; otherwise 503 at once, and another entry answers. The stop's end is on the monotonic clock: a step of the wall clock moved it.

--- a/pkg/forward/entry.go
+++ b/pkg/forward/entry.go
@@ -91,8 +91,8 @@
 	startedAt time.Time
 	inFlight  atomic.Int64
 	unwritten unwrittenAnswers
-	// stopAt is when a planned stop ends, in Unix nanoseconds; 0 while none is planned.
-	stopAt atomic.Int64
+	// plannedStop is nil while no stop is planned.
+	plannedStop atomic.Pointer[plannedStop]
 	// finished is true once a planned stop has answered all requests: the process is about to
 	// exit.
 	finished atomic.Bool
--- a/pkg/forward/entry_test.go
+++ b/pkg/forward/entry_test.go
@@ -417,7 +417,7 @@
 
 func TestStoppingEntryRefusesRequestsThatWouldOutlastIt(t *testing.T) {
 	inBubble(t, map[string]script{"a:1": alwaysAnswer(answer(200, "ok"))}, func(h *harness) {
-		h.entry.BeginStop(time.Now().Add(stopReserve / 2))
+		h.entry.BeginStop(time.Now(), time.Now().Add(stopReserve/2))
 		resp, _, err := h.call("POST", "/once/x", "grant")
 		require.NoError(t, err)
 		assert.Equal(t, 503, resp.StatusCode)
--- a/pkg/forward/misbehaving_upstream_test.go
+++ b/pkg/forward/misbehaving_upstream_test.go
@@ -156,7 +156,7 @@
 		listener.conns <- server
 		synctest.Wait()
 		const grace = 4 * serviceTime
-		h.entry.BeginStop(time.Now().Add(grace))
+		h.entry.BeginStop(time.Now().Add(grace), time.Now().Add(grace))
 		ctx, cancel := context.WithTimeout(context.Background(), grace)
 		defer cancel()
 		unfinished := make(chan int, 1)
--- a/pkg/forward/session.go
+++ b/pkg/forward/session.go
@@ -72,7 +72,7 @@
 	e.inFlight.Add(1)
 	e.unwritten.add(ctx.Conn())
 	r, refusal := e.resolve(ctx)
-	if _, stopping := e.stopTimeLeft(r.arrivedAt); stopping || !e.Ready() {
+	if e.stopping() || !e.Ready() {
 		// The caller's next connection reaches another entry.
 		ctx.Response.SetConnectionClose()
 	}
--- a/pkg/forward/stop.go
+++ b/pkg/forward/stop.go
@@ -9,30 +9,46 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/masticmount/masticmount/pkg/document"
 	"github.com/masticmount/masticmount/pkg/fault"
 )
 
-// BeginStop begins a planned stop that ends at a given time: from now on every answer closes
-// its connection, and requests that cannot be answered before the end are refused.
-func (e *Entry) BeginStop(end time.Time) { e.stopAt.Store(end.UnixNano()) }
+// plannedStop is when a planned stop ends, and until when the load balancer sends new callers.
+type plannedStop struct{ balancerUntil, end time.Time }
 
-// stopTimeLeft reports whether a planned stop has begun, and the time until it ends.
-func (e *Entry) stopTimeLeft(now time.Time) (left time.Duration, begun bool) {
-	end := e.stopAt.Load()
-	return time.Duration(end - now.UnixNano()), end != 0
+// BeginStop begins a planned stop that ends at a given time: from now on every answer closes
+// its connection, and requests that cannot be answered before the end are refused. Until
+// balancerUntil the load balancer may open connections; callers that come later can reach
+// another entry at once.
+func (e *Entry) BeginStop(balancerUntil, end time.Time) {
+	e.plannedStop.Store(&plannedStop{balancerUntil, end})
 }
 
-// A request is accepted during a planned stop if stopMargin times its expected service time,
-// and stopReserve for the network, fit into the time that is left.
+// stopping reports whether a planned stop has begun.
+func (e *Entry) stopping() bool { return e.plannedStop.Load() != nil }
+
+// A request that arrives in the first part of a planned stop is accepted if stopMargin times its
+// expected service time, and stopReserve for the network, fit into the time that is left.
 const (
 	stopMargin  = 2
 	stopReserve = 500 * time.Millisecond
 )
 
-// checkStop refuses a request that the end of a planned stop would cut off, or the exit after it.
+// fits reports whether a request may be accepted during the stop. A run may take longer than
+// expected, up to the request's deadline. The entry takes that risk only as long as callers
+// have no better choice, and for no request that could not be sent again.
+func (p *plannedStop) fits(r *request) bool {
+	needed := stopMargin * r.serviceTime
+	if !r.arrivedAt.Before(p.balancerUntil) || r.route.Idempotency == document.AtMostOnce {
+		needed = r.deadline.Sub(r.arrivedAt)
+	}
+	return needed+stopReserve < p.end.Sub(r.arrivedAt)
+}
+
+// checkStop refuses a request that the end of a planned stop may cut off, or the exit after it.
 func (e *Entry) checkStop(r *request) *fault.Error {
-	left, begun := e.stopTimeLeft(r.arrivedAt)
-	if !e.finished.Load() && (!begun || stopMargin*r.serviceTime+stopReserve < left) {
+	planned := e.plannedStop.Load()
+	if !e.finished.Load() && (planned == nil || planned.fits(r)) {
 		return nil
 	}
 	return fault.New(fault.Stopping, "retry over a new connection", "this node is stopping").WithRetryAfter(stopRetry)
--- a/pkg/forward/unanswered_test.go
+++ b/pkg/forward/unanswered_test.go
@@ -313,7 +313,7 @@
 	listener.conns <- server
 	send(caller)
 	synctest.Wait()
-	h.entry.BeginStop(time.Now().Add(grace))
+	h.entry.BeginStop(time.Now().Add(grace), time.Now().Add(grace))
 	unfinished := make(chan int, 1)
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), grace)
