tunnel: upstreams that crash in turn don't make the path count as lost

No entry confirmed a crash, so that neither a crashing prompt part (31 engines) nor a crashing request (10 late sends) was quarantined.

Cause: the path was down once three connections to two upstreams failed and the upstream that answered last failed as well, here one of those that crash. Probes went to that one only, and each failure of any upstream began the count of successes anew, so the path did not come up while anything crashed.

Fix: the four upstreams that answered last must all fail, probes go to one of them that has not, and a failure begins the count anew only if it is that of the upstream to which the last connection was opened. A path that is lost has no success at all; with the probes' interval it counts as down 0.75 s later at most than before, and connections are opened through other entries in the meantime anyway.

Failed before: TestPathIsUpWhileAnyUpstreamThatAnsweredIsReachable; TestPathReturnsWhileOtherUpstreamsFail needs the address of an opened connection, which was not known. The existing tests name it; what they ask is unchanged.

--- a/pkg/tunnel/dialer.go
+++ b/pkg/tunnel/dialer.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -297,11 +298,11 @@
 	d.probe(address)
 }
 
-func (d *Dialer) recordOpened() {
+func (d *Dialer) recordOpened(address string) {
 	d.mu.Lock()
 	was := d.path.changedAt
 	now := boottime.Now()
-	changed := d.path.Opened(now)
+	changed := d.path.Opened(now, address)
 	d.mu.Unlock()
 	if changed {
 		d.opts.Metrics.Set("path.down", 0)
@@ -330,21 +331,19 @@
 	if err != nil {
 		return nil, err
 	}
-	d.recordOpened()
+	d.recordOpened(address)
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		return &directConn{TCPConn: tcp, dialer: d}, nil
 	}
 	return conn, nil
 }
 
-// probe opens a direct connection if one is due, to find out whether the path works: to the upstream that answered last, or to
-// the given address if none has.
+// probe opens a direct connection if one is due, to find out whether the path works: to an upstream that answered, or to the
+// given address if none has.
 func (d *Dialer) probe(address string) {
 	d.mu.Lock()
 	due := d.path.probeDue(boottime.Now())
-	if d.path.lastAnswered != "" {
-		address = d.path.lastAnswered
-	}
+	address = cmp.Or(d.path.probeAddress(), address)
 	d.mu.Unlock()
 	if !due {
 		return
--- a/pkg/tunnel/path.go
+++ b/pkg/tunnel/path.go
@@ -1,12 +1,17 @@
 package tunnel
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// minFailures and minAddresses are the failures in a row to open direct connections, and the upstreams among
 	// them, after which the direct path counts as down. One upstream may have ended.
 	minFailures  = 3
 	minAddresses = 2
+	// maxAnswered is the number of upstreams that answered last which must all fail, too.
+	maxAnswered = 4
 	// answerTimeout is the time in which some upstream answers an entry that has sent something, by far: prompts
 	// are read in less, and other streams go on meanwhile.
 	answerTimeout = 300 * time.Millisecond
@@ -15,7 +20,8 @@
 	connsValidFor = time.Second
 	// probeInterval is the time between two probes while the path is down or suspected to be.
 	probeInterval = 250 * time.Millisecond
-	// recoverySuccesses is the number of direct connections in a row after which the path counts as up.
+	// recoverySuccesses is the number of direct connections after which the path counts as up, while the
+	// upstreams that they were opened to don't fail.
 	recoverySuccesses = 3
 	// recoveryTime is the time after that in which new connections return to the direct path, so that not all are
 	// opened in one moment.
@@ -30,24 +36,28 @@
 	failures int
 	// failedSince is the first of these failures.
 	failedSince time.Time
-	// successes counts direct connections in a row while the path is down.
-	successes int
-	down      bool
+	// successes counts direct connections while the path is down. It begins anew if the upstream that the last one
+	// was opened to fails; others may have ended.
+	successes  int
+	lastOpened string
+	down       bool
 	// changedAt is when the path went down or came up.
 	changedAt time.Time
 	probedAt  time.Time
 	// openedAt is when a direct connection was last opened, receivedAt when the last byte came over one.
 	openedAt, receivedAt time.Time
-	// lastAnswered is the address of the upstream that sent that byte.
-	lastAnswered string
+	// answered are the addresses of the upstreams that sent something last, the latest first.
+	answered []string
+	// probes counts the probes.
+	probes int
 	// waitingSince is the first send over a direct connection since the last byte; zero if there is none.
 	waitingSince time.Time
 }
 
-// Opened records that a direct connection was opened.
-func (p *Path) Opened(now time.Time) (changed bool) {
+// Opened records that a direct connection to an address was opened.
+func (p *Path) Opened(now time.Time, address string) (changed bool) {
 	clear(p.failed)
-	p.failures, p.openedAt, p.waitingSince = 0, now, time.Time{}
+	p.failures, p.openedAt, p.lastOpened, p.waitingSince = 0, now, address, time.Time{}
 	if !p.down {
 		return false
 	}
@@ -68,21 +78,27 @@
 	if p.failures++; p.failures == 1 {
 		p.failedSince = now
 	}
-	p.successes = 0
-	if p.down || !p.suspected() || !p.lastAnsweredFailed() || p.receives(now) {
+	if address == p.lastOpened {
+		p.successes = 0
+	}
+	if p.down || !p.suspected() || !p.answeredFailed() || p.receives(now) {
 		return false
 	}
-	p.down, p.changedAt, p.probedAt = true, now, now
+	p.down, p.changedAt, p.probedAt, p.successes = true, now, now, 0
 	return true
 }
 
 // suspected reports whether so many connections failed that the path may be down.
 func (p *Path) suspected() bool { return p.failures >= minFailures && len(p.failed) >= minAddresses }
 
-// lastAnsweredFailed reports whether the upstream that answered last cannot be reached either; others may have ended together.
-func (p *Path) lastAnsweredFailed() bool {
-	_, failed := p.failed[p.lastAnswered]
-	return failed || p.lastAnswered == ""
+// answeredFailed reports whether the upstreams that answered last cannot be reached either; some may have ended together.
+func (p *Path) answeredFailed() bool {
+	return !slices.ContainsFunc(p.answered, func(address string) bool { return !p.hasFailed(address) })
+}
+
+func (p *Path) hasFailed(address string) bool {
+	_, failed := p.failed[address]
+	return failed
 }
 
 // receives reports whether open connections have gone on to bring something since connections began to fail.
@@ -92,8 +108,7 @@
 
 // failedAlone reports whether no other address failed since a connection was last opened.
 func (p *Path) failedAlone(address string) bool {
-	_, failed := p.failed[address]
-	return failed && len(p.failed) == 1
+	return p.hasFailed(address) && len(p.failed) == 1
 }
 
 // probeDue reports whether a connection is to be opened to find out whether the path works, and counts it.
@@ -102,9 +117,22 @@
 		return false
 	}
 	p.probedAt = now
+	p.probes++
 	return true
 }
 
+// probeAddress returns the upstream to which a probe connects: one that answered and has not failed since, or else
+// each of those that answered in turn. It is empty if none has answered.
+func (p *Path) probeAddress() string {
+	if len(p.answered) == 0 {
+		return ""
+	}
+	if i := slices.IndexFunc(p.answered, func(address string) bool { return !p.hasFailed(address) }); i >= 0 {
+		return p.answered[i]
+	}
+	return p.answered[p.probes%len(p.answered)]
+}
+
 // Sent records that bytes were sent over a direct connection.
 func (p *Path) Sent(now time.Time) {
 	if p.waitingSince.IsZero() {
@@ -114,7 +142,13 @@
 
 // Received records that bytes came over a direct connection from an address.
 func (p *Path) Received(now time.Time, address string) {
-	p.receivedAt, p.lastAnswered, p.waitingSince = now, address, time.Time{}
+	p.receivedAt, p.waitingSince = now, time.Time{}
+	if len(p.answered) > 0 && p.answered[0] == address {
+		return
+	}
+	p.answered = slices.DeleteFunc(p.answered, func(other string) bool { return other == address })
+	p.answered = slices.Insert(p.answered, 0, address)
+	p.answered = p.answered[:min(len(p.answered), maxAnswered)]
 }
 
 // Down reports whether direct connections cannot be opened.
--- a/pkg/tunnel/path_test.go
+++ b/pkg/tunnel/path_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 )
 
 var start = time.Unix(1000, 0)
@@ -33,7 +34,7 @@
 	p = &Path{}
 	p.Failed(start, "a")
 	p.Failed(start, "b")
-	p.Opened(start)
+	p.Opened(start, "a")
 	assert.False(t, p.Failed(start, "c"), "a connection was opened meanwhile")
 	assert.False(t, p.Down())
 }
@@ -50,6 +51,41 @@
 	assert.True(t, p.Down())
 }
 
+// Guards against entries that all count their path as down, and confirm no crash to each other, because the upstream
+// that answered last was among those that crashed.
+func TestPathIsUpWhileAnyUpstreamThatAnsweredIsReachable(t *testing.T) {
+	p := &Path{}
+	for _, address := range []string{"sound", "also sound", "crashing", "crashing 2"} {
+		p.Received(start, address)
+	}
+	for range 10 {
+		for _, address := range []string{"crashing 2", "crashing", "ended"} {
+			assert.False(t, p.Failed(at(time.Second), address))
+		}
+	}
+	assert.Equal(t, "also sound", p.probeAddress(), "a probe goes to one that has not failed")
+	assert.False(t, p.Failed(at(time.Second), "also sound"))
+	assert.Equal(t, "sound", p.probeAddress())
+	assert.True(t, p.Failed(at(time.Second), "sound"))
+	assert.True(t, p.Down())
+	probed := map[string]bool{}
+	for i := range 2 * maxAnswered {
+		require.True(t, p.probeDue(at(time.Duration(10+i)*time.Second)))
+		probed[p.probeAddress()] = true
+	}
+	assert.Len(t, probed, maxAnswered, "all in turn while the path is down")
+}
+
+// Guards against a path that stays down as long as some upstreams crash, although others are reached.
+func TestPathReturnsWhileOtherUpstreamsFail(t *testing.T) {
+	p := downPath()
+	for i := range recoverySuccesses {
+		p.Failed(at(time.Second), "ended")
+		assert.Equal(t, i == recoverySuccesses-1, p.Opened(at(time.Second), "sound"))
+	}
+	assert.False(t, p.Down())
+}
+
 // The path was given up, and streams depended on other entries, while all open streams went on.
 func TestPathIsUpWhileOpenConnectionsBringSomething(t *testing.T) {
 	p := &Path{}
@@ -68,7 +104,7 @@
 	assert.True(t, p.failedAlone("a"))
 	p.Failed(start, "b")
 	assert.False(t, p.failedAlone("a"))
-	p.Opened(start)
+	p.Opened(start, "a")
 	assert.False(t, p.failedAlone("a"))
 }
 
@@ -76,12 +112,12 @@
 	p := downPath()
 	assert.True(t, p.Down())
 	assert.Zero(t, p.DirectShare(at(time.Second)))
-	assert.False(t, p.Opened(at(time.Second)))
+	assert.False(t, p.Opened(at(time.Second), "a"))
 	p.Failed(at(time.Second), "a")
 	for range recoverySuccesses - 1 {
-		assert.False(t, p.Opened(at(2*time.Second)), "in a row")
+		assert.False(t, p.Opened(at(2*time.Second), "a"), "in a row")
 	}
-	assert.True(t, p.Opened(at(2*time.Second)))
+	assert.True(t, p.Opened(at(2*time.Second), "a"))
 	assert.False(t, p.Down())
 	assert.InDelta(t, 0.5, p.DirectShare(at(2*time.Second+recoveryTime/2)), 1e-9)
 	assert.InDelta(t, 1, p.DirectShare(at(2*time.Second+2*recoveryTime)), 1e-9)
@@ -110,7 +146,7 @@
 	p.Received(at(time.Second), "a")
 	assert.True(t, p.ConnsUsable(at(10*time.Second)), "nothing is awaited")
 	p.Sent(at(10 * time.Second))
-	p.Opened(at(11 * time.Second))
+	p.Opened(at(11*time.Second), "a")
 	assert.True(t, p.ConnsUsable(at(12*time.Second)), "the path works, so the upstream is slow")
 }
 
@@ -128,7 +164,7 @@
 	p.Received(at(time.Second), "a")
 	assert.True(t, p.Proven(start))
 	p = &Path{}
-	p.Opened(at(time.Second))
+	p.Opened(at(time.Second), "a")
 	assert.True(t, p.Proven(start))
 }
 
