quarantine: that a service answers is known after a restart of all entries

Cause: only the entries' memory said that a service was working.

Fix: nodes tell each other of an answer of a service about once a minute, also if it refutes no crash, and keepers store it with the crash evidence. Half a minute between two records that are taken over keeps nodes from telling each other the same answer with times that differ by milliseconds.

Failed before: TestRestartedNodesKnowThatServiceWorked. Cost: one record a minute, service and link.

--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -44,6 +44,9 @@
 	UnconfirmedTime = 30 * time.Second
 	// workingTime is how long after an answer an upstream's service still counts as working.
 	workingTime = 10 * time.Minute
+	// answeredInterval is the time between two answers of a service that nodes tell each other of
+	// although they refute nothing.
+	answeredInterval = time.Minute
 	// SettleTime is how long a whole request is held instead of quarantined after a crash: other
 	// nodes may have seen other requests in that crash, and their evidence takes that long.
 	SettleTime = 500 * time.Millisecond
@@ -86,8 +89,8 @@
 	// within correlationWindow. The node that sent it decides that, as its times are not exact
 	// elsewhere.
 	AfterCrash bool
-	// ServiceAnswered is true if a node saw the service answer a request within workingTime before
-	// the crash.
+	// ServiceAnswered is true if a node knew, when it learnt of the crash, that the service had answered
+	// a request within workingTime before.
 	ServiceAnswered bool
 }
 
@@ -212,10 +215,14 @@
 	})
 }
 
-// answeredBefore reports whether this node saw the service of a crash answer a request shortly before.
+// answeredBefore reports whether this node, or one that told it so, saw the service of a crash answer a request shortly
+// before.
 func (t *Table) answeredBefore(c *Crash) bool {
-	at, known := t.others.at(anyRequestOf(c.Service))
-	return known && !at.After(c.At) && c.At.Sub(at) < workingTime
+	service := anyRequestOf(c.Service)
+	own, known := t.others.at(service)
+	told, answered := t.successes[service]
+	isBefore := func(at time.Time) bool { return !at.After(c.At) && c.At.Sub(at) < workingTime }
+	return known && isBefore(own) || answered && isBefore(told.at)
 }
 
 // withService returns the contents of a crash and what stands for all requests of its service.
@@ -231,12 +238,30 @@
 		t.recentOf(content).record(content, now)
 		refuted = t.addSuccess(content, now) || refuted
 	}
+	if service != "" {
+		t.recordAnswered(anyRequestOf(service), now, answeredInterval)
+	}
 	return refuted
 }
 
 // AddSuccess records a success that another node observed, and reports whether it refutes
 // evidence.
-func (t *Table) AddSuccess(s Success) bool { return t.addSuccess(shortened(s.Content), s.At) }
+func (t *Table) AddSuccess(s Success) bool {
+	content := shortened(s.Content)
+	// Nodes know the time to some milliseconds only: half an interval keeps them from telling each other the same answer
+	// again and again.
+	return t.addSuccess(content, s.At) || content != "" && isAnyRequest(content) && t.recordAnswered(content, s.At, answeredInterval/2)
+}
+
+// recordAnswered records that a service was working at a time, unless it is known to have been until shortly before.
+func (t *Table) recordAnswered(service string, at time.Time, interval time.Duration) bool {
+	if known, answered := t.successes[service]; answered && at.Sub(known.at) < interval {
+		return false
+	}
+	t.version++
+	t.successes[service] = successRecord{at, t.version}
+	return true
+}
 
 // addSuccess records a success if it refutes a crash that the known success does not.
 func (t *Table) addSuccess(content string, at time.Time) bool {
@@ -402,6 +427,9 @@
 	if len(t.crashes) < before {
 		t.reindex()
 	}
+	maps.DeleteFunc(t.successes, func(content string, s successRecord) bool {
+		return t.crashTimes[content] == nil && now.Sub(s.at) >= evidenceTime
+	})
 }
 
 // evict deletes the oldest crashes while there are too many: those without a finding against one of
@@ -438,7 +466,9 @@
 			t.crashTimes[content] = append(t.crashTimes[content], c.At)
 		}
 	}
-	maps.DeleteFunc(t.successes, func(content string, _ successRecord) bool { return t.crashTimes[content] == nil })
+	maps.DeleteFunc(t.successes, func(content string, _ successRecord) bool {
+		return t.crashTimes[content] == nil && !isAnyRequest(content)
+	})
 	t.examined = false
 }
 
--- a/pkg/quarantine/table_test.go
+++ b/pkg/quarantine/table_test.go
@@ -590,6 +590,32 @@
 	assert.False(t, refused)
 }
 
+// Guards against a part that ends engines without end after all nodes that saw its service work have restarted.
+func TestRestartedNodesKnowThatServiceWorked(t *testing.T) {
+	entry, keeper := NewTable(), NewTable()
+	for second := range 130 {
+		entry.ObserveSuccess(at(float64(second)), "chat", []string{"p"})
+		exchange(at(float64(second)), entry, keeper)
+	}
+	_, version, _ := keeper.Since(0)
+	require.Len(t, version, 1)
+	assert.EqualValues(t, 3, keeper.version, "told once a minute")
+	assert.False(t, exchange(at(130.1), keeper, entry), "nothing is told back")
+
+	stored, _ := keeper.Encode(at(131), 0)
+	restartedKeeper, restartedEntry := NewTable(), NewTable()
+	restartedKeeper.Merge(at(140), stored)
+	exchange(at(141), restartedKeeper, restartedEntry)
+	contents := []string{"p", "crashing"}
+	promptCrashes(restartedEntry, 150, 3, func(int) []string { return contents })
+	finding, refused := restartedEntry.Check(at(151), contents)
+	assert.True(t, refused)
+	assert.True(t, finding.Unconfirmed)
+	restartedEntry.Changes(at(151))
+	restartedEntry.Changes(at(151 + evidenceTime.Seconds()))
+	assert.Empty(t, restartedEntry.successes, "forgotten with the crashes")
+}
+
 // Guards against nodes that judge the same crashes differently because only some of them saw the service
 // work before, or because an older node drops what they saw.
 func TestNodesAgreeThatServiceWorkedBeforeCrashes(t *testing.T) {
@@ -600,6 +626,7 @@
 	_, refused := crashed.Check(at(2), contents)
 	assert.False(t, refused)
 	older, _ := crashed.Encode(at(2), 0)
+	require.Empty(t, older.GetSuccesses())
 	assert.False(t, older.GetCrashes()[0].GetServiceAnswered())
 	assert.True(t, keeper.Merge(at(2), older))
 
