storage: a full disk keeps no incomplete files; full disks in turn are played

Found on the way: what could not be written to its end stayed on the disk under a temporary name, another one for each index. It is removed at once, and when the folder is opened.

--- a/cmd/mastic-soak/faults.go
+++ b/cmd/mastic-soak/faults.go
@@ -30,7 +30,7 @@
 
 // run injects faults until a time and leaves all nodes running.
 func (f *faults) run(until time.Time) {
-	kinds := []func(){f.kill, f.term, f.freeze, f.wipe, f.killEntry, f.dropAnswers, f.refuse, f.silence, f.stopKeepers}
+	kinds := []func(){f.kill, f.term, f.freeze, f.wipe, f.killEntry, f.dropAnswers, f.refuse, f.silence, f.stopKeepers, f.fillDisks}
 	f.runSequence(until, kinds)
 }
 
--- a/cmd/mastic-soak/main.go
+++ b/cmd/mastic-soak/main.go
@@ -24,6 +24,7 @@
 	Grouped         int           `arg:"--grouped" default:"6" help:"number of engines that form groups; 0 for none"`
 	GroupsMustServe bool          `arg:"--groups-must-serve" help:"count it as a violation if streams of groups are not served at the start or the end"`
 	Callers         int           `arg:"--callers" default:"24" help:"number of callers of streams"`
+	OnlyFullDisks   bool          `arg:"--only-full-disks" help:"inject only full disks of keepers, one after another"`
 	OnlySilences    bool          `arg:"--only-silences" help:"inject only silences of sound upstreams, planned restarts and changes of the configuration"`
 	KeepAll         bool          `arg:"--keep" help:"also keep the folders of seeds without a violation"`
 }
@@ -126,9 +127,13 @@
 	all.Go(func() { kioskCalls.runBesideFaults(seed, until) })
 	leaving := &departures{region: r, service: service}
 	injected := &concurrentFaults{region: r, engines: engines, service: service, entryLinks: entryLinks}
-	if args.OnlySilences {
+	switch {
+	case args.OnlySilences:
 		injected.runSilences(seed, until)
-	} else {
+	case args.OnlyFullDisks:
+		f := &faults{region: r, service: service, random: faultSource(seed)}
+		f.runSequence(until, []func(){f.fillDisks})
+	default:
 		all.Go(func() { leaving.run(seed, until) })
 		injected.run(seed, until)
 	}
@@ -136,8 +141,9 @@
 	served := streams.counts.finished.Load() - before
 	service.faultsActive.Store(false)
 	engines.faultsActive.Store(false)
+	changed := op.changesAcknowledged()
 	violations := append(service.violations(c.answers()), service.givenUp(c.answers())...)
-	violations = append(violations, service.limitViolations()...)
+	violations = append(append(violations, changed...), service.limitViolations()...)
 	var crashViolations []string
 	var calm sync.WaitGroup
 	calm.Go(func() { crashViolations = kioskCalls.check() })
--- a/pkg/regionlog/storage/storage.go
+++ b/pkg/regionlog/storage/storage.go
@@ -27,8 +27,10 @@
 	identityFile = "identity"
 	lockFile     = "lock"
 	syncedFile   = "synced"
-	folderMode   = 0o700
-	fileMode     = 0o600
+	// temporarySuffix ends the names of files that are not complete yet.
+	temporarySuffix = ".tmp"
+	folderMode      = 0o700
+	fileMode        = 0o600
 )
 
 // Store gives access to one keeper's data folder. Its methods are not safe for
@@ -53,6 +55,8 @@
 	if err := s.acquireLock(); err != nil {
 		return nil, err
 	}
+	// Left by a process that ended as it wrote them.
+	s.removeAllExcept("*"+temporarySuffix, "")
 	if err := s.load(nodeID, newIdentity); err != nil {
 		_ = s.Close()
 		return nil, err
@@ -213,7 +217,7 @@
 
 func writeFileAtomic(folder, name string, data []byte) error {
 	path := filepath.Join(folder, name)
-	temporary := path + ".tmp"
+	temporary := path + temporarySuffix
 	f, err := os.OpenFile(temporary, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, fileMode)
 	if err != nil {
 		return diskFault(err, "create "+name)
@@ -223,6 +227,8 @@
 		err = f.Sync()
 	}
 	if err = errors.Join(err, f.Close()); err != nil {
+		// What was written would take room on a full disk for good.
+		_ = os.Remove(temporary)
 		return diskFault(err, "write "+name)
 	}
 	if err := os.Rename(temporary, path); err != nil {
