--- a/cmd/mastic-soak/crashes.go
+++ b/cmd/mastic-soak/crashes.go
@@ -11,8 +11,8 @@
 
 const (
 	// crashingPart is the part of a prompt that crashes each engine of a group that begins to
-	// answer it; sharedPart is in all prompts for groups.
-	crashingPart, sharedPart = "dead0001", "5c1e07a2"
+	// answer it; the shared parts are in all prompts for groups.
+	crashingPart, sharedPart, otherSharedPart = "dead0001", "5c1e07a2", "91bd3f06"
 	// crashTime is how long a crashed engine refuses connections.
 	crashTime = 700 * time.Millisecond
 	// crashSeedStep: in one of so many seeds, prompts crash engines during the faults, too. In
@@ -34,7 +34,7 @@
 
 // promptPrefix returns the header line that lists the parts of a request's prompt.
 func promptPrefix(request string, crashing bool) string {
-	parts := sharedPart + ":40,"
+	parts := sharedPart + ":40," + otherSharedPart + ":30,"
 	if crashing {
 		parts += crashingPart + ":40,"
 	}
@@ -89,6 +89,17 @@
 	go l.accept(listener)
 }
 
+// sendSound sends one request with the shared parts alone and returns the status of the answer; 0 for none.
+func (s *streamCallers) sendSound(name string, entry int) int {
+	c := s.caller(name, entry)
+	defer c.closeConn()
+	a := &attempt{request: name, kind: pairStream, total: 5}
+	c.attempt(a, false)
+	s.record(a)
+	s.report(a.violations(s.engines.runs)...)
+	return a.status
+}
+
 // sendCrashing sends one request with crashingPart and returns the status of the answer; 0 for none.
 func (s *streamCallers) sendCrashing(name string, entry int) int {
 	c := s.caller(name, entry)
@@ -110,12 +121,16 @@
 }
 
 // checkQuarantine returns violations after the faults: once one entry refuses requests with
-// crashingPart, all must do so after contactTime, and none may reach an engine. Without whole
-// groups there are no crashes to learn from, which is checked elsewhere.
-func (s *streamCallers) checkQuarantine() []string {
+// crashingPart, all must do so after contactTime, and none may reach an engine. With sound requests in
+// between, none of those may be refused for its content then. Without whole groups there are no crashes to
+// learn from, which is checked elsewhere.
+func (s *streamCallers) checkQuarantine(withSound bool) []string {
 	log := &s.engines.crashes
 	end := time.Now().Add(streamWaitLimit)
 	for i := 0; s.sendCrashing(fmt.Sprintf("learn-%d", i), 0) != http.StatusBadRequest; i++ {
+		if withSound {
+			s.sendSound(fmt.Sprintf("beside-%d", i), i)
+		}
 		if log.arrivals.Load() > quarantineLimit {
 			return []string{fmt.Sprintf("a part of prompts crashed engines %d times and is not quarantined", log.arrivals.Load())}
 		}
@@ -133,6 +148,9 @@
 			if status := s.sendCrashing(fmt.Sprintf("late-%d-%d", entry, i), entry); status != http.StatusBadRequest {
 				violations = append(violations, fmt.Sprintf("entry %d answered %d to a request with a quarantined part", entry, status))
 			}
+			if withSound && s.sendSound(fmt.Sprintf("sound-%d-%d", entry, i), entry) == http.StatusBadRequest {
+				violations = append(violations, fmt.Sprintf("entry %d refuses a sound request that shares parts with the quarantined one", entry))
+			}
 		}
 	}
 	if n := log.arrivals.Load() - before; n > 0 {
--- a/cmd/mastic-soak/main.go
+++ b/cmd/mastic-soak/main.go
@@ -126,6 +126,7 @@
 	kioskCalls := &kioskCallers{callers: callers{region: r}, service: kiosk}
 	all.Go(func() { kioskCalls.runBesideFaults(seed, until) })
 	leaving := &departures{region: r, service: service}
+	odd := &oddWriter{region: r, service: service}
 	injected := &concurrentFaults{region: r, engines: engines, service: service, entryLinks: entryLinks}
 	switch {
 	case args.OnlySilences:
@@ -135,6 +136,7 @@
 		f.runSequence(until, []func(){f.fillDisks})
 	default:
 		all.Go(func() { leaving.run(seed, until) })
+		all.Go(func() { odd.run(seed, until) })
 		injected.run(seed, until)
 	}
 	all.Wait()
@@ -154,11 +156,12 @@
 		violations = append(violations, "streams are not served again after the faults")
 	}
 	if args.Grouped > 0 {
-		violations = append(violations, streams.checkQuarantine()...)
+		violations = append(violations, streams.checkQuarantine(seed%crashSeedStep == 1)...)
 	}
 	calm.Wait()
 	violations = append(violations, crashViolations...)
 	violations = append(violations, leaving.check(seed, c)...)
+	violations = append(violations, odd.accepted...)
 	groupsServed = groupsServed && (args.Grouped == 0 || streams.waitServed("end-groups", groupKinds()))
 	if !groupsServed {
 		fmt.Printf("seed %d: streams of groups were not served at the start or the end\n", seed)
