soak: a stop of all keepers leaves out those with another fault

A keeper that was restarted after its acknowledgement of a departure was not stopped by the fault that stops all keepers, but started by it.

--- a/cmd/mastic-soak/faults.go
+++ b/cmd/mastic-soak/faults.go
@@ -126,12 +126,18 @@
 	if time.Since(f.wipedAt) < minWipeInterval || time.Since(f.stoppedAt) < minWipeInterval {
 		return
 	}
+	// A keeper with another fault is left out.
+	var stopped []*node
 	for _, n := range f.region.keepers {
-		inject(n, func() { n.stopWith(syscall.SIGKILL) })
+		if n.faultMu.TryLock() {
+			n.stopWith(syscall.SIGKILL)
+			stopped = append(stopped, n)
+		}
 	}
-	for _, n := range f.region.keepers {
+	for _, n := range stopped {
 		time.Sleep(f.randomTime(0, 150*time.Millisecond))
-		inject(n, func() { f.restart(n) })
+		f.restart(n)
+		n.faultMu.Unlock()
 	}
 	f.stoppedAt = time.Now()
 }
