--- a/cmd/mastic-soak/givenup.go
+++ b/cmd/mastic-soak/givenup.go
@@ -101,7 +101,7 @@
 		}
 	}
 	if len(runs) == 0 && a.status == 0 && !a.mayBeUnread() {
-		return fmt.Sprintf("stream %s got no answer from %s, and did not run", a.request, &a.exchange)
+		return fmt.Sprintf("stream %s got no answer from %s, and did not run%s", a.request, &a.exchange, a.path.describe(a.endedAt))
 	}
 	return ""
 }
--- a/cmd/mastic-soak/link.go
+++ b/cmd/mastic-soak/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -125,15 +126,18 @@
 	triggered      atomic.Bool
 	// harmed is true once a fault broke the connection, lost data or left bytes that belong to no
 	// request.
-	harmed     atomic.Bool
-	faultAfter int64
-	faultTime  time.Duration
-	delays     [2]*rand.Rand
-	once       sync.Once
-	dropDown   atomic.Bool
-	dropUp     atomic.Bool
-	done       chan struct{}
-	directions sync.WaitGroup
+	harmed atomic.Bool
+	// takenAt is when the link last took data from the client, passedAt when it last passed data on to the
+	// server, in Unix nanoseconds.
+	takenAt, passedAt atomic.Int64
+	faultAfter        int64
+	faultTime         time.Duration
+	delays            [2]*rand.Rand
+	once              sync.Once
+	dropDown          atomic.Bool
+	dropUp            atomic.Bool
+	done              chan struct{}
+	directions        sync.WaitGroup
 }
 
 func (l *link) proxy(client net.Conn) {
@@ -197,6 +201,9 @@
 	buf := make([]byte, linkBuffer)
 	for {
 		n, err := from.Read(buf)
+		if n > 0 && from == c.client {
+			c.takenAt.Store(time.Now().UnixNano())
+		}
 		if n > 0 && !c.forward(to, buf[:n], drop, delays) {
 			return
 		}
@@ -238,9 +245,21 @@
 		c.reset()
 		return false
 	}
+	if to == c.server {
+		c.passedAt.Store(time.Now().UnixNano())
+	}
 	return true
 }
 
+// describe tells when the link passed on what the client had sent by a time; empty without a link.
+func (c *linkConn) describe(until time.Time) string {
+	if c == nil {
+		return ""
+	}
+	passed := time.Unix(0, c.passedAt.Load())
+	return fmt.Sprintf(" (link: faulty %v, fault %d, passed data on %s before, complete %v)", c.faulty, c.fault, until.Sub(passed), c.passedAt.Load() >= c.takenAt.Load())
+}
+
 // trigger starts the fault. For linkReset, forward resets the connection after it has
 // written the current data; the other faults reset it after faultTime.
 func (c *linkConn) trigger() {
