quarantine: crashes known through older nodes are judged as there

Fix: a record without service_answered was made or passed on by an older node; its service counts as answered before. An entry gets its own records back from its keepers, so that this holds for those as well. New nodes always send the field.

Failed before: TestCrashesKnownThroughOlderNodesAreJudgedAsThere.

--- a/pkg/quarantine/codec.go
+++ b/pkg/quarantine/codec.go
@@ -17,7 +17,7 @@
 	for _, c := range crashes {
 		e.Crashes = append(e.Crashes, &peerpb.CrashRecord{
 			Upstream: c.Upstream, BornMs: c.StartTime, Service: c.Service, Parts: c.Contents, AgeMs: age(now, c.At),
-			AfterCrash: c.AfterCrash, ServiceAnswered: c.ServiceAnswered, AnsweredParts: c.Answered,
+			AfterCrash: c.AfterCrash, ServiceAnswered: &c.ServiceAnswered, AnsweredParts: c.Answered,
 		})
 	}
 	for _, s := range successes {
@@ -26,13 +26,14 @@
 	return e, version
 }
 
-// Merge adds the evidence that another node sent, and reports whether any of it was new.
+// Merge adds the evidence that another node sent, and reports whether any of it was new. A service counts as
+// answered before crashes of which an older node tells, as it would refuse their contents, too.
 func (t *Table) Merge(now time.Time, e *peerpb.CrashEvidence) bool {
 	changed := false
 	for _, c := range e.GetCrashes() {
 		added := t.AddCrash(now, Crash{
 			Upstream: c.GetUpstream(), StartTime: c.GetBornMs(), Service: c.GetService(), Contents: c.GetParts(), At: now.Add(-time.Duration(c.GetAgeMs()) * time.Millisecond),
-			AfterCrash: c.GetAfterCrash(), ServiceAnswered: c.GetServiceAnswered(), Answered: c.GetAnsweredParts(),
+			AfterCrash: c.GetAfterCrash(), ServiceAnswered: c.ServiceAnswered == nil || c.GetServiceAnswered(), Answered: c.GetAnsweredParts(),
 		})
 		changed = changed || added
 	}
--- a/pkg/quarantine/table_test.go
+++ b/pkg/quarantine/table_test.go
@@ -650,6 +650,27 @@
 	assert.Empty(t, restartedEntry.successes, "forgotten with the crashes")
 }
 
+// Guards against a part that ends engines without end during an upgrade: older keepers drop what entries know of the
+// service, so that entries which have restarted don't know that it worked.
+func TestCrashesKnownThroughOlderNodesAreJudgedAsThere(t *testing.T) {
+	entry := NewTable()
+	contents := []string{"p", "crashing"}
+	promptCrashes(entry, 1, 3, func(int) []string { return contents })
+	_, refused := entry.Check(at(2), contents)
+	require.False(t, refused)
+	passedOn, _ := entry.Encode(at(2), 0)
+	for _, c := range passedOn.GetCrashes() {
+		c.ServiceAnswered, c.AnsweredParts = nil, 0
+	}
+	assert.True(t, entry.Merge(at(2.1), passedOn))
+	finding, refused := entry.Check(at(2.1), contents)
+	assert.True(t, refused)
+	assert.True(t, finding.Unconfirmed)
+	_, refused = entry.Check(at(2.1), []string{"p"})
+	assert.False(t, refused)
+	assert.False(t, entry.Merge(at(2.2), passedOn), "nothing new")
+}
+
 // Guards against nodes that judge the same crashes differently because only some of them saw the service
 // work before, or because an older node drops what they saw.
 func TestNodesAgreeThatServiceWorkedBeforeCrashes(t *testing.T) {
