quarantine: a request that was answered is held while another one explains its crashes

Cause: that some other request explains all but two of a request's crashes did not count, and neither did that the request had been answered until just before.

Fix: as for prompt parts. A request that some node saw answered in the 10 minutes before is held, and tried again alone, if requests that were not explain so many of its crashes that fewer than three are left.

Failed before: TestRequestThatWasAnsweredIsHeldWhileAnotherExplainsItsCrashes.

--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -558,40 +558,64 @@
 		}
 	}
 	for content, f := range explanations {
-		if isAnyRequest(content) || explainedAway(sets, explanations, content) {
+		if isAnyRequest(content) {
 			continue
 		}
-		for _, other := range slices.Sorted(maps.Keys(explanations)) {
-			switch {
-			case other == content || !sets[other].includes(sets[content]):
-			case isPart(content) && !sets[content].answered() && isAnyRequest(other) && sets[content].serviceAnswered():
-				f.Unconfirmed, f.Until = true, f.Last.Add(UnconfirmedTime)
-			case isPart(content) && !sets[content].answered() && isPart(other) && sets[other].answered():
-			default:
-				f.Companions = append(f.Companions, other)
-			}
-		}
-		if len(f.Companions) == 0 && IsRequest(content) {
-			f.Companions = t.jointExplanation(sets, content)
+		if blamed := t.blame(sets, explanations, &f); blamed {
+			t.findings[content] = f
 		}
-		t.findings[content] = f
 	}
 }
 
-// explainedAway reports whether a prompt part that was answered shortly before its crashes has too few of them
-// left once those are taken away that prompt parts explain which were not. A sound part may be beside several
-// crashing ones in turn.
-func explainedAway(sets map[string]crashSet, explanations map[string]Finding, content string) bool {
-	if !isPart(content) || !sets[content].answered() {
+// blame completes the finding against a content by its companions, and reports whether it is blamed.
+func (t *Table) blame(sets map[string]crashSet, explanations map[string]Finding, f *Finding) bool {
+	content, set := f.Content, sets[f.Content]
+	likelier := likelierCauses(sets, explanations, content)
+	if isPart(content) && len(likelier) > 0 {
 		return false
 	}
+	for _, other := range slices.Sorted(maps.Keys(explanations)) {
+		switch {
+		case other == content || !sets[other].includes(set):
+		case isPart(content) && !set.answered() && isAnyRequest(other) && set.serviceAnswered():
+			f.Unconfirmed, f.Until = true, f.Last.Add(UnconfirmedTime)
+		case isPart(content) && !set.answered() && isPart(other) && sets[other].answered():
+		default:
+			f.Companions = append(f.Companions, other)
+		}
+	}
+	if len(f.Companions) == 0 && IsRequest(content) {
+		f.Companions = likelier
+	}
+	if len(f.Companions) == 0 && IsRequest(content) {
+		f.Companions = t.jointExplanation(sets, content)
+	}
+	return true
+}
+
+// likelierCauses returns the prompt parts, or whole requests, that were not answered before their crashes and
+// explain so many of those of another one, which was, that too few are left. A sound content may be beside
+// several crashing ones in turn, and in a crash whose cause no node reported.
+func likelierCauses(sets map[string]crashSet, explanations map[string]Finding, content string) []string {
+	if !sets[content].answered() {
+		return nil
+	}
 	left := maps.Clone(sets[content])
-	for other := range explanations {
-		if isPart(other) && !sets[other].answered() {
-			maps.DeleteFunc(left, func(i incarnation, _ crashTimes) bool { _, found := sets[other][i]; return found })
+	var causes []string
+	for _, other := range slices.Sorted(maps.Keys(explanations)) {
+		if isAnyRequest(other) || IsRequest(other) != IsRequest(content) || sets[other].answered() {
+			continue
+		}
+		before := len(left)
+		maps.DeleteFunc(left, func(i incarnation, _ crashTimes) bool { _, found := sets[other][i]; return found })
+		if len(left) < before {
+			causes = append(causes, other)
 		}
 	}
-	return len(left) == 0 || left.finding(content).Crashes < crashesToQuarantine
+	if len(left) > 0 && left.finding(content).Crashes >= crashesToQuarantine {
+		return nil
+	}
+	return causes
 }
 
 // jointExplanation returns the other whole requests that together were in all crashes of one; nil if it
--- a/pkg/quarantine/table_test.go
+++ b/pkg/quarantine/table_test.go
@@ -494,6 +494,25 @@
 	assert.True(t, refused, "once other requests of the service succeed")
 }
 
+// Guards against a sound request that is condemned because it was beside crashes by another one, and in one more of
+// which no node reported the cause.
+func TestRequestThatWasAnsweredIsHeldWhileAnotherExplainsItsCrashes(t *testing.T) {
+	steps := []step{
+		success(0.5, soundRequest), crash(1, "a", soundRequest), success(1.1, otherRequest), crash(2, "b", soundRequest, crashingRequest), success(2.1, otherRequest),
+		crash(3, "c", soundRequest, crashingRequest), success(3.1, otherRequest), crash(4, "d", crashingRequest), success(4.1, otherRequest),
+	}
+	table := plainTable(steps...)
+	finding, refused := table.Check(at(5), []string{soundRequest})
+	assert.False(t, refused, "%+v", finding)
+	held, _ := table.Suspect(at(5), soundRequest)
+	assert.True(t, held.Until.After(at(5)), "it is tried again alone later")
+	_, refused = table.Check(at(5), []string{crashingRequest})
+	assert.True(t, refused)
+
+	_, refused = plainTable(steps[1:]...).Check(at(5), []string{soundRequest})
+	assert.True(t, refused, "nothing shows that it is sound")
+}
+
 // Guards against a sound request that is condemned because it was beside several crashing requests in
 // turn, one of them for the first time.
 func TestRequestThatWasNeverAloneInACrashIsNotCondemned(t *testing.T) {
