quarantine: crashes shortly after each other count in any order

Trace: two crashes 4 ms apart, the second under a request that was sent after the first. The node that sent it flags it as separate. At the other entry the ages of the two records, which came in two messages, put them in the other order: the flagged one came first and counted as any first one does, and the other one, without a flag, as one that ended together with it. That entry counted two crashes where all others counted three.

Failed before: TestCrashesShortlyAfterEachOtherCountInAnyOrder.

--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -647,12 +647,20 @@
 	})
 	f := Finding{Content: content, First: s[crashed[0]].at, Last: s[crashed[len(crashed)-1]].at}
 	f.Until = f.Last.Add(QuarantineTime)
+	// Nodes know times to some milliseconds only, so that a crash under a request that was sent after another
+	// crash may come before that one here: both count.
 	var counted time.Time
+	firstCounted := false
 	for _, i := range crashed {
-		if c := s[i]; f.Crashes == 0 || c.at.Sub(counted) > correlationWindow || c.afterCrash {
+		c := s[i]
+		if f.Crashes == 0 || c.at.Sub(counted) > correlationWindow {
+			firstCounted = false
+		}
+		if c.afterCrash || !firstCounted {
 			f.Crashes++
 			counted = c.at
 		}
+		firstCounted = firstCounted || !c.afterCrash
 		if !slices.Contains(f.Upstreams, i.upstream) {
 			f.Upstreams = append(f.Upstreams, i.upstream)
 		}
--- a/pkg/quarantine/table_test.go
+++ b/pkg/quarantine/table_test.go
@@ -308,6 +308,27 @@
 	}
 }
 
+// Guards against nodes that count fewer crashes because they know of two in the other order: the times of records
+// that come by different ways differ by milliseconds.
+func TestCrashesShortlyAfterEachOtherCountInAnyOrder(t *testing.T) {
+	for name, times := range map[string][3]float64{"in order": {1, 1.004, 2}, "the first two in the other order": {1.004, 1, 2}, "all at once": {1, 1, 1}} {
+		table := NewTable()
+		table.ObserveSuccess(at(0), "chat", []string{"p"})
+		for i, second := range times {
+			table.AddCrash(at(2), Crash{Upstream: fmt.Sprint("e", i), StartTime: 1, Service: "chat", Contents: []string{"crashing"}, At: at(second), AfterCrash: i > 0})
+		}
+		finding, refused := table.Check(at(3), []string{"crashing"})
+		assert.True(t, refused, name)
+		assert.Equal(t, 3, finding.Crashes, name)
+	}
+	together := NewTable()
+	for i, second := range []float64{1, 1.01, 1.02, 1.03} {
+		together.AddCrash(at(2), Crash{Upstream: fmt.Sprint("e", i), StartTime: 1, Service: "chat", Contents: []string{"p"}, At: at(second)})
+	}
+	together.examine()
+	assert.Equal(t, 1, together.suspects["p"].Crashes, "engines that end together count once")
+}
+
 // Guards against a crash that counts several times because entries notice it at different times.
 func TestOneIncarnationCountsOnceHoweverLateItIsNoticed(t *testing.T) {
 	table := plainTable(success(0.5, otherRequest), crash(1, "a", crashingRequest), success(1.05, otherRequest))
