--- a/cmd/mastic-soak/crashes.go
+++ b/cmd/mastic-soak/crashes.go
@@ -45,7 +45,13 @@
 // and nothing listens at its address for crashTime.
 func (e *engine) crash(conn net.Conn, id string) error {
 	e.set.crashes.arrivals.Add(1)
+	path := e.link.connOf(conn.RemoteAddr())
+	var before int64
+	if path != nil {
+		before = path.answered.Load()
+	}
 	_, err := fmt.Fprintf(conn, streamHead+"Transfer-Encoding: chunked\r\n\r\n", http.StatusOK, id, e.id)
+	path.awaitAnswered(before)
 	e.link.goDown(crashTime)
 	e.restart()
 	if err != nil {
--- a/cmd/mastic-soak/link.go
+++ b/cmd/mastic-soak/link.go
@@ -36,6 +36,8 @@
 	maxFaultTime = 2 * time.Second
 	maxDelay     = 20 * time.Millisecond
 	linkBuffer   = 16 << 10
+	// deliveryTime bounds the wait for written bytes to be passed on.
+	deliveryTime = time.Second
 	// socketBuffer is small, so that the network buffers little of what a caller has not read.
 	socketBuffer = 32 << 10
 	dialTimeout  = 2 * time.Second
@@ -130,14 +132,16 @@
 	// takenAt is when the link last took data from the client, passedAt when it last passed data on to the
 	// server, in Unix nanoseconds.
 	takenAt, passedAt atomic.Int64
-	faultAfter        int64
-	faultTime         time.Duration
-	delays            [2]*rand.Rand
-	once              sync.Once
-	dropDown          atomic.Bool
-	dropUp            atomic.Bool
-	done              chan struct{}
-	directions        sync.WaitGroup
+	// answered counts the bytes passed on to the client.
+	answered   atomic.Int64
+	faultAfter int64
+	faultTime  time.Duration
+	delays     [2]*rand.Rand
+	once       sync.Once
+	dropDown   atomic.Bool
+	dropUp     atomic.Bool
+	done       chan struct{}
+	directions sync.WaitGroup
 }
 
 func (l *link) proxy(client net.Conn) {
@@ -247,10 +251,24 @@
 	}
 	if to == c.server {
 		c.passedAt.Store(time.Now().UnixNano())
+	} else {
+		c.answered.Add(int64(len(data)))
 	}
 	return true
 }
 
+// awaitAnswered waits until more than a number of bytes was passed on to the client, as a kernel delivers what an
+// upstream wrote before it ended; c may be nil.
+func (c *linkConn) awaitAnswered(bytes int64) {
+	for end := time.Now().Add(deliveryTime); c != nil && c.answered.Load() <= bytes && time.Now().Before(end); {
+		select {
+		case <-c.done:
+			return
+		case <-time.After(time.Millisecond):
+		}
+	}
+}
+
 // describe tells when the link passed on what the client had sent by a time; empty without a link.
 func (c *linkConn) describe(until time.Time) string {
 	if c == nil {
