--- a/pkg/control/departures_test.go
+++ b/pkg/control/departures_test.go
@@ -35,7 +35,7 @@
 type testKeeper struct {
 	folder  string
 	control *Control
-	// kill ends the keeper and its connections without a farewell; nil while it is down.
+	// kill ends the keeper and its connections at once; nil while it is down.
 	kill func()
 }
 
