soak: the connections of a link are found on their own side

Trace: at that millisecond entry-0 lost the callers of all its streams (caller_left=true), as after a reset of its link, which excuses them; this one was not taken for a connection that the link had reset.

Cause: one map held the address of a link's client and the address from which the link goes on to its server. Both are ports of one host, and the same one may be in use on both sides; the later entry replaced the other. That it was so for this stream is an inference; the ports are not in the logs.

Fix: one map for each side. What is asked is unchanged.

--- a/cmd/mastic-soak/crashes.go
+++ b/cmd/mastic-soak/crashes.go
@@ -45,7 +45,7 @@
 // and nothing listens at its address for crashTime.
 func (e *engine) crash(conn net.Conn, id string) error {
 	e.set.crashes.arrivals.Add(1)
-	path := e.link.connOf(conn.RemoteAddr())
+	path := e.link.ofServer(conn.RemoteAddr())
 	var before int64
 	if path != nil {
 		before = path.answered.Load()
--- a/cmd/mastic-soak/enginestreams.go
+++ b/cmd/mastic-soak/enginestreams.go
@@ -27,7 +27,7 @@
 		p.cut, p.fails = len(strings.Join(r.events, "")), r.base != after
 	}
 	r.framing = p.framing
-	r.engineEnded, r.path, r.began, r.fails = e.endedBetween, e.link.connOf(conn.RemoteAddr()), time.Now(), p.fails
+	r.engineEnded, r.path, r.began, r.fails = e.endedBetween, e.link.ofServer(conn.RemoteAddr()), time.Now(), p.fails
 	if p.fails && p.mode == failRefused {
 		l.countFailure(p.mode.String())
 		return e.refuse(conn, id, http.StatusServiceUnavailable)
--- a/cmd/mastic-soak/link.go
+++ b/cmd/mastic-soak/link.go
@@ -52,9 +52,9 @@
 	mu           sync.Mutex
 	random       *rand.Rand
 	conns        map[*linkConn]bool
-	// byAddress holds the latest connection of each address of a client or of the link's own
-	// side towards the server.
-	byAddress map[string]*linkConn
+	// byClient holds the latest connection of each client's address, byServer of each address that the server
+	// sees. A port may be in use on both sides at once.
+	byClient, byServer map[string]*linkConn
 	// isDown is true while the link refuses connections, stopped once it does so for good.
 	isDown, stopped bool
 }
@@ -64,7 +64,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &link{listener: listener, target: target, random: random, faultsActive: faultsActive, conns: map[*linkConn]bool{}, byAddress: map[string]*linkConn{}}
+	l := &link{listener: listener, target: target, random: random, faultsActive: faultsActive, conns: map[*linkConn]bool{}, byClient: map[string]*linkConn{}, byServer: map[string]*linkConn{}}
 	go l.accept(listener)
 	return l, nil
 }
@@ -111,11 +111,18 @@
 	}
 }
 
-// connOf returns the connection of a client's address, or of the address that the server sees.
-func (l *link) connOf(address net.Addr) *linkConn {
+// ofClient returns the connection of a client's address.
+func (l *link) ofClient(address net.Addr) *linkConn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.byAddress[address.String()]
+	return l.byClient[address.String()]
+}
+
+// ofServer returns the connection that the server sees from an address.
+func (l *link) ofServer(address net.Addr) *linkConn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.byServer[address.String()]
 }
 
 // linkConn is one connection through a link.
@@ -166,7 +173,7 @@
 		c.delays[i] = rand.New(rand.NewPCG(l.random.Uint64(), uint64(i)))
 	}
 	l.conns[c] = true
-	l.byAddress[client.RemoteAddr().String()], l.byAddress[server.LocalAddr().String()] = c, c
+	l.byClient[client.RemoteAddr().String()], l.byServer[server.LocalAddr().String()] = c, c
 	l.mu.Unlock()
 	c.directions.Go(func() { c.copy(c.client, c.server, &c.dropUp, c.delays[0]) })
 	c.directions.Go(func() { c.copy(c.server, c.client, &c.dropDown, c.delays[1]) })
--- a/cmd/mastic-soak/streamcallers.go
+++ b/cmd/mastic-soak/streamcallers.go
@@ -231,7 +231,7 @@
 	err := c.exchange(a, disconnect)
 	a.endedAt, a.callerLeft = time.Now(), errors.Is(err, os.ErrDeadlineExceeded)
 	if c.conn != nil {
-		a.path = c.callers.entryLinks[c.entry].connOf(c.conn.conn.LocalAddr())
+		a.path = c.callers.entryLinks[c.entry].ofClient(c.conn.conn.LocalAddr())
 	}
 	malformed, ok := protocolErrorOf(err)
 	switch {
