forward: a planned stop waits for requests that callers are still sending

What callers saw: a request whose header or body comes in pieces (a long body, a slow link) when the entry gets SIGTERM: its connection is reset as early as 2.7 s after SIGTERM, although the stop had seconds left, or at any moment from the first byte on. Where the rest was read just before the exit, it got nothing although it was whole.

Cause: only requests whose handler had begun were counted as in flight. fasthttp calls the handler after the whole body; until then Finish saw nothing, waited for 400 ms and let the process exit.

Change: a request counts from its first byte (ConnState active) to the end of its answer. Why it works: the same hook sees the first byte and the end, so there is no time between in which a request is in neither count. Price: a caller that never ends its request makes the stop last its full 7.2 s.

--- a/pkg/explain/explain.go
+++ b/pkg/explain/explain.go
@@ -216,6 +216,9 @@
 	if before, ok := strings.CutPrefix(f["arrived_in_stop_ms"], "-"); ok {
 		text = fmt.Sprintf("%s ms after the stop began, sent %s ms before it", f["in_stop_ms"], before)
 	}
+	if f["stage"] == "reading" {
+		return f["in_stop_ms"] + " ms after the stop began: the client had not sent it whole"
+	}
 	text += fmt.Sprintf(", with %s ms of its time left: ", f["time_left_ms"])
 	switch f["stage"] {
 	case "waiting":
--- a/pkg/forward/stop.go
+++ b/pkg/forward/stop.go
@@ -106,7 +106,7 @@
 	return fault.New(fault.Stopping, "retry over a new connection", "this node is stopping").WithRetryAfter(stopRetry)
 }
 
-// Drain waits for the requests in flight and until their answers are written. It returns the
+// Drain waits for the requests in flight, those that are being read among them, and until their answers are written. It returns the
 // number left when ctx ended.
 func (e *Entry) Drain(ctx context.Context) int {
 	ticker := time.NewTicker(drainPollInterval)
--- a/pkg/forward/unwritten.go
+++ b/pkg/forward/unwritten.go
@@ -15,6 +15,8 @@
 type answerStage string
 
 const (
+	// stageReading is a request of which the first byte was read.
+	stageReading answerStage = "reading"
 	// stageWaiting is a request that was read and is at no upstream.
 	stageWaiting answerStage = "waiting"
 	// stageSent is a request that was sent to an upstream and whose caller has been sent nothing.
@@ -51,7 +53,7 @@
 func (a *unwrittenAnswer) setRequest(r *request) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.request = r
+	a.request, a.stage = r, stageWaiting
 }
 
 func (a *unwrittenAnswer) setEvents(events, heldBytes int) {
@@ -74,14 +76,15 @@
 	return e.stopFields(line, a.request)
 }
 
-// unwrittenAnswers are the answers that are not written to their end, by the callers' connections. It
-// is safe for concurrent use.
+// unwrittenAnswers are the answers that are not written to their end, from the first byte of their
+// requests on, by the callers' connections. It is safe for concurrent use.
 type unwrittenAnswers struct{ conns sync.Map }
 
+// add returns the answer that is due on a connection, and adds it if there is none.
 func (u *unwrittenAnswers) add(c net.Conn) *unwrittenAnswer {
-	a := &unwrittenAnswer{stage: stageWaiting}
-	u.conns.Store(c, a)
-	return a
+	a, _ := u.conns.LoadOrStore(c, &unwrittenAnswer{stage: stageReading})
+	added, _ := a.(*unwrittenAnswer)
+	return added
 }
 
 // remove returns the answer that was not written to its end on a connection; nil if there is none.
@@ -97,9 +100,11 @@
 	return n
 }
 
-// observeConn records that the server has written a connection's answer or closed the connection.
+// observeConn records that a request begins on a connection, and that the server has written its answer
+// or closed the connection.
 func (e *Entry) observeConn(c net.Conn, state fasthttp.ConnState) {
 	if state == fasthttp.StateActive {
+		e.unwritten.add(c)
 		return
 	}
 	a := e.unwritten.remove(c)
