disconnect: unread bytes of a client no longer cut the answer before them

What callers saw: an answer that had been given to the connection whole ends with a reset, where the caller had sent more than its request (a next request, a stray byte) and had not received all of the answer yet, as on a slow link. It is no matter of luck there: each answer in a planned stop, or beside a stale configuration, closes its connection.

Cause: closing a TCP connection that holds unread bytes resets it, and the reset drops what is still to be sent. The exit of the process does the same to connections that are open.

Change: Close after an answer ends the sending side only, discards what comes until the client closes its side, for 1 s at most, and then closes. Idle connections and those with a request in them are closed at once, as before. A planned stop counts such an answer until its connection is closed. Why it works: nothing is unread when the connection is closed. Price: a stop takes up to 1 s longer, within its time, where a client does not close a connection whose end it has seen.

TestPlannedStopWaitsForCallerToReceiveAnswer, TestConnectionWithoutAnswerIsClosedAtOnce.

--- a/pkg/disconnect/conn.go
+++ b/pkg/disconnect/conn.go
@@ -14,6 +14,9 @@
 // clientWriteTimeout bounds one write to a client.
 const clientWriteTimeout = 30 * time.Second
 
+// lingerTime bounds the wait for a client to close a connection whose last answer was written.
+const lingerTime = time.Second
+
 // WrapListener wraps a listener so that handlers can detect client disconnects, and so that
 // writes to clients that do not read time out. It must be applied above TLS.
 func WrapListener(inner net.Listener) net.Listener { return &listener{inner} }
@@ -59,6 +62,10 @@
 	// unwritten is the size of the write in progress; writeFailed is true once one failed.
 	unwritten   atomic.Int64
 	writeFailed atomic.Bool
+	// answered is true while nothing was read, or waited for, since the last write.
+	answered atomic.Bool
+	// lingering is closed when a connection that lingers after Close ends; nil before.
+	lingering chan struct{}
 	// deadline is the read deadline that the server has set.
 	deadline time.Time
 	// deadlinePending is true while the inner connection does not have this deadline.
@@ -113,6 +120,10 @@
 
 // Read implements net.Conn. It stops reading ahead first.
 func (c *Conn) Read(p []byte) (int, error) {
+	c.answered.Store(false)
+	if c.Lingering() != nil {
+		return 0, net.ErrClosed
+	}
 	c.stopReadAhead()
 	if len(p) > 0 && c.takePeeked(p) {
 		return 1, nil
@@ -152,6 +163,7 @@
 // clientWriteTimeout.
 func (c *Conn) Write(p []byte) (int, error) {
 	_ = c.SetWriteDeadline(time.Now().Add(clientWriteTimeout))
+	c.answered.Store(true)
 	c.unwritten.Store(int64(len(p)))
 	n, err := c.Conn.Write(p)
 	c.unwritten.Store(int64(len(p) - n))
@@ -164,6 +176,44 @@
 	return n, err
 }
 
+// Close implements net.Conn. Closing a connection that holds unread bytes resets it, which drops the end of an
+// answer that the client has not received yet. After an answer Close therefore ends the server's side only, and what
+// the client sends is discarded until it closes its side, too, for lingerTime at most. Close does not wait for that.
+func (c *Conn) Close() error {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	c.mu.Lock()
+	lingers := ok && c.lingering == nil && c.answered.Load() && c.end == ""
+	if lingers {
+		c.lingering = make(chan struct{})
+	}
+	isLingering := c.lingering != nil
+	c.mu.Unlock()
+	if !isLingering {
+		return c.Conn.Close()
+	}
+	if lingers {
+		go c.linger(half.CloseWrite)
+	}
+	return nil
+}
+
+func (c *Conn) linger(closeWrite func() error) {
+	defer close(c.lingering)
+	c.stopReadAhead()
+	if closeWrite() == nil && c.Conn.SetReadDeadline(time.Now().Add(lingerTime)) == nil {
+		_, _ = io.Copy(io.Discard, c.Conn)
+	}
+	_ = c.Conn.Close()
+}
+
+// Lingering returns a channel that is closed once a closed connection no longer waits for its client to close its
+// side; nil if it does not wait.
+func (c *Conn) Lingering() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lingering
+}
+
 // Unwritten returns the number of bytes that were given to Write and not accepted by the connection.
 func (c *Conn) Unwritten() int { return int(c.unwritten.Load()) }
 
--- a/pkg/forward/unwritten.go
+++ b/pkg/forward/unwritten.go
@@ -25,6 +25,8 @@
 	stageBegun answerStage = "begun"
 	// stageEnded is an answer that the upstream has ended and the caller has not been sent whole.
 	stageEnded answerStage = "ended"
+	// stageWritten is an answer that the client may not have received whole.
+	stageWritten answerStage = "written"
 	// stageRefused is a refusal that the caller has not been sent whole.
 	stageRefused answerStage = "refused"
 )
@@ -50,6 +52,13 @@
 	}
 }
 
+// written reports whether the whole answer was given to the connection.
+func (a *unwrittenAnswer) written() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.stage == stageWritten
+}
+
 func (a *unwrittenAnswer) setRequest(r *request) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -94,6 +103,23 @@
 	return removed
 }
 
+// linger has a closed connection's answer counted until the connection no longer waits for its client, and reports
+// whether it waits.
+func (u *unwrittenAnswers) linger(c *disconnect.Conn) bool {
+	lingering := c.Lingering()
+	value, due := u.conns.Load(c)
+	a, _ := value.(*unwrittenAnswer)
+	if lingering == nil || !due || a == nil {
+		return false
+	}
+	a.reach(stageWritten, "")
+	go func() {
+		<-lingering
+		u.conns.Delete(c)
+	}()
+	return true
+}
+
 func (u *unwrittenAnswers) count() int {
 	n := 0
 	u.conns.Range(func(any, any) bool { n++; return true })
@@ -107,8 +133,11 @@
 		e.unwritten.add(c)
 		return
 	}
-	a := e.unwritten.remove(c)
 	conn, watched := c.(*disconnect.Conn)
+	if state == fasthttp.StateClosed && watched && e.unwritten.linger(conn) {
+		return
+	}
+	a := e.unwritten.remove(c)
 	if a == nil || !watched || state != fasthttp.StateClosed || !conn.WriteFailed() {
 		return
 	}
@@ -125,6 +154,9 @@
 	n, now := 0, time.Now()
 	e.unwritten.conns.Range(func(key, value any) bool {
 		a, _ := value.(*unwrittenAnswer)
+		if a != nil && a.written() {
+			return true
+		}
 		if n++; a == nil || n > maxCutOffLines {
 			return true
 		}
