tunnel: an open tunnel of an entry that stops carries no further request

What callers saw, at an entry without a path of its own: an answer that is broken off, or 502, because the other entry that held the tunnel exited in a planned stop; the request had been sent over an idle tunnel late in that stop.

Cause: an entry that stops says so (Reachable false) and opens no new tunnel, but Dialer.Usable held every open tunnel for good. The stop waits for tunnels for its 7.2 s and cuts what runs then.

Change: a tunnel remembers the key of the process that holds it; it is reused only while that process opens tunnels, or no other does. Price: a new tunnel (a handshake) for each idle one of a stopping entry.

--- a/pkg/tunnel/conn.go
+++ b/pkg/tunnel/conn.go
@@ -21,7 +21,9 @@
 // arrived unasked can be seen at the socket.
 type tunnelConn struct {
 	*net.TCPConn
-	header [frameHeaderBytes]byte
+	// peerKey is the key of the process that holds the tunnel.
+	peerKey string
+	header  [frameHeaderBytes]byte
 	// headerRead is the number of bytes of the header that were read, left the number of bytes of the frame that were
 	// not.
 	headerRead, left int
--- a/pkg/tunnel/dialer.go
+++ b/pkg/tunnel/dialer.go
@@ -146,13 +146,19 @@
 	return d.path.Proven(boottime.Now().Add(-provenFor)) && d.path.failedAlone(address)
 }
 
-// Usable reports whether an open connection may carry another request.
+// Usable reports whether an open connection may carry another request. A tunnel ends with the process that holds it, so
+// that of an entry that stops is not used while another entry opens tunnels.
 func (d *Dialer) Usable(conn net.Conn) bool {
-	if _, direct := conn.(*directConn); !direct {
-		return true
-	}
+	tunnel, tunneled := conn.(*tunnelConn)
+	_, direct := conn.(*directConn)
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	switch {
+	case tunneled:
+		return isOpenTo(d.peers, tunnel.peerKey)
+	case !direct:
+		return true
+	}
 	return d.path.ConnsUsable(boottime.Now())
 }
 
@@ -455,7 +461,7 @@
 		_ = conn.Close()
 		return nil, errNotTCP
 	}
-	return &tunnelConn{TCPConn: tcp}, nil
+	return &tunnelConn{TCPConn: tcp, peerKey: peer.Key}, nil
 }
 
 // errNotTCP means that DialPeer opened something else.
--- a/pkg/tunnel/peers.go
+++ b/pkg/tunnel/peers.go
@@ -23,6 +23,13 @@
 	Reachable bool
 }
 
+// isOpenTo reports whether a tunnel of the process with a key is as good as a new one: that process opens tunnels, or no
+// other does.
+func isOpenTo(peers []Peer, key string) bool {
+	reachable := lo.Filter(peers, func(p Peer, _ int) bool { return p.Reachable })
+	return len(reachable) == 0 || lo.SomeBy(reachable, func(p Peer) bool { return p.Key == key })
+}
+
 // choosePeer chooses an entry for a tunnel; false if none is left.
 func choosePeer(random *rand.Rand, now time.Time, failureDomain string, peers []Peer, failedAt map[string]time.Time, tried map[string]bool) (Peer, bool) {
 	usable := lo.Filter(peers, func(p Peer, _ int) bool {
