forward: a planned stop waits for callers that receive their answers only once it takes no more

Otherwise callers that come while the entry drains, and close late, could hold up the stop one after the other.

--- a/pkg/forward/stop.go
+++ b/pkg/forward/stop.go
@@ -108,14 +108,17 @@
 
 // Drain waits for the requests in flight, those that are being read among them, and until their answers are written. It returns the
 // number left when ctx ended.
-func (e *Entry) Drain(ctx context.Context) int {
+func (e *Entry) Drain(ctx context.Context) int { return awaitNone(ctx, e.unwritten.count) }
+
+// awaitNone waits until a count is 0 and returns the count when ctx ended.
+func awaitNone(ctx context.Context, count func() int) int {
 	ticker := time.NewTicker(drainPollInterval)
 	defer ticker.Stop()
-	for e.unwritten.count() > 0 {
+	for count() > 0 {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
-			return e.unwritten.count()
+			return count()
 		}
 	}
 	return 0
@@ -156,6 +159,7 @@
 		if err != nil {
 			e.opts.Log.Info().Err(err).Msg("connections_left")
 		}
+		awaitNone(ctx, e.unwritten.lingering)
 		return 0
 	}
 }
--- a/pkg/forward/unwritten.go
+++ b/pkg/forward/unwritten.go
@@ -52,11 +52,11 @@
 	}
 }
 
-// written reports whether the whole answer was given to the connection.
-func (a *unwrittenAnswer) written() bool {
+// reached returns how far the answer has got.
+func (a *unwrittenAnswer) reached() answerStage {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.stage == stageWritten
+	return a.stage
 }
 
 func (a *unwrittenAnswer) setRequest(r *request) {
@@ -120,9 +120,24 @@
 	return true
 }
 
+// count returns the number of answers that are not written.
 func (u *unwrittenAnswers) count() int {
+	return u.countStages(func(s answerStage) bool { return s != stageWritten })
+}
+
+// lingering returns the number of answers that are written, but may not have been received whole.
+func (u *unwrittenAnswers) lingering() int {
+	return u.countStages(func(s answerStage) bool { return s == stageWritten })
+}
+
+func (u *unwrittenAnswers) countStages(match func(answerStage) bool) int {
 	n := 0
-	u.conns.Range(func(any, any) bool { n++; return true })
+	u.conns.Range(func(_, value any) bool {
+		if a, _ := value.(*unwrittenAnswer); a != nil && match(a.reached()) {
+			n++
+		}
+		return true
+	})
 	return n
 }
 
@@ -154,10 +169,10 @@
 	n, now := 0, time.Now()
 	e.unwritten.conns.Range(func(key, value any) bool {
 		a, _ := value.(*unwrittenAnswer)
-		if a != nil && a.written() {
+		if a == nil || a.reached() == stageWritten {
 			return true
 		}
-		if n++; a == nil || n > maxCutOffLines {
+		if n++; n > maxCutOffLines {
 			return true
 		}
 		line := a.describe(e, e.opts.Log.Warn(), now)
