keeper: a successor has the vote of a lost keeper within the catch-up time

A voter counted as absent after a fixed 8 s, counted from a check each second and from a flag that lags by up to 1 s, and again from zero when the lost voter led.

Change: absence is half of Options.CatchUp (bound catch_up_s of the platform's settings; 16 s, so 8 s as before, without it), in ticks since the last response, including the silence before an election for the leader that was lost. The learner is promoted first, then the absent voter removed: a voter that was only frozen or cut off restores the majority if another loses its disk in between. Promotions, like removals, are refused unless a majority of the resulting voters responded within two heartbeat intervals. Checks are 250 ms apart. Nothing on the wire or the disk changes. keeper_learner_waits logs why a learner has no vote yet, once for each reason; regionlog.voters, regionlog.learners and regionlog.absent_voters count them.

Tests: TestQuorumSurvivesLostDiskAfterKeeperWasReplaced failed before ("no leader") whenever a former voter lost its disk, whether the leader or a follower had been replaced. Tests changed, none weakened: TestAbsentVoterIsReplaced and TestLearnerThatLostItsDiskIsPromoted expect the promotion before the removal; the planner's tests give the ticks of silence instead of calling it repeatedly, as it keeps no state any more.

--- a/pkg/fleetnode/keeper.go
+++ b/pkg/fleetnode/keeper.go
@@ -36,6 +36,8 @@
 	Bootstrap bool
 	// MaxFailures is the number of keepers that may fail at the same time.
 	MaxFailures int
+	// CatchUp is keeper.Options.CatchUp.
+	CatchUp time.Duration
 	// AnnounceInterval is the time between two announcements of an upstream.
 	AnnounceInterval time.Duration
 	// StallTimeout is the time after which a group that lacks a member counts as broken.
@@ -146,9 +148,9 @@
 		NodeID:    inst.opts.Address, Address: inst.opts.Address, FailureDomain: inst.opts.FailureDomain, Folder: inst.opts.DataFolder,
 		Keepers:      lo.Map(inst.opts.Seeds, func(a string, _ int) keeper.Peer { return keeper.Peer{NodeID: a, Address: a} }),
 		OnlyJoin:     !inst.opts.Bootstrap || !lo.Contains(inst.opts.Seeds, inst.opts.Address),
-		TargetVoters: 2*inst.opts.MaxFailures + 1,
-		Dial:         do.MustInvoke[*peers.Dialer](i).Dial,
-		Metrics:      inst.opts.Metrics, Log: inst.opts.Log,
+		TargetVoters: 2*inst.opts.MaxFailures + 1, CatchUp: inst.opts.CatchUp,
+		Dial:    do.MustInvoke[*peers.Dialer](i).Dial,
+		Metrics: inst.opts.Metrics, Log: inst.opts.Log,
 	}), nil
 }
 
--- a/pkg/keeper/keeper.go
+++ b/pkg/keeper/keeper.go
@@ -95,6 +95,9 @@
 	// TargetVoters is the target number of voters. Keepers that are not members join
 	// as learners, and learners are promoted up to this number. 0 leaves both to operators.
 	TargetVoters int
+	// CatchUp is the time after a keeper's start within which it has the vote of a keeper
+	// that was lost before. 0 means DefaultCatchUp.
+	CatchUp time.Duration
 	// Dial returns the connection to a peer's address.
 	Dial func(address string) (*grpc.ClientConn, error)
 	// SnapshotEntries is the number of entries between two snapshots; 0 means the default.
@@ -136,6 +139,9 @@
 	if opts.SnapshotEntries == 0 {
 		opts.SnapshotEntries = DefaultSnapshotEntries
 	}
+	if opts.CatchUp == 0 {
+		opts.CatchUp = DefaultCatchUp
+	}
 	k := &Keeper{
 		opts:    opts,
 		events:  ring.New[event](eventRingSize, ring.RejectNew),
--- a/pkg/keeper/keeper_test.go
+++ b/pkg/keeper/keeper_test.go
@@ -39,6 +39,8 @@
 	listeners   map[string]*bufconn.Listener
 	partitioned map[string]bool
 	dropping    map[string]bool
+	// targetVoters is Options.TargetVoters of the keepers that are started from now on.
+	targetVoters int
 }
 
 type member struct {
@@ -49,13 +51,19 @@
 	dialer   *testDialer
 }
 
+// testCatchUp is Options.CatchUp of the keepers.
+const testCatchUp = 4 * time.Second
+
 var nodeIDs = []string{"k1", "k2", "k3"}
 
 // inCluster runs a test with three keepers that have elected a leader.
-func inCluster(t *testing.T, test func(c *cluster)) {
+func inCluster(t *testing.T, test func(c *cluster)) { inClusterOf(t, 0, test) }
+
+// inClusterOf is inCluster with Options.TargetVoters.
+func inClusterOf(t *testing.T, targetVoters int, test func(c *cluster)) {
 	root := t.TempDir()
 	synctest.Test(t, func(t *testing.T) {
-		c := &cluster{t: t, root: root, members: map[string]*member{}, listeners: map[string]*bufconn.Listener{}, partitioned: map[string]bool{}, dropping: map[string]bool{}}
+		c := &cluster{t: t, root: root, members: map[string]*member{}, listeners: map[string]*bufconn.Listener{}, partitioned: map[string]bool{}, dropping: map[string]bool{}, targetVoters: targetVoters}
 		defer func() {
 			for _, m := range lo.Values(c.members) {
 				c.stop(m, m.keeper.Kill)
@@ -74,9 +82,10 @@
 	m.dialer = &testDialer{cluster: c, from: id, conns: map[string]*grpc.ClientConn{}}
 	m.keeper = New(Options{
 		Machine: m.machine, OnApplied: func(uint64) {}, NodeID: id, Address: id, Folder: filepath.Join(c.root, id),
-		Keepers: lo.Map(nodeIDs, func(id string, _ int) Peer { return Peer{NodeID: id, Address: id} }),
-		Dial:    m.dialer.Dial,
-		Log:     zerolog.Nop(), SnapshotEntries: 50,
+		Keepers:  lo.Map(nodeIDs, func(id string, _ int) Peer { return Peer{NodeID: id, Address: id} }),
+		OnlyJoin: !lo.Contains(nodeIDs, id), TargetVoters: c.targetVoters, CatchUp: testCatchUp,
+		Dial: m.dialer.Dial,
+		Log:  zerolog.Nop(), SnapshotEntries: 50,
 	})
 	require.NoError(c.t, m.keeper.Open())
 	m.keeper.Register(m.server)
@@ -445,5 +454,42 @@
 	})
 }
 
+// lose stops a keeper whose disk is lost with it.
+func (c *cluster) lose(m *member) {
+	c.stop(m, m.keeper.Kill)
+	require.NoError(c.t, os.RemoveAll(m.keeper.opts.Folder))
+}
+
+// Guards against a successor that has no vote after the catch-up time, which leaves two
+// voters: one more lost disk would end the quorum permanently.
+func TestQuorumSurvivesLostDiskAfterKeeperWasReplaced(t *testing.T) {
+	replaced := map[string]func(c *cluster) *member{"leader": (*cluster).leader, "follower": (*cluster).follower}
+	lost := map[string]func(c *cluster) *member{
+		"leader":    (*cluster).leader,
+		"successor": func(c *cluster) *member { return c.members["k4"] },
+		"follower": func(c *cluster) *member {
+			leader := c.leader()
+			return lo.Values(lo.OmitBy(c.members, func(id string, m *member) bool { return m == leader || id == "k4" }))[0]
+		},
+	}
+	for replacedRole, chooseReplaced := range replaced {
+		for lostRole, chooseLost := range lost {
+			t.Run(replacedRole+" replaced, "+lostRole+" loses its disk", func(t *testing.T) {
+				inClusterOf(t, 3, func(c *cluster) {
+					c.propose(c.leader(), 1, 120)
+					c.lose(chooseReplaced(c))
+					c.start("k4")
+					<-time.After(testCatchUp)
+					again := chooseLost(c)
+					c.lose(again)
+					c.start(again.keeper.opts.NodeID)
+					c.propose(c.leader(), 121, 125)
+					c.waitRevision(125)
+				})
+			})
+		}
+	}
+}
+
 // waitTick waits for one tick of virtual time.
 func waitTick() { <-time.After(tickInterval) }
--- a/pkg/keeper/logloop.go
+++ b/pkg/keeper/logloop.go
@@ -13,8 +13,12 @@
 	"github.com/masticmount/masticmount/pkg/regionlog/storage"
 )
 
-// replacementTicks is the interval between two checks for membership changes: 1 s.
-const replacementTicks = 20
+const (
+	// replacementTicks is the interval between two checks for membership changes: 250 ms.
+	replacementTicks = 5
+	// statusTicks is the maximum interval between two published statuses: 1 s.
+	statusTicks = 20
+)
 
 // changeSchedule schedules the leader's checks for membership changes. Replacing a voter
 // takes two changes, and between them the log tolerates the loss of fewer keepers.
@@ -47,12 +51,14 @@
 	published regionlog.Status
 	planner   voterPlanner
 	schedule  changeSchedule
+	// reported is the reason last logged for which a membership change waits.
+	reported string
 	// transportMembership is the last membership passed to the transport.
 	transportMembership *peerpb.Membership
 }
 
 func newLogLoop(k *Keeper) (*logLoop, error) {
-	l := &logLoop{keeper: k, reads: map[uint64]chan<- readResult{}}
+	l := &logLoop{keeper: k, reads: map[uint64]chan<- readResult{}, planner: newVoterPlanner(k.opts.TargetVoters, k.opts.CatchUp)}
 	if err := l.load(k.store.Stored()); err != nil {
 		return nil, err
 	}
@@ -120,7 +126,9 @@
 func (l *logLoop) changeVoters() {
 	change := l.machine.NextReplacement()
 	if change == nil {
-		change = l.planner.next(l.ticks, l.machine.Status(), l.keeper.opts.TargetVoters)
+		next := l.planner.next(l.machine.Status())
+		l.reportWaiting(next)
+		change = next.change
 	}
 	if change == nil {
 		l.schedule.idle(l.ticks)
@@ -128,13 +136,28 @@
 	}
 	_, _, err := l.machine.ProposeMembership(time.Now().UnixMilli(), change)
 	l.schedule.proposed(l.ticks, err)
-	if errors.Is(err, regionlog.ErrChangePending) {
+	if errors.Is(err, regionlog.ErrChangePending) || (err != nil && err.Error() == l.reported) {
 		return
 	}
+	l.reported = ""
+	if err != nil {
+		l.reported = err.Error()
+	}
 	l.keeper.opts.Log.Info().Str("action", change.GetAction().String()).Uint64("identity", change.GetIdentity()).
 		AnErr("refused", err).Msg("keeper_replacement")
 }
 
+// reportWaiting logs why a learner has no vote yet, once for each reason.
+func (l *logLoop) reportWaiting(p plan) {
+	if p.change != nil || p.waiting == l.reported {
+		return
+	}
+	l.reported = p.waiting
+	if p.waiting != "" {
+		l.keeper.opts.Log.Info().Uint64("learner", p.learner).Str("reason", p.waiting).Msg("keeper_learner_waits")
+	}
+}
+
 // processReady processes the protocol's Ready batches and returns false if the
 // keeper must stop.
 func (l *logLoop) processReady(ctx context.Context) bool {
@@ -230,11 +253,11 @@
 		l.keeper.opts.Log.Info().Str("role", s.Role.String()).Uint64("term", s.Term).Uint64("leader", s.Leader).
 			Int("members", len(s.Membership.GetMembers())).Msg("region_log_role")
 	}
-	if changed || l.ticks%replacementTicks == 0 || s.Commit == s.Last {
+	if changed || l.ticks%statusTicks == 0 || s.Commit == s.Last {
 		l.published = s
 		l.keeper.view.publish(s)
 	}
-	if changed || l.ticks%replacementTicks == 0 {
+	if changed || l.ticks%statusTicks == 0 {
 		l.updateMetrics(s)
 	}
 }
@@ -252,6 +275,10 @@
 	metrics.Set("regionlog.leads", leads)
 	metrics.Set("regionlog.term", int64(s.Term))
 	metrics.Set("regionlog.commit", int64(s.Commit))
+	members, voters := len(s.Membership.GetMembers()), len(regionlog.Voters(s.Membership))
+	metrics.Set("regionlog.voters", int64(voters))
+	metrics.Set("regionlog.learners", int64(members-voters))
+	metrics.Set("regionlog.absent_voters", int64(l.planner.absentVoters(s)))
 	metrics.Set("regionlog.applied", int64(l.keeper.applied.get()))
 	metrics.Set("regionlog.events_refused", int64(l.keeper.events.Dropped()))
 }
--- a/pkg/keeper/voterplanner_test.go
+++ b/pkg/keeper/voterplanner_test.go
@@ -1,53 +1,107 @@
 package keeper
 
 import (
+	"fmt"
 	"testing"
+	"time"
 
+	"github.com/samber/lo"
 	"github.com/stretchr/testify/require"
 
 	"github.com/masticmount/masticmount/pkg/peerpb"
 	"github.com/masticmount/masticmount/pkg/regionlog"
 )
 
-func leaderStatus(members []*peerpb.Member, active ...uint64) regionlog.Status {
+// leaderStatus is a leader's view in which the given members respond and have replicated
+// all entries. The others have not responded for the given ticks.
+func leaderStatus(members []*peerpb.Member, silentTicks int, responding ...uint64) regionlog.Status {
 	s := regionlog.Status{
 		Identity: 1, Role: regionlog.Leader, Commit: 10, Membership: &peerpb.Membership{Members: members},
-		Match: map[uint64]uint64{}, Active: map[uint64]bool{},
+		Match: map[uint64]uint64{}, SilentTicks: map[uint64]int{},
 	}
-	for _, id := range active {
-		s.Match[id], s.Active[id] = 10, true
+	for _, m := range members {
+		s.SilentTicks[m.GetIdentity()] = silentTicks
+	}
+	for _, id := range responding {
+		s.Match[id], s.SilentTicks[id] = 10, 0
 	}
 	return s
 }
 
+func requireChange(t *testing.T, action peerpb.MembershipChange_Action, identity uint64, p plan) {
+	t.Helper()
+	require.Equal(t, action, p.change.GetAction())
+	require.Equal(t, identity, p.change.GetIdentity())
+}
+
+func requireWaiting(t *testing.T, waiting string, p plan) {
+	t.Helper()
+	require.Nil(t, p.change)
+	require.Equal(t, waiting, p.waiting)
+}
+
+var (
+	threeVoters = newVoterPlanner(3, 4*time.Second)
+	fiveVoters  = newVoterPlanner(5, 4*time.Second)
+	absentTicks = threeVoters.absentTicks
+)
+
 func TestLearnersArePromotedUpToTarget(t *testing.T) {
 	members := []*peerpb.Member{{Identity: 1}, {Identity: 2}, {Identity: 3}, {Identity: 4, Learner: true}}
-	var p voterPlanner
-	require.Nil(t, p.next(0, leaderStatus(members, 1, 2, 3, 4), 3), "enough voters")
-	change := p.next(1, leaderStatus(members, 1, 2, 3, 4), 5)
-	require.Equal(t, peerpb.MembershipChange_ACTION_PROMOTE, change.GetAction())
-	require.EqualValues(t, 4, change.GetIdentity())
-	behind := leaderStatus(members, 1, 2, 3, 4)
+	requireWaiting(t, noVoterIsAbsent, threeVoters.next(leaderStatus(members, 0, 1, 2, 3, 4)))
+	requireChange(t, peerpb.MembershipChange_ACTION_PROMOTE, 4, fiveVoters.next(leaderStatus(members, 0, 1, 2, 3, 4)))
+	behind := leaderStatus(members, 0, 1, 2, 3, 4)
 	behind.Match[4] = 9
-	require.Nil(t, p.next(2, behind, 5))
-	require.Nil(t, p.next(3, leaderStatus(members, 1, 2, 3), 5), "the learner does not respond")
-	follower := leaderStatus(members, 1, 2, 3, 4)
+	requireWaiting(t, learnerIsBehind, fiveVoters.next(behind))
+	requireWaiting(t, learnerIsSilent, fiveVoters.next(leaderStatus(members, 2*heartbeatTicks+1, 1, 2, 3)))
+	follower := leaderStatus(members, 0, 1, 2, 3, 4)
 	follower.Role = regionlog.Follower
-	require.Nil(t, p.next(4, follower, 5))
+	require.Equal(t, plan{}, fiveVoters.next(follower))
 }
 
 func TestAbsentVoterIsReplaced(t *testing.T) {
 	members := []*peerpb.Member{{Identity: 1}, {Identity: 2}, {Identity: 3}, {Identity: 4, Learner: true}}
-	var p voterPlanner
-	status := leaderStatus(members, 1, 2, 4)
-	require.Nil(t, p.next(0, status, 3), "the absence is counted from the leader's first check")
-	require.Nil(t, p.next(absentTicks-1, status, 3))
-	change := p.next(absentTicks, status, 3)
-	require.Equal(t, peerpb.MembershipChange_ACTION_REMOVE, change.GetAction())
-	require.EqualValues(t, 3, change.GetIdentity())
-	p = voterPlanner{}
-	require.Nil(t, p.next(0, leaderStatus(members[:3], 1, 2), 3))
-	require.Nil(t, p.next(2*absentTicks, leaderStatus(members[:3], 1, 2), 3), "without a replacement the voter stays")
+	requireWaiting(t, noVoterIsAbsent, threeVoters.next(leaderStatus(members, absentTicks-1, 1, 2, 4)))
+	requireChange(t, peerpb.MembershipChange_ACTION_PROMOTE, 4, threeVoters.next(leaderStatus(members, absentTicks, 1, 2, 4)))
+	members[3] = &peerpb.Member{Identity: 4}
+	requireChange(t, peerpb.MembershipChange_ACTION_REMOVE, 3, threeVoters.next(leaderStatus(members, absentTicks, 1, 2, 4)))
+	require.Equal(t, plan{}, threeVoters.next(leaderStatus(members, 0, 1, 2, 3, 4)), "a voter that returned in between keeps its vote")
+	require.Equal(t, plan{}, threeVoters.next(leaderStatus(members[:3], 2*absentTicks, 1, 2)), "without a replacement the voter stays")
+}
+
+// Guards against a voter that is removed before its successor has a vote, and against two
+// surplus votes of absent voters.
+func TestTwoAbsentVotersAreReplacedOneByOne(t *testing.T) {
+	members := []*peerpb.Member{
+		{Identity: 1},
+		{Identity: 2},
+		{Identity: 3},
+		{Identity: 4},
+		{Identity: 5},
+		{Identity: 6, Learner: true},
+		{Identity: 7, Learner: true},
+	}
+	var changes []string
+	for {
+		change := fiveVoters.next(leaderStatus(members, absentTicks, 1, 2, 3, 6, 7)).change
+		if change == nil {
+			break
+		}
+		changes = append(changes, fmt.Sprint(change.GetAction(), change.GetIdentity()))
+		if change.GetAction() == peerpb.MembershipChange_ACTION_REMOVE {
+			members = lo.Reject(members, func(m *peerpb.Member, _ int) bool { return m.GetIdentity() == change.GetIdentity() })
+			continue
+		}
+		member, _ := regionlog.FindMember(&peerpb.Membership{Members: members}, change.GetIdentity())
+		member.Learner = false
+	}
+	require.Equal(t, []string{"ACTION_PROMOTE 6", "ACTION_REMOVE 4", "ACTION_PROMOTE 7", "ACTION_REMOVE 5"}, changes)
+}
+
+func TestAbsenceIsDerivedFromCatchUpTime(t *testing.T) {
+	require.Equal(t, int(2*time.Second/tickInterval), newVoterPlanner(3, 4*time.Second).absentTicks)
+	require.Equal(t, int(8*time.Second/tickInterval), newVoterPlanner(3, DefaultCatchUp).absentTicks)
+	require.Equal(t, 2*electionTicks, newVoterPlanner(3, time.Second).absentTicks, "a leader without a quorum has stepped down by then")
 }
 
 func TestVotersSpreadOverFailureDomains(t *testing.T) {
@@ -59,10 +113,17 @@
 		{Identity: 5, FailureDomain: "c", Learner: true},
 		{Identity: 6, FailureDomain: "a", Learner: true},
 	}
-	var p voterPlanner
-	require.EqualValues(t, 5, p.next(0, leaderStatus(members, 1, 2, 3, 4, 5, 6), 5).GetIdentity())
+	requireChange(t, peerpb.MembershipChange_ACTION_PROMOTE, 5, fiveVoters.next(leaderStatus(members, 0, 1, 2, 3, 4, 5, 6)))
 	members[4].Learner = false
-	require.EqualValues(t, 6, p.next(1, leaderStatus(members, 1, 2, 3, 4, 5, 6), 5).GetIdentity())
+	requireChange(t, peerpb.MembershipChange_ACTION_PROMOTE, 6, fiveVoters.next(leaderStatus(members, 0, 1, 2, 3, 4, 5, 6)))
+	members = []*peerpb.Member{
+		{Identity: 1, FailureDomain: "a"},
+		{Identity: 2, FailureDomain: "b"},
+		{Identity: 3, FailureDomain: "c"},
+		{Identity: 4, FailureDomain: "a", Learner: true},
+		{Identity: 5, FailureDomain: "c", Learner: true},
+	}
+	requireChange(t, peerpb.MembershipChange_ACTION_PROMOTE, 5, threeVoters.next(leaderStatus(members, absentTicks, 1, 2, 4, 5)))
 }
 
 // Guards against a delay between the two changes that replace a voter: between them the
@@ -92,17 +153,11 @@
 		{Identity: 4, NodeId: "d", Learner: true},
 		{Identity: 5, NodeId: "d", Learner: true},
 	}
-	var p voterPlanner
-	change := p.next(0, leaderStatus(members, 1, 2, 3, 5), 3)
-	require.Equal(t, peerpb.MembershipChange_ACTION_REMOVE, change.GetAction())
-	require.EqualValues(t, 4, change.GetIdentity(), "the older identity is removed before a voter is lost")
+	change := threeVoters.next(leaderStatus(members, 0, 1, 2, 3, 5))
+	requireChange(t, peerpb.MembershipChange_ACTION_REMOVE, 4, change) // the older identity, before a voter is lost
 	members = append(members[:3:3], members[4])
-	require.Nil(t, p.next(1, leaderStatus(members, 1, 2, 3, 5), 3))
-	change = p.next(1+absentTicks, leaderStatus(members, 1, 2, 5), 3)
-	require.Equal(t, peerpb.MembershipChange_ACTION_REMOVE, change.GetAction())
-	require.EqualValues(t, 3, change.GetIdentity())
-	members = append(members[:2:2], members[3])
-	change = p.next(2+absentTicks, leaderStatus(members, 1, 2, 5), 3)
-	require.Equal(t, peerpb.MembershipChange_ACTION_PROMOTE, change.GetAction())
-	require.EqualValues(t, 5, change.GetIdentity())
+	requireWaiting(t, noVoterIsAbsent, threeVoters.next(leaderStatus(members, 0, 1, 2, 3, 5)))
+	requireChange(t, peerpb.MembershipChange_ACTION_PROMOTE, 5, threeVoters.next(leaderStatus(members, absentTicks, 1, 2, 5)))
+	members[3] = &peerpb.Member{Identity: 5, NodeId: "d"}
+	requireChange(t, peerpb.MembershipChange_ACTION_REMOVE, 3, threeVoters.next(leaderStatus(members, absentTicks, 1, 2, 5)))
 }
--- a/pkg/regionlog/election.go
+++ b/pkg/regionlog/election.go
@@ -9,6 +9,7 @@
 // Tick advances the machine's logical clock by one.
 func (m *Machine) Tick() {
 	m.electionElapsed++
+	m.leaderSilent++
 	if m.role == Leader {
 		m.tickLeader()
 		return
@@ -20,6 +21,9 @@
 
 func (m *Machine) tickLeader() {
 	m.heartbeatElapsed++
+	for _, id := range m.peers {
+		m.progress[id].silentTicks++
+	}
 	if m.electionElapsed >= m.cfg.ElectionTicks {
 		m.electionElapsed = 0
 		if !m.checkQuorum() && m.cfg.injectedFault != faultNoCheckQuorum {
@@ -127,6 +131,10 @@
 	if p, ok := m.progress[m.cfg.Identity]; ok {
 		p.match = m.log.stable
 	}
+	if p, ok := m.progress[m.lastLeader]; ok && m.lastLeader != m.cfg.Identity {
+		p.silentTicks = min(m.leaderSilent, 2*m.cfg.ElectionTicks)
+	}
+	m.lastLeader = m.cfg.Identity
 	m.appendEntry(peerpb.EntryKind_ENTRY_KIND_NOOP, 0, nil)
 }
 
--- a/pkg/regionlog/errors.go
+++ b/pkg/regionlog/errors.go
@@ -21,7 +21,8 @@
 	ErrTermNotCommitted = errors.New("the leader has not committed an entry of its term yet")
 	// ErrChangePending rejects a membership change while another is uncommitted.
 	ErrChangePending = errors.New("another membership change is not committed yet")
-	// ErrQuorumAtRisk rejects a removal after which no majority would be reachable.
+	// ErrQuorumAtRisk rejects a removal or a promotion after which no majority would be
+	// reachable.
 	ErrQuorumAtRisk = errors.New("too few of the remaining voters respond to form a majority")
 	// ErrNotCaughtUp rejects the promotion of a learner that lacks committed entries.
 	ErrNotCaughtUp = errors.New("the learner has not replicated all committed entries yet")
--- a/pkg/regionlog/invariants_test.go
+++ b/pkg/regionlog/invariants_test.go
@@ -53,6 +53,7 @@
 // keeper has applied the same log.
 func (n *network) converge() {
 	n.cut = map[[2]uint64]bool{}
+	n.targetVoters = 0
 	for _, k := range n.nodes {
 		k.frozen = false
 		if k.machine == nil {
--- a/pkg/regionlog/machine.go
+++ b/pkg/regionlog/machine.go
@@ -99,6 +99,10 @@
 	Match map[uint64]uint64
 	// Active reports which members responded recently; set on the leader only.
 	Active map[uint64]bool
+	// SilentTicks is the number of ticks since each member's last response, or since the
+	// term began; set on the leader only. For the preceding leader, up to two election
+	// timeouts without a message before the term count as well.
+	SilentTicks map[uint64]int
 }
 
 // Machine is the protocol state of one keeper of the region log.
@@ -114,6 +118,10 @@
 	heartbeatElapsed int
 	electionTimeout  int
 	randomState      uint64
+	// lastLeader is the last leader known, leaderSilent the number of ticks since its
+	// last message.
+	lastLeader   uint64
+	leaderSilent int
 
 	// votes received as a candidate or pre-candidate.
 	votes map[uint64]bool
@@ -173,6 +181,7 @@
 		s.Active = lo.MapValues(m.progress, func(p *progress, id uint64) bool {
 			return p.active || p.wasActive || id == m.cfg.Identity
 		})
+		s.SilentTicks = lo.MapValues(m.progress, func(p *progress, _ uint64) int { return p.silentTicks })
 	}
 	return s
 }
--- a/pkg/regionlog/membership.go
+++ b/pkg/regionlog/membership.go
@@ -146,7 +146,7 @@
 	if err != nil {
 		return 0, 0, err
 	}
-	if change.GetAction() == peerpb.MembershipChange_ACTION_REMOVE && !m.quorumActive(Voters(next)) {
+	if change.GetAction() != peerpb.MembershipChange_ACTION_ADD_LEARNER && !m.quorumResponds(Voters(next)) {
 		return 0, 0, ErrQuorumAtRisk
 	}
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(next)
@@ -158,13 +158,14 @@
 	return e.GetIndex(), e.GetTerm(), nil
 }
 
-// quorumActive reports whether a majority of the voters responded recently.
-func (m *Machine) quorumActive(voters []uint64) bool {
-	active := lo.CountBy(voters, func(id uint64) bool {
-		p := m.progress[id]
-		return id == m.cfg.Identity || p.active || p.wasActive
+// quorumResponds reports whether a majority of the voters responded within the last two
+// heartbeat intervals. A longer time would count a voter that was just lost, and a change
+// in effect cannot be undone without the majority that it requires.
+func (m *Machine) quorumResponds(voters []uint64) bool {
+	responding := lo.CountBy(voters, func(id uint64) bool {
+		return id == m.cfg.Identity || m.progress[id].silentTicks <= 2*m.cfg.HeartbeatTicks
 	})
-	return active > len(voters)/2
+	return responding > len(voters)/2
 }
 
 // caughtUp reports whether a peer has replicated every committed entry.
--- /dev/null
+++ b/pkg/regionlog/membership_test.go
@@ -0,0 +1,151 @@
+package regionlog
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/masticmount/masticmount/pkg/peerpb"
+)
+
+// electedNetwork returns a network of three voters that has elected a leader.
+func electedNetwork(t *testing.T) *network {
+	t.Helper()
+	n := newNetwork(faultNone, 3)
+	n.stepUntilLeader(t)
+	return n
+}
+
+func (n *network) stepUntilLeader(t *testing.T) *keeperNode {
+	t.Helper()
+	for range 10 * testElectionTicks {
+		if k := n.leader(); k != nil && k.machine.committedOwnTerm() {
+			return k
+		}
+		n.step()
+	}
+	require.Fail(t, "no leader")
+	return nil
+}
+
+func (n *network) stepFor(ticks int) {
+	for range ticks {
+		n.step()
+	}
+}
+
+// Guards against a lost leader whose absence is counted only from the start of its
+// successor's term: replacing it would take longer than replacing another voter.
+func TestLostLeaderIsSilentSinceItsLastMessage(t *testing.T) {
+	n := electedNetwork(t)
+	lost := n.leader()
+	n.crash(lost)
+	elapsed := 0
+	for ; n.leader() == nil; elapsed++ {
+		n.step()
+	}
+	require.GreaterOrEqual(t, elapsed, testElectionTicks)
+	n.stepFor(testElectionTicks)
+	silent := n.leader().machine.Status().SilentTicks
+	require.InDelta(t, elapsed+testElectionTicks, silent[lost.identity], 2)
+	for _, id := range n.ids() {
+		if id != lost.identity {
+			require.LessOrEqual(t, silent[id], 2*2, "keeper %d responds", id)
+		}
+	}
+}
+
+// Guards against a voter that led an earlier term, still responds, and counts as silent
+// once the present leader is elected again.
+func TestEarlierLeaderThatRespondsIsNotSilent(t *testing.T) {
+	n := electedNetwork(t)
+	first := n.leader()
+	var other *keeperNode
+	for _, id := range n.ids() {
+		if id != first.identity {
+			other = n.nodes[id]
+		}
+	}
+	require.NoError(t, first.machine.Transfer(other.identity))
+	n.processReady(first, crashNever)
+	n.stepFor(10 * testElectionTicks)
+	require.Same(t, other, n.leader())
+	for _, id := range n.ids() {
+		if id != first.identity && id != other.identity {
+			third := n.nodes[id]
+			require.NoError(t, other.machine.Transfer(third.identity))
+			n.processReady(other, crashNever)
+			n.stepFor(1)
+			require.Same(t, third, n.leader())
+			require.NoError(t, third.machine.Transfer(other.identity))
+			n.processReady(third, crashNever)
+		}
+	}
+	n.stepFor(1)
+	require.Same(t, other, n.leader())
+	for id, ticks := range other.machine.Status().SilentTicks {
+		require.LessOrEqual(t, ticks, 2*2, "keeper %d responds", id)
+	}
+}
+
+// Guards against a change that requires a voter which was just lost: the change is in
+// effect at once and could not be undone without that voter.
+func TestChangeIsRefusedWithoutRespondingMajority(t *testing.T) {
+	for _, action := range []peerpb.MembershipChange_Action{peerpb.MembershipChange_ACTION_PROMOTE, peerpb.MembershipChange_ACTION_REMOVE} {
+		n := electedNetwork(t)
+		leader := n.leader()
+		spare := n.addEmptyKeeper("spare")
+		n.start(spare)
+		n.repair()
+		n.stepFor(testElectionTicks)
+		voters := Voters(leader.machine.log.membership())
+		require.Len(t, voters, 3)
+		var followers []*keeperNode
+		for _, id := range voters {
+			if id != leader.identity {
+				followers = append(followers, n.nodes[id])
+			}
+		}
+		n.crash(followers[0])
+		n.stepFor(2 * testElectionTicks)
+		n.crash(followers[1])
+		change := &peerpb.MembershipChange{Action: action, Identity: spare.identity}
+		if action == peerpb.MembershipChange_ACTION_REMOVE {
+			change.Identity = followers[0].identity
+		}
+		n.stepFor(testElectionTicks / 2)
+		require.Equal(t, Leader, leader.machine.role, "the leader has not noticed the loss yet")
+		_, _, err := leader.machine.ProposeMembership(0, change)
+		require.ErrorIs(t, err, ErrQuorumAtRisk)
+	}
+}
+
+// runRandomReplacements runs random events in which voters are replaced by a spare keeper,
+// promoted first, and the removed ones join again.
+func runRandomReplacements(seed uint64, f injectedFault) (*network, error) {
+	const steps = 3000
+	n := newNetwork(f, votersOf(seed))
+	n.targetVoters = votersOf(seed)
+	n.start(n.addEmptyKeeper("spare"))
+	return n, n.runEvents(rand.New(rand.NewPCG(seed, 1)), steps)
+}
+
+func TestRandomReplacementsPreserveInvariants(t *testing.T) {
+	replacements := 0
+	for seed := range uint64(150) {
+		n, err := runRandomReplacements(seed, faultNone)
+		require.NoError(t, err, "seed %d", seed)
+		replacements += len(n.leader().machine.log.membership().GetRemoved())
+	}
+	require.Greater(t, replacements, 100, "too few voters were replaced")
+}
+
+// Guards against replacements too rare to detect that two changes take effect at once.
+func TestRandomReplacementsDetectConcurrentChanges(t *testing.T) {
+	var detected error
+	for seed := uint64(0); seed < 100 && detected == nil; seed++ {
+		_, detected = runRandomReplacements(seed, faultConcurrentChanges)
+	}
+	require.Error(t, detected, "no random sequence detected the injected fault")
+}
--- a/pkg/regionlog/network_test.go
+++ b/pkg/regionlog/network_test.go
@@ -60,7 +60,10 @@
 	nextRead uint64
 	// firstElectionTicks is Config.FirstElectionTicks of every keeper.
 	firstElectionTicks int
-	reads              map[uint64]readCheck
+	// targetVoters makes repair replace a voter whenever there is a caught-up spare; 0
+	// does not.
+	targetVoters int
+	reads        map[uint64]readCheck
 	// committed is the first committed entry seen at each index.
 	committed    map[uint64]*peerpb.LogEntry
 	leaders      map[uint64]uint64
@@ -391,7 +394,7 @@
 		return
 	}
 	n.replaceRemoved(k)
-	change, ok := lo.Coalesce(n.nextAddition(k), k.machine.NextReplacement(), n.nextPromotion(k))
+	change, ok := lo.Coalesce(n.nextAddition(k), k.machine.NextReplacement(), n.nextSurplusRemoval(k), n.nextPromotion(k))
 	if !ok {
 		return
 	}
@@ -410,6 +413,17 @@
 	return nil
 }
 
+// nextSurplusRemoval returns the removal of the voter that was silent for longest if
+// there are more than the target, or nil.
+func (n *network) nextSurplusRemoval(k *keeperNode) *peerpb.MembershipChange {
+	voters := lo.Without(Voters(k.machine.log.membership()), k.identity)
+	if n.targetVoters == 0 || len(voters) < n.targetVoters {
+		return nil
+	}
+	silent := lo.MaxBy(voters, func(a, b uint64) bool { return k.machine.progress[a].silentTicks > k.machine.progress[b].silentTicks })
+	return &peerpb.MembershipChange{Action: peerpb.MembershipChange_ACTION_REMOVE, Identity: silent}
+}
+
 // nextPromotion returns the promotion of a learner that an operator removed earlier.
 func (n *network) nextPromotion(k *keeperNode) *peerpb.MembershipChange {
 	for _, m := range k.machine.log.membership().GetMembers() {
--- a/pkg/regionlog/random_test.go
+++ b/pkg/regionlog/random_test.go
@@ -32,21 +32,30 @@
 func (s rapidSource) IntN(n int) int { return rapid.IntRange(0, n-1).Draw(s.t, "choice") }
 
 // runRandomEvents runs random events and returns the first violated invariant.
-func runRandomEvents(random randomSource, f injectedFault, voters, steps int) (violation error) {
+func runRandomEvents(random randomSource, f injectedFault, voters, steps int) error {
+	n := newNetwork(f, voters)
+	if voters > 3 {
+		n.firstElectionTicks = testFirstTicks
+	}
+	return n.runEvents(random, steps)
+}
+
+// runEvents runs random events, repairs the network and returns the first violated
+// invariant.
+func (n *network) runEvents(random randomSource, steps int) (violation error) {
 	defer func() {
 		if r := recover(); r != nil {
 			violation = fmt.Errorf("%v", r)
 		}
 	}()
-	n := newNetwork(f, voters)
-	if voters > 3 {
-		n.firstElectionTicks = testFirstTicks
-	}
 	for i := range steps {
 		n.randomEvent(random, i)
 		if i%16 == 0 {
 			n.checkLogs()
 		}
+		if n.targetVoters > 0 && i%16 == 0 {
+			n.repair()
+		}
 		if n.violation != nil {
 			return n.violation
 		}
--- a/pkg/regionlog/replication.go
+++ b/pkg/regionlog/replication.go
@@ -33,10 +33,16 @@
 	active bool
 	// wasActive is active as of the last quorum check.
 	wasActive bool
+	// silentTicks is the number of ticks since the member's last response, or since the
+	// term began.
+	silentTicks int
 	// read is the number of the last read that the member confirmed.
 	read uint64
 }
 
+// responded records a response of the member.
+func (p *progress) responded() { p.active, p.silentTicks = true, 0 }
+
 func (p *progress) probe() {
 	p.replicating, p.probeInFlight, p.installing, p.installElapsed = false, false, false, 0
 	p.next = p.match + 1
@@ -146,7 +152,7 @@
 	if m.role != Leader || !ok {
 		return
 	}
-	p.active = true
+	p.responded()
 	if msg.GetReject() {
 		m.handleRejection(p, msg)
 		return
@@ -199,7 +205,7 @@
 	if m.role != Leader || !ok {
 		return
 	}
-	p.active = true
+	p.responded()
 	p.read = max(p.read, msg.GetRead())
 }
 
--- a/pkg/regionlog/step.go
+++ b/pkg/regionlog/step.go
@@ -14,6 +14,9 @@
 	if lo.Contains(m.log.membershipAt(m.log.commit).GetRemoved(), msg.GetFrom()) {
 		return ErrRemovedIdentity
 	}
+	if msg.GetFrom() == m.lastLeader {
+		m.leaderSilent = 0
+	}
 	switch {
 	case msg.GetTerm() > m.term:
 		if !m.enterTerm(msg) {
@@ -94,6 +97,6 @@
 	if m.role != Follower {
 		m.becomeFollower(m.term, leader)
 	}
-	m.leader = leader
-	m.electionElapsed = 0
+	m.leader, m.lastLeader = leader, leader
+	m.electionElapsed, m.leaderSilent = 0, 0
 }
