keeper: voters that return soon keep their votes, those replaced return as learners: tests

TestVoterIsNotReplacedNeedlessly (a follower or the leader away for half of the absence; a leader with the spare but without the majority) and TestReplacedVoterReturnsAsLearner, with a spare learner present.

--- a/pkg/keeper/keeper_test.go
+++ b/pkg/keeper/keeper_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -39,6 +40,8 @@
 	listeners   map[string]*bufconn.Listener
 	partitioned map[string]bool
 	dropping    map[string]bool
+	// farSide are the members that reach each other but not the rest.
+	farSide map[string]bool
 	// targetVoters is Options.TargetVoters of the keepers that are started from now on.
 	targetVoters int
 }
@@ -146,7 +149,7 @@
 	c.mu.Lock()
 	listener := c.listeners[to]
 	c.mu.Unlock()
-	partitioned := func() bool { return c.isPartitioned(from) || c.isPartitioned(to) }
+	partitioned := func() bool { return c.isPartitioned(from) || c.isPartitioned(to) || c.isSplit(from, to) }
 	dropping := func() bool { return c.isDropping(from) || c.isDropping(to) }
 	if listener == nil || partitioned() || dropping() {
 		return nil, net.ErrClosed
@@ -167,6 +170,19 @@
 	return c.dropping[id]
 }
 
+func (c *cluster) isSplit(a, b string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.farSide[a] != c.farSide[b]
+}
+
+// split separates the given members from the rest; none restores all links.
+func (c *cluster) split(farSide ...string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.farSide = lo.SliceToMap(farSide, func(id string) (string, bool) { return id, true })
+}
+
 func (c *cluster) setDropping(id string, dropping bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -269,6 +285,26 @@
 	return lo.Values(lo.OmitBy(c.members, func(_ string, m *member) bool { return m == leader }))[0]
 }
 
+// voterThatFollows returns a founding member that does not lead.
+func (c *cluster) voterThatFollows() *member {
+	leader := c.leader()
+	return lo.Values(lo.OmitBy(c.members, func(id string, m *member) bool { return m == leader || !lo.Contains(nodeIDs, id) }))[0]
+}
+
+// latestLeader returns the leader of the latest term.
+func (c *cluster) latestLeader() *member {
+	c.leader()
+	return lo.MaxBy(lo.Values(c.members), func(a, b *member) bool { return a.leadingTerm() > b.leadingTerm() })
+}
+
+// leadingTerm returns the term that the member leads, or 0.
+func (m *member) leadingTerm() uint64 {
+	if s := m.keeper.Status(); s.Role == regionlog.Leader {
+		return s.Term
+	}
+	return 0
+}
+
 func TestFollowerForwardsAndAllApply(t *testing.T) {
 	inCluster(t, func(c *cluster) {
 		c.propose(c.follower(), 1, 5)
@@ -467,10 +503,7 @@
 	lost := map[string]func(c *cluster) *member{
 		"leader":    (*cluster).leader,
 		"successor": func(c *cluster) *member { return c.members["k4"] },
-		"follower": func(c *cluster) *member {
-			leader := c.leader()
-			return lo.Values(lo.OmitBy(c.members, func(id string, m *member) bool { return m == leader || id == "k4" }))[0]
-		},
+		"follower":  (*cluster).voterThatFollows,
 	}
 	for replacedRole, chooseReplaced := range replaced {
 		for lostRole, chooseLost := range lost {
@@ -491,5 +524,96 @@
 	}
 }
 
+// inClusterWithSpare runs a test with three voters and the caught-up learner k4.
+func inClusterWithSpare(t *testing.T, test func(c *cluster)) {
+	inClusterOf(t, 3, func(c *cluster) {
+		c.propose(c.leader(), 1, 120)
+		c.start("k4")
+		c.waitRevision(120)
+		test(c)
+	})
+}
+
+// membership returns the voters and learners by node, and the number of identities removed.
+func (c *cluster) membership() (voters, learners []string, removed int) {
+	membership := c.leader().keeper.Status().Membership
+	for _, m := range membership.GetMembers() {
+		if m.GetLearner() {
+			learners = append(learners, m.GetNodeId())
+		} else {
+			voters = append(voters, m.GetNodeId())
+		}
+	}
+	slices.Sort(voters)
+	return voters, learners, len(membership.GetRemoved())
+}
+
+// Guards against voters that are replaced although they return soon, or although only a
+// leader without a majority misses them.
+func TestVoterIsNotReplacedNeedlessly(t *testing.T) {
+	absence := newVoterPlanner(3, testCatchUp).absentTicks
+	for name, far := range map[string]func(c *cluster) []string{
+		"follower": func(c *cluster) []string { return []string{c.voterThatFollows().keeper.opts.NodeID} },
+		"leader":   func(c *cluster) []string { return []string{c.leader().keeper.opts.NodeID} },
+	} {
+		t.Run(name+" away shortly", func(t *testing.T) {
+			inClusterWithSpare(t, func(c *cluster) {
+				c.split(far(c)...)
+				for range absence - 2*electionTicks {
+					waitTick()
+				}
+				c.split()
+				for range 4 * absence {
+					waitTick()
+				}
+				voters, learners, removed := c.membership()
+				require.Equal(t, nodeIDs, voters)
+				require.Equal(t, []string{"k4"}, learners)
+				require.Zero(t, removed)
+			})
+		})
+	}
+	t.Run("leader and spare away from the majority", func(t *testing.T) {
+		inClusterWithSpare(t, func(c *cluster) {
+			c.split(c.leader().keeper.opts.NodeID, "k4")
+			for range 4 * absence {
+				waitTick()
+			}
+			c.propose(c.latestLeader(), 121, 125)
+			c.split()
+			c.waitRevision(125)
+			voters, learners, removed := c.membership()
+			require.Equal(t, nodeIDs, voters)
+			require.Equal(t, []string{"k4"}, learners)
+			require.Zero(t, removed)
+		})
+	})
+}
+
+// Guards against harm by a voter that returns after it was replaced: it must not act with
+// its old identity, and joins as a learner once its disk is emptied.
+func TestReplacedVoterReturnsAsLearner(t *testing.T) {
+	inClusterWithSpare(t, func(c *cluster) {
+		away := c.leader()
+		id := away.keeper.opts.NodeID
+		c.split(id)
+		for range 2 * int(testCatchUp/tickInterval) {
+			waitTick()
+		}
+		c.propose(c.latestLeader(), 121, 125)
+		c.split()
+		for !away.keeper.Removed() {
+			waitTick()
+		}
+		c.lose(away)
+		c.start(id)
+		c.waitRevision(125)
+		voters, learners, removed := c.membership()
+		require.Equal(t, append(lo.Without(nodeIDs, id), "k4"), voters)
+		require.Equal(t, []string{id}, learners)
+		require.Equal(t, 1, removed)
+	})
+}
+
 // waitTick waits for one tick of virtual time.
 func waitTick() { <-time.After(tickInterval) }
