retrybudget: the retry budget has its own package

So that tests of keepers and entries together can use it. No change of logic. TestRetriesStayWithinBudget moves with it; two tests of forward that set its fields now spend it, or remove it (TestRetryBudgetExhaustedDuringResumption, TestPanicWhileWritingAnswerReleasesRequest).

--- a/pkg/forward/entry.go
+++ b/pkg/forward/entry.go
@@ -20,6 +20,7 @@
 	"github.com/masticmount/masticmount/pkg/mechanism"
 	"github.com/masticmount/masticmount/pkg/peerpb"
 	"github.com/masticmount/masticmount/pkg/quarantine"
+	"github.com/masticmount/masticmount/pkg/retrybudget"
 	"github.com/masticmount/masticmount/pkg/statement"
 	"github.com/masticmount/masticmount/pkg/telemetry"
 )
@@ -70,7 +71,7 @@
 
 	mu          sync.Mutex
 	placer      *Placer
-	retryBudget retryBudget
+	retryBudget *retrybudget.Budget
 	waiters     map[uint64]waiter
 	crashes     *quarantine.Table
 	// crashChecks are the upstreams that may have crashed, until it is known whether they did.
@@ -109,7 +110,7 @@
 	now := time.Now()
 	seed := uint64(now.UnixNano())
 	e := &Entry{
-		opts: opts, startedAt: now, waiters: map[uint64]waiter{}, retryBudget: newRetryBudget(), numberings: map[string]*numbering{},
+		opts: opts, startedAt: now, waiters: map[uint64]waiter{}, retryBudget: retrybudget.New(opts.Mechanisms.Enabled(mechanism.SharedRetryBudget)), numberings: map[string]*numbering{},
 		crashes: quarantine.NewTable(), statements: statement.NewTable(), crashChecks: map[incarnation]*crashCheck{}, unanswered: map[*unansweredSend]struct{}{}, unbegun: unbegunSessions{sessions: map[*session]struct{}{}},
 		random: rand.New(rand.NewPCG(seed, 1)), placer: NewPlacer(opts.FailureDomain, rand.New(rand.NewPCG(seed, 2))),
 	}
@@ -117,7 +118,6 @@
 	e.placer.SetMechanisms(opts.Mechanisms)
 	e.placer.SetStatements(e.statements)
 	opts.Client.SetStatementHandler(e.observeStatement)
-	e.retryBudget.pooling = opts.Mechanisms.Enabled(mechanism.SharedRetryBudget)
 	e.server = &fasthttp.Server{
 		Handler: e.serve, ReadBufferSize: maxHeaderBytes, MaxRequestBodySize: maxBodyBytes,
 		ReadTimeout: readTimeout, IdleTimeout: idleTimeout, NoDefaultServerHeader: true, NoDefaultDate: true,
@@ -161,7 +161,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := boottime.Now()
-	e.retryBudget.update(now, v)
+	e.retryBudget.Update(now, v.Entries, v.Retries)
 	grants := e.placer.Update(now, v)
 	e.markCrashed(e.opts.EvidenceClock())
 	e.deliver(grants)
@@ -198,6 +198,6 @@
 	r.Evidence = e.reports.takeEvidence(now, primary, e.placer)
 	if primary {
 		r.LimitedWork = e.placer.limitedWork(now)
-		r.Loads, r.Demand, r.Repeats = e.placer.loads(), e.reports.takeDemand(), e.retryBudget.takeCounts()
+		r.Loads, r.Demand, r.Repeats = e.placer.loads(), e.reports.takeDemand(), e.retryBudget.TakeCounts()
 	}
 }
--- a/pkg/forward/outcome_test.go
+++ b/pkg/forward/outcome_test.go
@@ -64,19 +64,6 @@
 	}
 }
 
-func TestRetriesStayWithinBudget(t *testing.T) {
-	budget := newRetryBudget()
-	spent := 0
-	for range 1000 {
-		budget.recordRequest("pool")
-		if budget.spend("pool") {
-			spent++
-		}
-	}
-	assert.LessOrEqual(t, spent, maxBurst+int(1000*earnedRatio)+1)
-	assert.GreaterOrEqual(t, spent, int(1000*earnedRatio)-1)
-}
-
 func TestEventSplitterReturnsWholeEvents(t *testing.T) {
 	var s eventSplitter
 	assert.Empty(t, s.feed([]byte("id: 1\ndata: a\n")))
--- a/pkg/forward/resume_failures_test.go
+++ b/pkg/forward/resume_failures_test.go
@@ -188,7 +188,9 @@
 		assert.NoError(t, h.view.Document.Index())
 		h.entry.UpdateView(h.view)
 		h.entry.mu.Lock()
-		h.entry.retryBudget.budgetOf("desk").earned = 1
+		for h.entry.retryBudget.Left("desk") > 1 {
+			h.entry.retryBudget.Spend("desk")
+		}
 		h.entry.mu.Unlock()
 		_, body, err := h.call("POST", "/stream/x", "prompt")
 		assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
@@ -230,9 +232,9 @@
 		h.send(conn, "POST", "/stream/x", "prompt")
 		reader := bufio.NewReader(conn)
 		synctest.Wait()
-		// With a nil map the lookup of the retry budget panics.
+		// Without a retry budget the entry panics.
 		h.entry.mu.Lock()
-		h.entry.retryBudget.services = nil
+		h.entry.retryBudget = nil
 		h.entry.mu.Unlock()
 		resp, err := http.ReadResponse(reader, nil)
 		if assert.NoError(t, err) {
--- a/pkg/forward/session.go
+++ b/pkg/forward/session.go
@@ -92,7 +92,7 @@
 	}
 	e.mu.Lock()
 	e.unbegun.add(s)
-	e.retryBudget.recordRequest(r.service.Name)
+	e.retryBudget.RecordRequest(r.service.Name)
 	if r.modelName != "" {
 		e.reports.recordArrival(r.modelName, r.groupTime)
 	}
@@ -302,7 +302,7 @@
 func (s *session) canRetryNow() bool {
 	s.entry.mu.Lock()
 	defer s.entry.mu.Unlock()
-	return s.canRetry() && s.entry.retryBudget.available(s.request.service.Name)
+	return s.canRetry() && s.entry.retryBudget.Available(s.request.service.Name)
 }
 
 // canRetry reports whether another send is allowed by the route, the time left, the outcomes
@@ -328,7 +328,7 @@
 	s.recordFailure(s.currentSend, r, err)
 	e := s.entry
 	e.mu.Lock()
-	retry := s.ctx.Err() == nil && s.canRetry() && (!err.Sent || e.retryBudget.spend(s.request.service.Name))
+	retry := s.ctx.Err() == nil && s.canRetry() && (!err.Sent || e.retryBudget.Spend(s.request.service.Name))
 	e.mu.Unlock()
 	s.releaseTarget()
 	return retry
--- a/pkg/forward/successor.go
+++ b/pkg/forward/successor.go
@@ -142,12 +142,12 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	st.reportStall(now)
-	if !s.canRetry() || !e.retryBudget.available(s.request.service.Name) {
+	if !s.canRetry() || !e.retryBudget.Available(s.request.service.Name) {
 		return nil
 	}
 	target := e.placer.Claim(now, w)
 	if target != nil {
-		e.retryBudget.spend(s.request.service.Name)
+		e.retryBudget.Spend(s.request.service.Name)
 	}
 	return target
 }
--- a/pkg/forward/retry_budget.go
+++ b/pkg/retrybudget/budget.go
@@ -1,4 +1,6 @@
-package forward
+// Package retrybudget bounds the retries of requests. All entries share the budget of a service: each entry earns a part of it
+// by its own requests, and gets a part of what the others left unused.
+package retrybudget
 
 import (
 	"maps"
@@ -6,7 +8,6 @@
 	"slices"
 	"time"
 
-	"github.com/masticmount/masticmount/pkg/attach"
 	"github.com/masticmount/masticmount/pkg/peerpb"
 )
 
@@ -31,8 +32,9 @@
 	poolShare = 0.5
 )
 
-// retryBudget is this entry's part of the budget for retries. Each service has its own budget.
-type retryBudget struct {
+// Budget is one entry's part of the budget for retries. Each service has its own budget. It must not be used by several goroutines
+// at the same time.
+type Budget struct {
 	// entries is the number of entries that share the budget, as last reported.
 	entries  int
 	pooledAt time.Time
@@ -50,16 +52,17 @@
 	requests, retries uint32
 }
 
-func newRetryBudget() retryBudget {
-	return retryBudget{entries: 1, services: map[string]*serviceBudget{}, pooling: true}
+// New returns the budget of an entry that has just started. Without pooling it gets no part of what others left unused.
+func New(pooling bool) *Budget {
+	return &Budget{entries: 1, services: map[string]*serviceBudget{}, pooling: pooling}
 }
 
 // burst is the number of earned retries that may be saved up.
-func (b *retryBudget) burst() float64 {
+func (b *Budget) burst() float64 {
 	return math.Max(1, math.Min(maxBurst, regionBurst/float64(max(b.entries, 1))))
 }
 
-func (b *retryBudget) budgetOf(service string) *serviceBudget {
+func (b *Budget) budgetOf(service string) *serviceBudget {
 	s := b.services[service]
 	if s == nil {
 		s = &serviceBudget{earned: b.burst()}
@@ -68,23 +71,28 @@
 	return s
 }
 
-// recordRequest updates the budget for a first send.
-func (b *retryBudget) recordRequest(service string) {
+// RecordRequest updates the budget for a first send.
+func (b *Budget) RecordRequest(service string) {
 	s := b.budgetOf(service)
 	s.requests++
 	s.earned = math.Min(b.burst(), s.earned+earnedRatio)
 }
 
-// available reports whether a retry is left.
-func (b *retryBudget) available(service string) bool {
+// Left returns the number of retries that are left for a service.
+func (b *Budget) Left(service string) int {
 	s := b.budgetOf(service)
-	return s.earned >= 1 || s.pooled >= 1
+	return int(s.earned) + int(s.pooled)
 }
 
-// spend uses one retry if there is one: an earned one first, as earned retries are lost when
+// Available reports whether a retry is left.
+func (b *Budget) Available(service string) bool {
+	return b.Left(service) > 0
+}
+
+// Spend uses one retry if there is one: an earned one first, as earned retries are lost when
 // the entry has saved up its burst.
-func (b *retryBudget) spend(service string) bool {
-	if !b.available(service) {
+func (b *Budget) Spend(service string) bool {
+	if !b.Available(service) {
 		return false
 	}
 	s := b.budgetOf(service)
@@ -97,25 +105,25 @@
 	return true
 }
 
-// update applies the reported counts of all entries. The unused budget is divided among the
+// Update applies the reported counts of all entries. The unused budget is divided among the
 // entries, so that one that meets all failures may retry more than its own part.
-func (b *retryBudget) update(now time.Time, v *attach.View) {
-	if v.Entries == 0 || now.Sub(b.pooledAt) < poolInterval {
+func (b *Budget) Update(now time.Time, entries int, counts []*peerpb.RepeatCount) {
+	if entries == 0 || now.Sub(b.pooledAt) < poolInterval {
 		return
 	}
-	b.entries, b.pooledAt = v.Entries, now
+	b.entries, b.pooledAt = entries, now
 	if !b.pooling {
 		return
 	}
-	for _, c := range v.Retries {
+	for _, c := range counts {
 		requests := float64(c.GetRequests())
 		unused := math.Min(retryRatio*requests-float64(c.GetRepeats()), pooledRatio*requests)
 		b.budgetOf(c.GetService()).pooled = poolShare * math.Max(0, unused) / float64(b.entries)
 	}
 }
 
-// takeCounts returns the numbers since the last call, ordered by service, and resets them.
-func (b *retryBudget) takeCounts() []*peerpb.RepeatCount {
+// TakeCounts returns the numbers since the last call, ordered by service, and resets them.
+func (b *Budget) TakeCounts() []*peerpb.RepeatCount {
 	var counts []*peerpb.RepeatCount
 	for _, service := range slices.Sorted(maps.Keys(b.services)) {
 		if s := b.services[service]; s.requests > 0 || s.retries > 0 {
--- a/pkg/forward/retry_budget_test.go
+++ b/pkg/retrybudget/budget_test.go
@@ -1,4 +1,4 @@
-package forward
+package retrybudget
 
 import (
 	"math/rand/v2"
@@ -8,10 +8,11 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"github.com/masticmount/masticmount/pkg/attach"
 	"github.com/masticmount/masticmount/pkg/peerpb"
 )
 
+var start = time.Unix(1000, 0)
+
 const (
 	// Required bound on retries in a window of 10 s: a ratio of the requests, plus a slack.
 	requiredRetryRatio = 0.2
@@ -24,7 +25,7 @@
 
 // budgetSimulation simulates many entries that share the retry budget of one service.
 type budgetSimulation struct {
-	entries  []retryBudget
+	entries  []*Budget
 	requests []int
 	retries  []int
 }
@@ -32,8 +33,8 @@
 func newBudgetSimulation(entries int) *budgetSimulation {
 	s := &budgetSimulation{}
 	for range entries {
-		budget := newRetryBudget()
-		budget.update(start, &attach.View{Entries: entries})
+		budget := New(true)
+		budget.Update(start, entries, nil)
 		s.entries = append(s.entries, budget)
 	}
 	return s
@@ -50,19 +51,19 @@
 
 func (s *budgetSimulation) step(step, arrivals int, pickEntry func() int, fails func(entry int) bool) {
 	if step%viewInterval == 0 {
-		view := &attach.View{Entries: len(s.entries), Retries: []*peerpb.RepeatCount{{
+		counts := []*peerpb.RepeatCount{{
 			Service: "pool", Requests: uint32(windowSum(s.requests, step-viewAge)), Repeats: uint32(windowSum(s.retries, step-viewAge)),
-		}}}
+		}}
 		for i := range s.entries {
-			s.entries[i].update(start.Add(time.Duration(step)*100*time.Millisecond), view)
+			s.entries[i].Update(start.Add(time.Duration(step)*100*time.Millisecond), len(s.entries), counts)
 		}
 	}
 	requests, retries := 0, 0
 	for range arrivals {
 		entry := pickEntry()
-		s.entries[entry].recordRequest("pool")
+		s.entries[entry].RecordRequest("pool")
 		requests++
-		if fails(entry) && s.entries[entry].spend("pool") {
+		if fails(entry) && s.entries[entry].Spend("pool") {
 			retries++
 		}
 	}
@@ -98,15 +99,28 @@
 
 // Retries for a service with few requests must not use the budget of another service.
 func TestEachServiceHasItsOwnRetryBudget(t *testing.T) {
-	budget := newRetryBudget()
+	budget := New(true)
 	for range 1000 {
-		budget.recordRequest("pool")
+		budget.RecordRequest("pool")
 	}
-	budget.recordRequest("desk")
+	budget.RecordRequest("desk")
 	spent := 0
-	for budget.spend("desk") {
+	for budget.Spend("desk") {
 		spent++
 	}
 	assert.LessOrEqual(t, spent, maxBurst)
-	assert.True(t, budget.available("pool"))
+	assert.True(t, budget.Available("pool"))
+}
+
+func TestRetriesStayWithinBudget(t *testing.T) {
+	budget := New(true)
+	spent := 0
+	for range 1000 {
+		budget.RecordRequest("pool")
+		if budget.Spend("pool") {
+			spent++
+		}
+	}
+	assert.LessOrEqual(t, spent, maxBurst+int(1000*earnedRatio)+1)
+	assert.GreaterOrEqual(t, spent, int(1000*earnedRatio)-1)
 }
