forward, explain: what the retry budget refuses, and by which counts, is logged and counted

Line retry_budget_exhausted (once a second and service), field budget_exhausted, counters retries.*, gauges retries.left/all/all_requests by service; explain names the cause. No change of what is sent.

--- a/pkg/explain/cause.go
+++ b/pkg/explain/cause.go
@@ -13,8 +13,9 @@
 // returned. It is empty if the request was answered completely.
 func Cause(lines []Line) string {
 	var end, failed Line
-	notResumed := ""
+	notResumed, exhausted := "", false
 	for _, l := range lines {
+		exhausted = exhausted || l.Fields["budget_exhausted"] == "true"
 		switch l.Event {
 		case "send_failed":
 			failed = l
@@ -40,7 +41,7 @@
 	case failed.Event == "":
 		return UnknownCause
 	}
-	return sendCause(failed, groupEndReason(lines, failed)) + noRetryCause(end, notResumed)
+	return sendCause(failed, groupEndReason(lines, failed)) + noRetryCause(end, notResumed, exhausted)
 }
 
 // refusalCause explains the refusal of a request that was sent to no upstream.
@@ -113,8 +114,10 @@
 }
 
 // noRetryCause explains why the request was not retried after a failed send.
-func noRetryCause(end Line, notResumed string) string {
+func noRetryCause(end Line, notResumed string, exhausted bool) string {
 	switch {
+	case exhausted:
+		return "; it was not sent again, as the retry budget of its service was exhausted"
 	case notResumed != "":
 		return "; the stream could not be resumed on another upstream: " + notResumed
 	case end.Fields["outcome"] == "unknown":
--- a/pkg/explain/explain.go
+++ b/pkg/explain/explain.go
@@ -59,12 +59,13 @@
 func Request(id string, lines []Line) []Line {
 	var own []Line
 	related, nodes := map[string]bool{}, map[string]bool{}
-	quarantined := ""
+	quarantined, exhausted := "", false
 	for _, l := range lines {
 		if l.Fields["request_id"] != id {
 			continue
 		}
 		own = append(own, l)
+		exhausted = exhausted || l.Fields["budget_exhausted"] == "true"
 		quarantined = cmp.Or(quarantined, l.Fields["part"])
 		for _, key := range []string{"group", "target", "at_fault"} {
 			if name := l.Fields[key]; name != "" {
@@ -88,7 +89,7 @@
 		if l.Fields["request_id"] != "" || !l.Time.Before(last) {
 			continue
 		}
-		if l.Time.After(first) && (isRelated(l, related) || isPathChange(l) && nodes[l.Node]) || isEvidence(l, quarantined) {
+		if l.Time.After(first) && (isRelated(l, related) || nodes[l.Node] && (isPathChange(l) || exhausted && l.Event == "retry_budget_exhausted")) || isEvidence(l, quarantined) {
 			found = append(found, l)
 		}
 	}
@@ -140,6 +141,9 @@
 		if f["retry_after_ms"] != "0" && f["retry_after_ms"] != "" {
 			text += fmt.Sprintf("; retry after %s ms", f["retry_after_ms"])
 		}
+		if f["budget_exhausted"] == "true" {
+			text += "; the retry budget was exhausted"
+		}
 		return text + "; " + outcomeText(f["outcome"]) + fmt.Sprintf("; configuration confirmed %s ms earlier", f["config_age_ms"])
 	case "send_failed":
 		text := fmt.Sprintf("a send to %s failed after %s ms: %s", targetText(f), f["after_ms"], f["reason"])
@@ -162,7 +166,11 @@
 		}
 		return fmt.Sprintf("the stream was resumed at %s: requested after event %s, it started with event %s", f["target"], f["asked_after"], f["went_on_at"])
 	case "stream_not_resumed":
-		return fmt.Sprintf("the stream ended after event %s: %s", f["last_event"], cmp.Or(f["refused"], f["reason"]))
+		text := fmt.Sprintf("the stream ended after event %s: %s", f["last_event"], cmp.Or(f["refused"], f["reason"]))
+		if f["budget_exhausted"] == "true" {
+			text += "; the retry budget was exhausted"
+		}
+		return text
 	case "group_changed":
 		text := fmt.Sprintf("group %s: %s", f["group"], f["change"])
 		if f["reason"] != "" {
@@ -189,6 +197,9 @@
 			return f["upstream"] + " no longer states a limit"
 		}
 		return fmt.Sprintf("%s states that it takes %s requests a second", f["upstream"], f["limit_per_s"])
+	case "retry_budget_exhausted":
+		return fmt.Sprintf("the retry budget of %s is exhausted: %s entries had sent %s retries of %s requests in its window, as known %s ms earlier",
+			f["service"], f["entries"], f["all_retries"], f["all_requests"], f["counts_age_ms"])
 	case "upstream_path_lost":
 		return "this entry lost its path to the upstreams; it uses tunnels through other entries"
 	case "upstream_path_back":
--- a/pkg/explain/explain_test.go
+++ b/pkg/explain/explain_test.go
@@ -93,3 +93,21 @@
 	require.NoError(t, err)
 	assert.Equal(t, "upstreams had stated how many requests they take, and no other had capacity: i-1 2.8/s 310 ms ago (waited 0 ms)", Cause(Request("r1", lines)))
 }
+
+// A request that was not sent again because the retry budget of its service was exhausted.
+func TestExplainExhaustedRetryBudget(t *testing.T) {
+	const log = `time=2026-08-16T17:18:30.000Z level=warn event=retry_budget_exhausted node=edge-1 all_requests=180 all_retries=27 counts_age_ms=400 earned=0.3 entries=9 first_refused=r0 pooled=0 service=desk unreported_requests=4 unreported_retries=2
+time=2026-08-16T17:18:31.000Z level=warn event=retry_budget_exhausted node=edge-2 all_requests=180 all_retries=27 counts_age_ms=300 earned=0.3 entries=9 first_refused=r9 pooled=0 service=desk unreported_requests=4 unreported_retries=2
+time=2026-08-16T17:18:34.100Z level=info event=send_failed node=edge-1 request_id=r1 after_ms=12 at_fault="" caller_began=true cause="unexpected EOF" doubtful=false group="" held_bytes=0 after_event=3 reason=cut-off sent=true target=i-1
+time=2026-08-16T17:18:34.200Z level=warn event=stream_not_resumed node=edge-1 request_id=r1 budget_exhausted=true last_event=3 reason=cut-off sends=1
+time=2026-08-16T17:18:34.300Z level=info event=request_answered node=edge-1 request_id=r1 budget_exhausted=true events=3 first_event=1 group="" last_event=3 outcome=cut reused=true sends=1 status=200 target=i-1 took_ms=300
+`
+	assert.Equal(t, `17:18:30.000 edge-1 the retry budget of desk is exhausted: 9 entries had sent 27 retries of 180 requests in its window, as known 400 ms earlier
+17:18:34.100 edge-1 a send to i-1 failed after 12 ms: cut-off, after event 3
+17:18:34.200 edge-1 the stream ended after event 3: cut-off; the retry budget was exhausted
+17:18:34.300 edge-1 answered with status 200 by i-1 after 300 ms, 1 sends, cut, 3 events from 1 to 3
+`, explainRequest(t, "r1", log))
+	lines, err := Read(strings.NewReader(log))
+	require.NoError(t, err)
+	assert.Equal(t, "the send to i-1 failed: cut-off; it was not sent again, as the retry budget of its service was exhausted", Cause(Request("r1", lines)))
+}
--- a/pkg/forward/entry.go
+++ b/pkg/forward/entry.go
@@ -152,7 +152,13 @@
 	e.opts.Metrics.Set("requests.in_flight", e.inFlight.Load())
 	e.mu.Lock()
 	limited := e.placer.limitedTargets(boottime.Now())
+	budgets := e.retryBudget.States(boottime.Now())
 	e.mu.Unlock()
+	for _, b := range budgets {
+		e.opts.Metrics.Set("retries.left."+b.Service, int64(b.Earned)+int64(b.Pooled))
+		e.opts.Metrics.Set("retries.all."+b.Service, int64(b.AllRetries))
+		e.opts.Metrics.Set("retries.all_requests."+b.Service, int64(b.AllRequests))
+	}
 	e.opts.Metrics.Set("upstreams.limited", int64(limited))
 }
 
--- a/pkg/forward/respond.go
+++ b/pkg/forward/respond.go
@@ -14,6 +14,7 @@
 	"github.com/masticmount/masticmount/pkg/dispatch"
 	"github.com/masticmount/masticmount/pkg/fault"
 	"github.com/masticmount/masticmount/pkg/quarantine/report"
+	"github.com/masticmount/masticmount/pkg/retrybudget"
 	"github.com/masticmount/masticmount/pkg/telemetry"
 )
 
@@ -52,7 +53,7 @@
 		Str("class", r.class()).Str("account", r.accountName()).Dur("config_age_ms", min(e.opts.ConfigAge(), time.Hour))
 	if s != nil {
 		line = line.Int("sends", s.history.sends).Bool("may_have_run", s.history.mayHaveRun).Dur("queued_ms", s.queueTime).
-			Bool("caller_left", s.clientDisconnected())
+			Bool("caller_left", s.clientDisconnected()).Bool("budget_exhausted", s.refusedRetry)
 	}
 	if s != nil && s.finding != nil {
 		line = line.Str("content", s.request.content).Str("prompt_parts", promptPartsOf(s.request.contents))
@@ -74,7 +75,8 @@
 	}
 	line := e.opts.Log.Info().Str("request_id", s.request.id).Int("status", status).Str("outcome", outcome).
 		Str("class", s.request.class()).Str("account", s.request.accountName()).Int("sends", s.history.sends).
-		Dur("queued_ms", s.queueTime).Dur("first_ms", s.firstEventLatency).Dur("took_ms", time.Since(s.request.arrivedAt)).Bool("caller_left", s.clientDisconnected())
+		Dur("queued_ms", s.queueTime).Dur("first_ms", s.firstEventLatency).Dur("took_ms", time.Since(s.request.arrivedAt)).Bool("caller_left", s.clientDisconnected()).
+		Bool("budget_exhausted", s.refusedRetry)
 	if t := s.currentSend.target; t != nil {
 		line = line.Str("target", t.ID).Str("group", t.Group).Bool("reused", s.reused)
 	}
@@ -103,6 +105,13 @@
 	line.Msg("send_failed")
 }
 
+// logExhausted logs that the retry budget of a service has no retry left for a session's request.
+func (e *Entry) logExhausted(s *session, state *retrybudget.State) {
+	e.opts.Log.Warn().Str("service", state.Service).Str("first_refused", s.request.id).Float64("earned", state.Earned).Float64("pooled", state.Pooled).
+		Int("entries", state.Entries).Uint32("all_requests", state.AllRequests).Uint32("all_retries", state.AllRetries).Dur("counts_age_ms", state.Age).
+		Uint32("unreported_requests", state.Requests).Uint32("unreported_retries", state.Retries).Msg("retry_budget_exhausted")
+}
+
 // series identifies a histogram by the request's client account and class.
 func (s *session) series(name string) telemetry.Series {
 	return telemetry.Series{Name: name, Account: s.request.accountName(), Class: s.request.class()}
--- a/pkg/forward/resume_failures_test.go
+++ b/pkg/forward/resume_failures_test.go
@@ -197,6 +197,8 @@
 		assert.Equal(t, event(1)+event(2), body)
 		synctest.Wait()
 		assert.Zero(t, h.entry.inFlight.Load())
+		assert.Regexp(t, `event=stream_not_resumed .*budget_exhausted=true`, h.log.String())
+		assert.Equal(t, 1, strings.Count(h.log.String(), "event=retry_budget_exhausted"), "logged once while it is exhausted")
 	})
 }
 
--- a/pkg/forward/session.go
+++ b/pkg/forward/session.go
@@ -59,6 +59,8 @@
 	// position is how far a stream has got.
 	position    position
 	lastFailure *dispatch.CallError
+	// refusedRetry is true when the last retry was refused by the retry budget.
+	refusedRetry bool
 	// finding is the evidence on which the request was refused; nil otherwise.
 	finding *quarantine.Finding
 	// limits are the limits of upstreams on which the request was refused.
@@ -302,7 +304,41 @@
 func (s *session) canRetryNow() bool {
 	s.entry.mu.Lock()
 	defer s.entry.mu.Unlock()
-	return s.canRetry() && s.entry.retryBudget.Available(s.request.service.Name)
+	return s.canRetry() && s.retryAvailable()
+}
+
+// retryAvailable reports whether the retry budget allows another send; the caller holds the lock.
+func (s *session) retryAvailable() bool {
+	e, service := s.entry, s.request.service.Name
+	if s.refusedRetry = !e.retryBudget.Available(service); s.refusedRetry {
+		e.opts.Metrics.Add("retries.refused_by_budget", 1)
+		if state, report := e.retryBudget.Refused(boottime.Now(), service); report {
+			e.logExhausted(s, &state)
+		}
+	}
+	return !s.refusedRetry
+}
+
+// spendRetry takes a retry from the budget, if there is one; the caller holds the lock.
+func (s *session) spendRetry() bool {
+	if !s.retryAvailable() {
+		return false
+	}
+	s.entry.opts.Metrics.Add("retries.sent", 1)
+	return s.entry.retryBudget.Spend(s.request.service.Name)
+}
+
+// mayRepeat reports whether a request whose send failed may be sent again, and takes the retry from the budget; the caller holds
+// the lock. A send that reached no upstream costs nothing.
+func (s *session) mayRepeat(err *dispatch.CallError) bool {
+	if s.ctx.Err() != nil || !s.canRetry() {
+		return false
+	}
+	if !err.Sent {
+		s.entry.opts.Metrics.Add("retries.of_unsent", 1)
+		return true
+	}
+	return s.spendRetry()
 }
 
 // canRetry reports whether another send is allowed by the route, the time left, the outcomes
@@ -328,7 +364,7 @@
 	s.recordFailure(s.currentSend, r, err)
 	e := s.entry
 	e.mu.Lock()
-	retry := s.ctx.Err() == nil && s.canRetry() && (!err.Sent || e.retryBudget.Spend(s.request.service.Name))
+	retry := s.mayRepeat(err)
 	e.mu.Unlock()
 	s.releaseTarget()
 	return retry
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -205,7 +205,7 @@
 	for {
 		if !s.handleFailure(failedRun, err) {
 			s.entry.opts.Log.Warn().Str("request_id", s.request.id).Str("reason", string(err.Reason)).Str("last_event", s.position.lastID).
-				Int("sends", s.history.sends).Msg("stream_not_resumed")
+				Int("sends", s.history.sends).Bool("budget_exhausted", s.refusedRetry).Msg("stream_not_resumed")
 			return errNotResumed
 		}
 		if refusal := s.acquireTarget(); refusal != nil {
--- a/pkg/forward/successor.go
+++ b/pkg/forward/successor.go
@@ -142,12 +142,12 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	st.reportStall(now)
-	if !s.canRetry() || !e.retryBudget.Available(s.request.service.Name) {
+	if !s.canRetry() || !s.retryAvailable() {
 		return nil
 	}
 	target := e.placer.Claim(now, w)
 	if target != nil {
-		e.retryBudget.Spend(s.request.service.Name)
+		s.spendRetry()
 	}
 	return target
 }
--- a/pkg/retrybudget/budget.go
+++ b/pkg/retrybudget/budget.go
@@ -30,6 +30,8 @@
 	// poolShare is the part of the unused budget that one update hands out, as the reported
 	// counts are old by then.
 	poolShare = 0.5
+	// refusalReportInterval is the shortest time between two reports of refused retries.
+	refusalReportInterval = time.Second
 )
 
 // Budget is one entry's part of the budget for retries. Each service has its own budget. It must not be used by several goroutines
@@ -50,6 +52,10 @@
 	earned, pooled float64
 	// requests and retries are counts since the last report.
 	requests, retries uint32
+	// all are the counts of all entries in the window of the budget, as last reported.
+	all *peerpb.RepeatCount
+	// refusalReportedAt is when a refusal of a retry was last reported.
+	refusalReportedAt time.Time
 }
 
 // New returns the budget of an entry that has just started. Without pooling it gets no part of what others left unused.
@@ -89,6 +95,51 @@
 	return b.Left(service) > 0
 }
 
+// State is what an entry knows of the budget of a service.
+type State struct {
+	Service string
+	// Earned and Pooled are the retries that are left, from the entry's own requests and from what others left unused.
+	Earned, Pooled float64
+	// Requests and Retries are the entry's counts that it has not reported yet.
+	Requests, Retries uint32
+	// Entries is the number of entries that share the budget, AllRequests and AllRetries are the counts of all of them in the
+	// window of the budget, as last reported Age ago.
+	Entries                 int
+	AllRequests, AllRetries uint32
+	Age                     time.Duration
+}
+
+// States returns the budgets of all services, ordered by name.
+func (b *Budget) States(now time.Time) []State {
+	states := make([]State, 0, len(b.services))
+	for _, service := range slices.Sorted(maps.Keys(b.services)) {
+		states = append(states, b.state(now, service))
+	}
+	return states
+}
+
+func (b *Budget) state(now time.Time, service string) State {
+	s := b.budgetOf(service)
+	state := State{
+		Service: service, Earned: s.earned, Pooled: s.pooled, Requests: s.requests, Retries: s.retries,
+		Entries: b.entries, AllRequests: s.all.GetRequests(), AllRetries: s.all.GetRepeats(),
+	}
+	if !b.pooledAt.IsZero() {
+		state.Age = now.Sub(b.pooledAt)
+	}
+	return state
+}
+
+// Refused records that a retry was refused as none was left. It returns the state of the service's budget, and whether to report
+// it: at most once in refusalReportInterval.
+func (b *Budget) Refused(now time.Time, service string) (state State, report bool) {
+	s := b.budgetOf(service)
+	if report = now.Sub(s.refusalReportedAt) >= refusalReportInterval; report {
+		s.refusalReportedAt = now
+	}
+	return b.state(now, service), report
+}
+
 // Spend uses one retry if there is one: an earned one first, as earned retries are lost when
 // the entry has saved up its burst.
 func (b *Budget) Spend(service string) bool {
@@ -112,10 +163,11 @@
 		return
 	}
 	b.entries, b.pooledAt = entries, now
-	if !b.pooling {
-		return
-	}
 	for _, c := range counts {
+		b.budgetOf(c.GetService()).all = c
+		if !b.pooling {
+			continue
+		}
 		requests := float64(c.GetRequests())
 		unused := math.Min(retryRatio*requests-float64(c.GetRepeats()), pooledRatio*requests)
 		b.budgetOf(c.GetService()).pooled = poolShare * math.Max(0, unused) / float64(b.entries)
