retrybudget: the bound on retries holds whatever counts an entry lacks

Now each entry keeps its own part of the bound by itself: retries earned by its own requests (0.1, at most 4 saved up), and in any window of 10 s at most 0.09 of the mean requests of an entry and 3 more. The counts of all only lower that, lapse after 4 s, and are divided by the largest number of entries of the last window. A process starts with two retries for a service, and gets its burst once it has run for a window. Sum: 0.19 of the requests, 63, and two for each start.

Tests: entries of the forward harness have run for a while; the budget's tests pass times.

--- a/pkg/explain/cause.go
+++ b/pkg/explain/cause.go
@@ -116,10 +116,12 @@
 // noRetryCause explains why the request was not retried after a failed send.
 func noRetryCause(end Line, notResumed string, exhausted bool) string {
 	switch {
-	case exhausted:
-		return "; it was not sent again, as the retry budget of its service was exhausted"
+	case notResumed != "" && exhausted:
+		return "; the stream could not be resumed on another upstream, as the retry budget of its service was exhausted"
 	case notResumed != "":
 		return "; the stream could not be resumed on another upstream: " + notResumed
+	case exhausted:
+		return "; it was not sent again, as the retry budget of its service was exhausted"
 	case end.Fields["outcome"] == "unknown":
 		return "; the request may have run, so it was not retried"
 	default:
--- a/pkg/explain/explain_test.go
+++ b/pkg/explain/explain_test.go
@@ -109,5 +109,5 @@
 `, explainRequest(t, "r1", log))
 	lines, err := Read(strings.NewReader(log))
 	require.NoError(t, err)
-	assert.Equal(t, "the send to i-1 failed: cut-off; it was not sent again, as the retry budget of its service was exhausted", Cause(Request("r1", lines)))
+	assert.Equal(t, "the send to i-1 failed: cut-off; the stream could not be resumed on another upstream, as the retry budget of its service was exhausted", Cause(Request("r1", lines)))
 }
--- a/pkg/forward/entry.go
+++ b/pkg/forward/entry.go
@@ -110,7 +110,7 @@
 	now := time.Now()
 	seed := uint64(now.UnixNano())
 	e := &Entry{
-		opts: opts, startedAt: now, waiters: map[uint64]waiter{}, retryBudget: retrybudget.New(opts.Mechanisms.Enabled(mechanism.SharedRetryBudget)), numberings: map[string]*numbering{},
+		opts: opts, startedAt: now, waiters: map[uint64]waiter{}, retryBudget: retrybudget.New(boottime.Now(), opts.Mechanisms.Enabled(mechanism.SharedRetryBudget)), numberings: map[string]*numbering{},
 		crashes: quarantine.NewTable(), statements: statement.NewTable(), crashChecks: map[incarnation]*crashCheck{}, unanswered: map[*unansweredSend]struct{}{}, unbegun: unbegunSessions{sessions: map[*session]struct{}{}},
 		random: rand.New(rand.NewPCG(seed, 1)), placer: NewPlacer(opts.FailureDomain, rand.New(rand.NewPCG(seed, 2))),
 	}
--- a/pkg/forward/entry_test.go
+++ b/pkg/forward/entry_test.go
@@ -17,10 +17,12 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/masticmount/masticmount/pkg/attach"
+	"github.com/masticmount/masticmount/pkg/boottime"
 	"github.com/masticmount/masticmount/pkg/disconnect"
 	"github.com/masticmount/masticmount/pkg/dispatch"
 	"github.com/masticmount/masticmount/pkg/document"
 	"github.com/masticmount/masticmount/pkg/logging"
+	"github.com/masticmount/masticmount/pkg/retrybudget"
 )
 
 // script answers one request on an upstream connection. The returned answer is written,
@@ -110,6 +112,8 @@
 				Refused: func(_ int, peek func(string) []byte) bool { return len(peek("Test-Refused")) > 0 },
 			}}),
 		})
+		// The entry has run for a while.
+		h.entry.retryBudget = retrybudget.New(boottime.Now().Add(-retrybudget.Window), true)
 		h.entry.UpdateView(h.view)
 		run(h)
 		h.entry.opts.Client.Close()
--- a/pkg/forward/resume_failures_test.go
+++ b/pkg/forward/resume_failures_test.go
@@ -18,6 +18,7 @@
 	"github.com/stretchr/testify/assert"
 
 	"github.com/masticmount/masticmount/pkg/attach"
+	"github.com/masticmount/masticmount/pkg/boottime"
 	"github.com/masticmount/masticmount/pkg/document"
 )
 
@@ -188,8 +189,8 @@
 		assert.NoError(t, h.view.Document.Index())
 		h.entry.UpdateView(h.view)
 		h.entry.mu.Lock()
-		for h.entry.retryBudget.Left("desk") > 1 {
-			h.entry.retryBudget.Spend("desk")
+		for h.entry.retryBudget.Left(boottime.Now(), "desk") > 1 {
+			h.entry.retryBudget.Spend(boottime.Now(), "desk")
 		}
 		h.entry.mu.Unlock()
 		_, body, err := h.call("POST", "/stream/x", "prompt")
--- a/pkg/forward/session.go
+++ b/pkg/forward/session.go
@@ -94,7 +94,7 @@
 	}
 	e.mu.Lock()
 	e.unbegun.add(s)
-	e.retryBudget.RecordRequest(r.service.Name)
+	e.retryBudget.RecordRequest(boottime.Now(), r.service.Name)
 	if r.modelName != "" {
 		e.reports.recordArrival(r.modelName, r.groupTime)
 	}
@@ -309,10 +309,10 @@
 
 // retryAvailable reports whether the retry budget allows another send; the caller holds the lock.
 func (s *session) retryAvailable() bool {
-	e, service := s.entry, s.request.service.Name
-	if s.refusedRetry = !e.retryBudget.Available(service); s.refusedRetry {
+	e, service, now := s.entry, s.request.service.Name, boottime.Now()
+	if s.refusedRetry = !e.retryBudget.Available(now, service); s.refusedRetry {
 		e.opts.Metrics.Add("retries.refused_by_budget", 1)
-		if state, report := e.retryBudget.Refused(boottime.Now(), service); report {
+		if state, report := e.retryBudget.Refused(now, service); report {
 			e.logExhausted(s, &state)
 		}
 	}
@@ -325,7 +325,7 @@
 		return false
 	}
 	s.entry.opts.Metrics.Add("retries.sent", 1)
-	return s.entry.retryBudget.Spend(s.request.service.Name)
+	return s.entry.retryBudget.Spend(boottime.Now(), s.request.service.Name)
 }
 
 // mayRepeat reports whether a request whose send failed may be sent again, and takes the retry from the budget; the caller holds
--- a/pkg/retrybudget/budget_test.go
+++ b/pkg/retrybudget/budget_test.go
@@ -33,7 +33,7 @@
 func newBudgetSimulation(entries int) *budgetSimulation {
 	s := &budgetSimulation{}
 	for range entries {
-		budget := New(true)
+		budget := New(start, true)
 		budget.Update(start, entries, nil)
 		s.entries = append(s.entries, budget)
 	}
@@ -50,20 +50,21 @@
 }
 
 func (s *budgetSimulation) step(step, arrivals int, pickEntry func() int, fails func(entry int) bool) {
+	now := start.Add(time.Duration(step) * 100 * time.Millisecond)
 	if step%viewInterval == 0 {
 		counts := []*peerpb.RepeatCount{{
 			Service: "pool", Requests: uint32(windowSum(s.requests, step-viewAge)), Repeats: uint32(windowSum(s.retries, step-viewAge)),
 		}}
 		for i := range s.entries {
-			s.entries[i].Update(start.Add(time.Duration(step)*100*time.Millisecond), len(s.entries), counts)
+			s.entries[i].Update(now, len(s.entries), counts)
 		}
 	}
 	requests, retries := 0, 0
 	for range arrivals {
 		entry := pickEntry()
-		s.entries[entry].RecordRequest("pool")
+		s.entries[entry].RecordRequest(now, "pool")
 		requests++
-		if fails(entry) && s.entries[entry].Spend("pool") {
+		if fails(entry) && s.entries[entry].Spend(now, "pool") {
 			retries++
 		}
 	}
@@ -99,25 +100,25 @@
 
 // Retries for a service with few requests must not use the budget of another service.
 func TestEachServiceHasItsOwnRetryBudget(t *testing.T) {
-	budget := New(true)
+	budget := New(start, true)
 	for range 1000 {
-		budget.RecordRequest("pool")
+		budget.RecordRequest(start, "pool")
 	}
-	budget.RecordRequest("desk")
+	budget.RecordRequest(start, "desk")
 	spent := 0
-	for budget.Spend("desk") {
+	for budget.Spend(start, "desk") {
 		spent++
 	}
 	assert.LessOrEqual(t, spent, maxBurst)
-	assert.True(t, budget.Available("pool"))
+	assert.True(t, budget.Available(start, "pool"))
 }
 
 func TestRetriesStayWithinBudget(t *testing.T) {
-	budget := New(true)
+	budget := New(start, true)
 	spent := 0
 	for range 1000 {
-		budget.RecordRequest("pool")
-		if budget.Spend("pool") {
+		budget.RecordRequest(start, "pool")
+		if budget.Spend(start, "pool") {
 			spent++
 		}
 	}
