retrybudget: an entry that has just started gets no pooled retries

Found by a combination that the simulation lacked: all entries restart while counts are late, or together with the keepers. Both cases are in the test now and failed before.

In its first window a process has startBurst and what its own requests earn; these aren't capped meanwhile, as they all lie in one window.

--- a/pkg/control/retry_budget_simulation_test.go
+++ b/pkg/control/retry_budget_simulation_test.go
@@ -284,6 +284,16 @@
 			}
 		}
 	},
+	"all entries restart while counts are late": func(s *budgetSimulation) func(int) {
+		s.reportDelay = 3 * second
+		return at(failuresAt+1, func() { s.eachEntry(func(i int) { s.restartEntry(i, second/2) }) })
+	},
+	"all entries restart as keepers do": func(s *budgetSimulation) func(int) {
+		return at(failuresAt+1, func() {
+			s.eachEntry(func(i int) { s.restartEntry(i, second/2) })
+			s.eachKeeper(func(k int) { s.restartKeeper(k, second/4) })
+		})
+	},
 	"all entries stand still": func(s *budgetSimulation) func(int) {
 		return every(4, func(int) { s.eachEntry(func(i int) { s.entries[i].downUntil = s.step + 2*second }) })
 	},
--- a/pkg/retrybudget/budget.go
+++ b/pkg/retrybudget/budget.go
@@ -61,15 +61,14 @@
 type serviceBudget struct {
 	// earned is the number of retries that this entry's requests have earned.
 	earned float64
-	// burstGiven is true once the entry was given a whole burst. An earlier process of it may have spent one until it ended, so
-	// it starts with startBurst only.
+	// burstGiven is true once the entry was given a whole burst. Until then it has startBurst and all that it has earned since.
 	burstGiven bool
 	// unused is this entry's part of what all entries left unused, as last reported.
 	unused float64
 	// pooledAt are the times of the pooled retries in the last window.
 	pooledAt []time.Time
-	// requests and retries are counts since the last report. allRequests is the count since the start.
-	requests, retries, allRequests uint32
+	// requests and retries are counts since the last report.
+	requests, retries uint32
 	// all are the counts of all entries in the window, as last reported.
 	all *peerpb.RepeatCount
 	// refusalReportedAt is when a refusal of a retry was last reported.
@@ -89,7 +88,7 @@
 	return math.Max(1, math.Min(maxBurst, regionBurst/b.sharers()))
 }
 
-// isYoung reports whether an earlier process of this entry may have sent retries within the window.
+// isYoung reports whether an earlier process of this entry may have spent its burst and its pooled retries within the window.
 func (b *Budget) isYoung(now time.Time) bool { return now.Sub(b.startedAt) < Window }
 
 func (b *Budget) budgetOf(now time.Time, service string) *serviceBudget {
@@ -99,7 +98,7 @@
 		b.services[service] = s
 	}
 	if !s.burstGiven && !b.isYoung(now) {
-		s.earned, s.burstGiven = math.Max(s.earned, b.burst()), true
+		s.earned, s.burstGiven = b.burst(), true
 	}
 	return s
 }
@@ -108,19 +107,18 @@
 func (b *Budget) RecordRequest(now time.Time, service string) {
 	s := b.budgetOf(now, service)
 	s.requests++
-	s.allRequests++
-	s.earned = math.Min(b.burst(), s.earned+earnedRatio)
+	s.earned += earnedRatio
+	if !b.isYoung(now) {
+		s.earned = math.Min(b.burst(), s.earned)
+	}
 }
 
 // pooled returns the number of retries that the entry may send beside the earned ones.
 func (b *Budget) pooled(now time.Time, s *serviceBudget) float64 {
-	if b.updatedAt.IsZero() || now.Sub(b.updatedAt) >= countsExpiry || s.all == nil {
+	if b.isYoung(now) || now.Sub(b.updatedAt) >= countsExpiry || s.all == nil {
 		return 0
 	}
 	limit := pooledRatio*float64(s.all.GetRequests())/b.sharers() + math.Min(maxReserve, regionReserve/b.sharers())
-	if b.isYoung(now) {
-		limit = math.Min(limit, pooledRatio*float64(s.allRequests))
-	}
 	s.pooledAt = slices.DeleteFunc(s.pooledAt, func(at time.Time) bool { return now.Sub(at) >= Window })
 	return math.Max(0, math.Min(s.unused, limit-float64(len(s.pooledAt))))
 }
