--- a/pkg/forward/resume_failures_test.go
+++ b/pkg/forward/resume_failures_test.go
@@ -18,6 +18,7 @@
 	"github.com/stretchr/testify/assert"
 
 	"github.com/masticmount/masticmount/pkg/attach"
+	"github.com/masticmount/masticmount/pkg/boottime"
 	"github.com/masticmount/masticmount/pkg/document"
 )
 
@@ -188,13 +189,17 @@
 		assert.NoError(t, h.view.Document.Index())
 		h.entry.UpdateView(h.view)
 		h.entry.mu.Lock()
-		h.entry.retryBudget.budgetOf("desk").earned = 1
+		for h.entry.retryBudget.Left(boottime.Now(), "desk") > 1 {
+			h.entry.retryBudget.Spend(boottime.Now(), "desk")
+		}
 		h.entry.mu.Unlock()
 		_, body, err := h.call("POST", "/stream/x", "prompt")
 		assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
 		assert.Equal(t, event(1)+event(2), body)
 		synctest.Wait()
 		assert.Zero(t, h.entry.inFlight.Load())
+		assert.Regexp(t, `event=stream_not_resumed .*budget_exhausted=true`, h.log.String())
+		assert.Equal(t, 1, strings.Count(h.log.String(), "event=retry_budget_exhausted"), "logged once while it is exhausted")
 	})
 }
 
@@ -230,9 +235,9 @@
 		h.send(conn, "POST", "/stream/x", "prompt")
 		reader := bufio.NewReader(conn)
 		synctest.Wait()
-		// With a nil map the lookup of the retry budget panics.
+		// Without a retry budget the entry panics.
 		h.entry.mu.Lock()
-		h.entry.retryBudget.services = nil
+		h.entry.retryBudget = nil
 		h.entry.mu.Unlock()
 		resp, err := http.ReadResponse(reader, nil)
 		if assert.NoError(t, err) {
