forward: the requests that the end of a planned stop cuts are listed before their connections are closed

Cause: at its end Finish closed connections first, fasthttp closes one whose first header is not whole 5 s after it was accepted, and the list lacked it. The test is unchanged.

--- a/pkg/forward/stop.go
+++ b/pkg/forward/stop.go
@@ -131,6 +131,13 @@
 // been sent takes less.
 const closeTimeout = 400 * time.Millisecond
 
+// closeConnections takes no more connections and closes those without a request. It returns an error if others are left.
+func (e *Entry) closeConnections(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, closeTimeout)
+	defer cancel()
+	return e.server.ShutdownWithContext(ctx)
+}
+
 // Finish answers the requests that callers have sent and closes their connections, until ctx
 // ends. A request may arrive after the last one was answered and before its connection was
 // closed: it is answered like the others. Those that arrive later are refused, and shortly before
@@ -141,10 +148,12 @@
 		defer timer.Stop()
 	}
 	for {
-		e.Drain(ctx)
-		closeCtx, cancel := context.WithTimeout(ctx, closeTimeout)
-		err := e.server.ShutdownWithContext(closeCtx)
-		cancel()
+		if e.Drain(ctx) > 0 {
+			left := e.logCutOff()
+			_ = e.closeConnections(ctx)
+			return left
+		}
+		err := e.closeConnections(ctx)
 		if ctx.Err() != nil {
 			return e.logCutOff()
 		}
