fleetnode: a planned stop counts from the earliest time at which its signal can have come

What callers saw: on machines whose processors are busy, streams that end without a whole answer 8 s after SIGTERM, by the kill; also such as were sent later than 3 s after it.

Cause: the entry counted from when it handled the signal, its platform from when it sent it. Handled L late, requests were accepted by their expected time until 2.3 s + L, by their deadline until 6.7 s + L, and cut at 7.2 s + L; the kill comes at 8 s.

Change: a beat every 0.1 s. The signal had not come before the last beats that were on time; so the process knows a bound. Accepting assumes that it came at the bound, cutting (which must not be before the last sixth of the grace period) that it came now. Price: ten wake-ups a second at an entry; while the process runs on time (bound below 0.4 s) nothing else; beside pauses more late requests are refused, and streams have down to 6.8 s instead of 7.2.

--- a/pkg/fleetnode/entry.go
+++ b/pkg/fleetnode/entry.go
@@ -45,6 +45,9 @@
 	BalancerWait time.Duration
 	// StopTimeout is the time limit of a planned stop.
 	StopTimeout time.Duration
+	// Grace is the time from the signal to stop until the process is killed, and EstimateTime that in which a request may
+	// be accepted by its expected duration. A Grace of 0 means that the signal is always noticed at once.
+	Grace, EstimateTime time.Duration
 	// Mechanisms selects the mechanisms that are enabled; the zero value enables all.
 	Mechanisms mechanism.Set
 	Metrics    *telemetry.Registry
@@ -120,8 +123,8 @@
 	})
 	e.ready.set(true)
 	e.opts.Log.Info().Str("role", "entry").Str("callers", e.opts.ListenAddress).Msg("node_started")
-	<-ctx.Done()
-	left, took := e.stop(entry)
+	lag := awaitSignal(ctx)
+	left, took := e.stop(entry, lag)
 	stopWork()
 	workers.wait()
 	e.opts.Log.Info().Str("reason", stopReason(left)).Int("requests", left).Dur("took_ms", took).Msg("node_stopped")
@@ -137,14 +140,15 @@
 }
 
 // stop ends readiness, waits for the load balancer and drains the requests in flight. It returns the
-// number of requests that are left, and how long it took.
-func (e *Entry) stop(entry *forward.Entry) (left int, took time.Duration) {
+// number of requests that are left, and how long it took. The signal may have come up to lag before.
+func (e *Entry) stop(entry *forward.Entry, lag time.Duration) (left int, took time.Duration) {
 	e.ready.set(false)
-	e.opts.Log.Info().Dur("balancer_wait_ms", e.opts.BalancerWait).Dur("grace_ms", e.opts.StopTimeout).Msg("node_stopping")
-	ctx, cancel := context.WithTimeout(context.Background(), e.opts.StopTimeout)
-	defer cancel()
 	now := time.Now()
-	entry.BeginStop(now.Add(e.opts.BalancerWait), now.Add(e.opts.StopTimeout))
+	plan := planStop(now, lag, &e.opts)
+	e.opts.Log.Info().Dur("balancer_wait_ms", e.opts.BalancerWait).Dur("grace_ms", plan.end.Sub(now)).Dur("signal_lag_ms", lag).Msg("node_stopping")
+	ctx, cancel := context.WithDeadline(context.Background(), plan.end)
+	defer cancel()
+	entry.BeginStop(plan.estimatesUntil, plan.acceptedEnd)
 	tunnels := do.MustInvoke[*tunnel.Server](e.injector)
 	tunnels.BeginStop()
 	do.MustInvoke[*attach.Attachment](e.injector).ReportNow()
--- a/pkg/forward/stop.go
+++ b/pkg/forward/stop.go
@@ -9,13 +9,13 @@
 	"github.com/masticmount/masticmount/pkg/fault"
 )
 
-// plannedStop is when a planned stop began and ends, and until when the load balancer sends new callers.
+// plannedStop is when a planned stop began, by when the requests that are accepted in it must have ended, and until
+// when the load balancer sends new callers.
 type plannedStop struct{ began, balancerUntil, end time.Time }
 
-// BeginStop begins a planned stop that ends at a given time: from now on every answer closes
-// its connection, and requests that cannot be answered before the end are refused. Until
-// balancerUntil the load balancer may open connections; callers that come later can reach
-// another entry at once.
+// BeginStop begins a planned stop: from now on every answer closes its connection, and requests
+// that cannot be answered before the given end are refused. Until balancerUntil the load balancer
+// may open connections; callers that come later can reach another entry at once.
 func (e *Entry) BeginStop(balancerUntil, end time.Time) {
 	e.plannedStop.Store(&plannedStop{time.Now(), balancerUntil, end})
 }
