--- a/pkg/forward/body_memory_test.go
+++ b/pkg/forward/body_memory_test.go
@@ -136,6 +136,7 @@
 			got, _ := h.readAnswer(bufio.NewReader(conn), "POST")
 			require.Equal(t, http.StatusOK, got.StatusCode)
 		}
+		synctest.Wait()
 		assert.Less(t, liveHeapBytes(), before+2*largeBodyBytes)
 	})
 }
