masticmountd: idle connections keep no bodies

The server gives its buffers back after each request now; it costs one more read of a byte for each request on a kept connection.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -102,7 +102,7 @@
 	opts.Client.SetStatementHandler(g.limits.observe)
 	g.ctx, g.cancel = context.WithCancelCause(context.Background())
 	g.app = fiber.New(fiber.Config{
-		BodyLimit: opts.MaxBodyBytes, ReadBufferSize: maxHeaderBytes, ReadTimeout: opts.ReadTimeout, IdleTimeout: idleTimeout,
+		BodyLimit: opts.MaxBodyBytes, ReadBufferSize: maxHeaderBytes, ReadTimeout: opts.ReadTimeout, IdleTimeout: idleTimeout, ReduceMemoryUsage: true,
 		ErrorHandler: g.handleError,
 	})
 	g.app.Use(recover.New())
