soak: planned stops as the platform brings them about, and the requests they lose

--only-stops gives entries SIGTERM and, after 8 s, SIGKILL; one after another and at once, with keepers, SIGHUP, repeated SIGTERM and changes of the configuration in between, and nothing unplanned. Engines are sound, but take 1 to 4 times what the configuration says. Callers use their connections until the entry says that it closes them. A request that was read and gets no whole answer counts as the users' rule says, and is printed with its times since SIGTERM and the entry's lines.

The disruption had been missing: the soak's planned stops had a grace period of 4 s, streams of under a second and callers that were never idle on a kept connection.

--- a/cmd/mastic-soak/engines.go
+++ b/cmd/mastic-soak/engines.go
@@ -23,6 +23,7 @@
 	engineService = "engines"
 	groupService  = "groups"
 	engineSlots   = 24
+	engineStep    = 5 * time.Millisecond
 	// endpointHost is the last byte of the addresses of engines and links; nodes use lower
 	// ones.
 	endpointHost = 250
@@ -51,9 +52,11 @@
 // engine is one fake upstream. It writes its answers to the socket itself, so that they
 // can be malformed.
 type engine struct {
-	set      *engineSet
-	id       string
-	service  string
+	set     *engineSet
+	id      string
+	service string
+	// slowness is that of the region's timing; 0 without one.
+	slowness float64
 	group    membership
 	listener net.Listener
 	link     *link
@@ -84,6 +87,9 @@
 		if i >= single {
 			e.service = groupService
 		}
+		if r.timing.slowness != nil {
+			e.slowness = r.timing.slowness(e.id)
+		}
 		e.startTime.Store(time.Now().UnixMilli())
 		if e.link, err = newLink(r.endpoint(), listener.Addr().String(), randomSource(seed, e.id), &es.faultsActive); err != nil {
 			return nil, fmt.Errorf("engine %d: %w", i, err)
@@ -248,7 +254,7 @@
 		return e.crash(conn, id)
 	case e.isFull.Load():
 		return e.refuse(conn, id, http.StatusServiceUnavailable)
-	case e.inFlight.Add(1) > engineSlots:
+	case int(e.inFlight.Add(1)) > e.set.region.timing.slots:
 		e.inFlight.Add(-1)
 		return e.refuse(conn, id, http.StatusServiceUnavailable)
 	}
@@ -335,7 +341,7 @@
 	if e.draining.Load() {
 		fields["state"] = "draining"
 	}
-	fields["service"], fields["address"], fields["zone"], fields["slots"] = e.service, e.link.address(), "zone-0", engineSlots
+	fields["service"], fields["address"], fields["zone"], fields["slots"] = e.service, e.link.address(), "zone-0", e.set.region.timing.slots
 	fields["born"], fields["seq"] = e.startTime.Load(), e.seq.Add(1)
 	return fields
 }
--- a/cmd/mastic-soak/enginestreams.go
+++ b/cmd/mastic-soak/enginestreams.go
@@ -147,12 +147,21 @@
 			return err
 		}
 		if rest != "" {
-			pause(p.random)
+			e.pause(p.random, float64(len(r.events)*len(piece))/float64(len(text)))
 		}
 	}
 	return e.finish(conn, r, p)
 }
 
+// pause sleeps between two writes: as long as the engine takes for a number of events, or at random.
+func (e *engine) pause(random *rand.Rand, events float64) {
+	if e.slowness == 0 {
+		pause(random)
+		return
+	}
+	time.Sleep(time.Duration(events * e.slowness * float64(e.set.region.timing.step)))
+}
+
 // finish ends the body of an answer whose plan has a correct end.
 func (e *engine) finish(conn net.Conn, r *streamRun, p *streamPlan) error {
 	if p.fails && p.mode != failEndEarly && !p.mode.completesAnswer() {
--- a/cmd/mastic-soak/link.go
+++ b/cmd/mastic-soak/link.go
@@ -49,9 +49,11 @@
 	listener     net.Listener
 	target       string
 	faultsActive *atomic.Bool
-	mu           sync.Mutex
-	random       *rand.Rand
-	conns        map[*linkConn]bool
+	// delay is by how much each connection delays what it passes on.
+	delay  atomic.Int64
+	mu     sync.Mutex
+	random *rand.Rand
+	conns  map[*linkConn]bool
 	// byClient holds the latest connection of each client's address, byServer of each address that the server
 	// sees. A port may be in use on both sides at once.
 	byClient, byServer map[string]*linkConn
@@ -240,6 +242,9 @@
 	if drop.Load() {
 		return true
 	}
+	if delay := c.link.delay.Load(); delay > 0 {
+		c.sleep(time.Duration(delay))
+	}
 	triggered := false
 	if c.faulty && c.link.faultsActive.Load() {
 		if c.fault == linkDelay {
--- a/cmd/mastic-soak/main.go
+++ b/cmd/mastic-soak/main.go
@@ -26,6 +26,7 @@
 	Callers         int           `arg:"--callers" default:"24" help:"number of callers of streams"`
 	OnlyFullDisks   bool          `arg:"--only-full-disks" help:"inject only full disks of keepers, one after another"`
 	OnlySilences    bool          `arg:"--only-silences" help:"inject only silences of sound upstreams, planned restarts and changes of the configuration"`
+	OnlyStops       bool          `arg:"--only-stops" help:"stop entries and keepers as planned, one after another and at once, and count the requests that get no whole answer"`
 	KeepAll         bool          `arg:"--keep" help:"also keep the folders of seeds without a violation"`
 }
 
@@ -34,7 +35,11 @@
 	arg.MustParse(&args)
 	failed := 0
 	for seed := args.First; seed < args.First+uint64(args.Seeds); seed++ {
-		result, err := soak(&args, seed)
+		play := soak
+		if args.OnlyStops {
+			play = soakStops
+		}
+		result, err := play(&args, seed)
 		if err != nil {
 			fmt.Fprintf(os.Stderr, "seed %d: %v\n", seed, err)
 			os.Exit(2)
@@ -79,7 +84,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r, err := startRegion(binary, folder, args.Subnet, args.Entries)
+	r, err := startRegion(binary, folder, args.Subnet, args.Entries, usualTiming)
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/mastic-soak/operator.go
+++ b/cmd/mastic-soak/operator.go
@@ -34,7 +34,7 @@
 }
 
 // document returns the configuration of a version; versions differ only in the idle timeout.
-func document(version uint64) []byte {
+func document(version uint64, t timing) []byte {
 	route := func(name, prefix, kind, service string) map[string]any {
 		return map[string]any{
 			"name": name, "host": soakHost, "path_prefix": prefix, "kind": kind, "timeout_ms": callTimeout.Milliseconds(),
@@ -53,7 +53,7 @@
 			{"name": deskService, "max_conns": 100},
 			{"name": kioskService, "max_conns": 100},
 			{"name": engineService, "max_conns": 200},
-			{"name": groupService, "max_conns": 200, "engine": engineConfig()},
+			{"name": groupService, "max_conns": 200, "engine": engineConfig(t)},
 		},
 		"routes": []map[string]any{
 			route("grant", "/grant/", "non_idempotent", deskService), route("lookup", "/lookup/", "idempotent", deskService),
@@ -73,13 +73,13 @@
 }
 
 // engineConfig returns the engine section of the service whose engines form groups.
-func engineConfig() map[string]any {
+func engineConfig(t timing) map[string]any {
 	model := func(name string, size int) map[string]any {
 		return map[string]any{"name": name, "size": size, "share": 0.5, "pace": 1, "load_s": loadTime.Seconds(), "warm_s": warmTime.Seconds()}
 	}
 	return map[string]any{
-		"slots": engineSlots, "stride": 1, "models": []map[string]any{model(pairModel, 2), model(singleModel, 1)},
-		"step_ms": 5, "per_seq_ms": 0.1, "read_per_s": 45000, "loads_per_s": 20, "loads_at_once": 8, "keeps": maxStagedModels,
+		"slots": t.slots, "stride": 1, "models": []map[string]any{model(pairModel, 2), model(singleModel, 1)},
+		"step_ms": t.step.Milliseconds(), "per_seq_ms": 0.1, "read_per_s": 45000, "loads_per_s": 20, "loads_at_once": 8, "keeps": maxStagedModels,
 		"form_ms": openTime.Milliseconds(),
 	}
 }
@@ -90,7 +90,7 @@
 		o.sent = map[uint64][]byte{}
 	}
 	o.version++
-	o.sent[o.version] = document(o.version)
+	o.sent[o.version] = document(o.version, o.region.timing)
 	client := &http.Client{Timeout: controlTimeout}
 	resp, err := client.Post(fmt.Sprintf("http://%s:%d/api/config/replace", keeper.ip, controlPort), "application/json", bytes.NewReader(o.sent[o.version]))
 	if err != nil {
--- a/cmd/mastic-soak/region.go
+++ b/cmd/mastic-soak/region.go
@@ -41,6 +41,7 @@
 type region struct {
 	binary  string
 	subnet  int
+	timing  timing
 	keepers []*node
 	entries []*node
 	mu      sync.Mutex
@@ -48,8 +49,20 @@
 	unexpectedExits []string
 }
 
-func startRegion(binary, folder string, subnet, entries int) (*region, error) {
-	r := &region{binary: binary, subnet: subnet}
+// timing is the grace period of planned stops, and what engines do at once and how fast.
+type timing struct {
+	grace time.Duration
+	// slots is the number of requests that an engine runs at once, step the time of a token as the configuration states it.
+	slots int
+	step  time.Duration
+	// slowness is by how much an engine takes longer than its step; nil if engines write without regard to it.
+	slowness func(engine string) float64
+}
+
+var usualTiming = timing{grace: stopGrace, slots: engineSlots, step: engineStep}
+
+func startRegion(binary, folder string, subnet, entries int, t timing) (*region, error) {
+	r := &region{binary: binary, subnet: subnet, timing: t}
 	for i := range keeperCount + entries {
 		n := &node{name: fmt.Sprintf("keeper-%d", i), role: "keeper", ip: fmt.Sprintf("127.0.%d.%d", subnet, i+1)}
 		if i >= keeperCount {
@@ -94,7 +107,7 @@
 		"internal_port_range": []int{peerPort, peerPort + 3}, "seeds": seeds, "bootstrap": bootstrap,
 		"limits": map[string]int{"memory_mb": 256}, "data_dir": filepath.Join(n.folder, "data"),
 		"heartbeat_interval_ms": announceInterval.Milliseconds(), "fault_tolerance": map[string]int{"machines": 1},
-		"bounds": map[string]float64{"grace_s": stopGrace.Seconds(), "revoke_ms": 5000, "stall_ms": 4000},
+		"bounds": map[string]float64{"grace_s": r.timing.grace.Seconds(), "revoke_ms": 5000, "stall_ms": 4000},
 	})
 	if err != nil {
 		return err
--- a/cmd/mastic-soak/runlog.go
+++ b/cmd/mastic-soak/runlog.go
@@ -32,8 +32,9 @@
 	// first of them were.
 	sent        int
 	firstSentAt time.Time
-	// end describes how the run ended.
-	end string
+	// end describes how the run ended, endedAt when it did.
+	end     string
+	endedAt time.Time
 }
 
 // addSent counts bytes before they are passed to the network.
@@ -62,14 +63,14 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.end != endCancelled {
-		r.end = "client disconnected"
+		r.end, r.endedAt = "client disconnected", time.Now()
 	}
 }
 
 func (r *streamRun) setEnd(how string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.end = how
+	r.end, r.endedAt = how, time.Now()
 }
 
 // upstreamEnded reports whether the engine or its link ended the run, up to a time.
--- /dev/null
+++ b/cmd/mastic-soak/stoplosses.go
@@ -0,0 +1,174 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	// lossSlack is the time after a request's last byte from which its entry has read it.
+	lossSlack = 200 * time.Millisecond
+	// killSlack is the time from the end of the grace period in which a planned stop may still cut a request.
+	killSlack = time.Second
+	// reloadTime is the time after SIGHUP in which requests may meet the changed settings.
+	reloadTime = 2 * time.Second
+	// maxOtherLosses is the number of requests that may be passed on and lost while no planned work is near.
+	maxOtherLosses = 3
+)
+
+// processStop is one planned stop of a process.
+type processStop struct {
+	termAt time.Time
+	// restartedAt is zero until the next process was started.
+	restartedAt time.Time
+	// story tells what else the process was sent, and how it ended.
+	story []string
+}
+
+// stopLog holds the planned stops and reloads of all nodes.
+type stopLog struct {
+	mu      sync.Mutex
+	stops   map[*node][]*processStop
+	reloads map[*node][]time.Time
+}
+
+func (l *stopLog) begin(n *node) *processStop {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := &processStop{termAt: time.Now()}
+	l.stops[n] = append(l.stops[n], s)
+	return s
+}
+
+func (l *stopLog) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	all := 0
+	for _, stops := range l.stops {
+		all += len(stops)
+	}
+	return all
+}
+
+func (l *stopLog) tell(s *processStop, what string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s.story = append(s.story, fmt.Sprintf("%s at %.3f s", what, time.Since(s.termAt).Seconds()))
+}
+
+func (l *stopLog) restarted(s *processStop) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s.restartedAt = time.Now()
+}
+
+func (l *stopLog) reload(n *node) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.reloads[n] = append(l.reloads[n], time.Now())
+}
+
+// takesCallers reports whether a load balancer sends a new connection to a node: it learns of a stop late.
+func (l *stopLog) takesCallers(n *node) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	stops := l.stops[n]
+	if len(stops) == 0 {
+		return true
+	}
+	last := stops[len(stops)-1]
+	return !last.restartedAt.IsZero() || time.Since(last.termAt) < balancerLag
+}
+
+// near returns the latest stop and the latest reload of a node before a time; nil and zero if there is none.
+func (l *stopLog) near(n *node, at time.Time) (stop *processStop, reload time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, s := range l.stops[n] {
+		if !s.termAt.After(at) {
+			stop = s
+		}
+	}
+	for _, t := range l.reloads[n] {
+		if !t.After(at) {
+			reload = t
+		}
+	}
+	return stop, reload
+}
+
+// work is the run of a request at an upstream.
+type work struct {
+	began time.Time
+	// ended is zero while the upstream is at work; brokeOff is true if the upstream ended the run early.
+	ended           time.Time
+	whole, brokeOff bool
+}
+
+// cutRequest is a request whose connection ended without its whole answer.
+type cutRequest struct {
+	// begunAt is when its first byte was sent, sentAt its last one, zero if it was not; cutAt is when the connection ended.
+	begunAt, sentAt, cutAt time.Time
+	deadline               time.Duration
+	runs                   []work
+}
+
+// lossClass is how a cut request counts.
+type lossClass string
+
+const (
+	lostInStop    lossClass = "lost in a planned stop"
+	lostByReload  lossClass = "lost after SIGHUP"
+	lostElsewhere lossClass = "lost away from planned work"
+	cutUnread     lossClass = "not read"
+	cutUpstream   lossClass = "broken off by its upstream"
+	cutLate       lossClass = "out of time"
+	cutAtEnd      lossClass = "still running at the end of the stop"
+)
+
+// classify tells how a cut request counts, given when its entry got SIGTERM and SIGHUP last before the cut.
+func (c *cutRequest) classify(termAt, reloadAt time.Time) lossClass {
+	inStop := !termAt.IsZero() && c.cutAt.Sub(termAt) <= longGrace+killSlack
+	lastSixth := termAt.Add(longGrace * 5 / 6)
+	atWork := slices.ContainsFunc(c.runs, func(w work) bool { return w.ended.IsZero() || !w.ended.Before(lastSixth) })
+	switch {
+	case c.sentAt.IsZero(), len(c.runs) == 0 && c.cutAt.Sub(c.sentAt) <= lossSlack:
+		return cutUnread
+	case len(c.runs) > 0 && c.runs[len(c.runs)-1].brokeOff:
+		return cutUpstream
+	case c.cutAt.Sub(c.begunAt) >= c.deadline:
+		return cutLate
+	case inStop && atWork && !c.cutAt.Before(lastSixth) && !c.sentAt.After(termAt.Add(lateRequestTime)):
+		return cutAtEnd
+	case inStop:
+		return lostInStop
+	case !reloadAt.IsZero() && !c.sentAt.After(reloadAt.Add(reloadTime)):
+		return lostByReload
+	default:
+		return lostElsewhere
+	}
+}
+
+// entryLines returns the lines of an entry's log that name a request.
+func entryLines(n *node, id string) ([]string, error) {
+	log, err := os.Open(filepath.Join(n.folder, "log"))
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = log.Close() }()
+	var found []string
+	lines := bufio.NewScanner(log)
+	lines.Buffer(nil, maxChunk)
+	for lines.Scan() {
+		if strings.Contains(lines.Text(), `"`+id+`"`) {
+			found = append(found, lines.Text())
+		}
+	}
+	return found, lines.Err()
+}
