--- a/cmd/mastic-soak/plannedstops.go
+++ b/cmd/mastic-soak/plannedstops.go
@@ -112,8 +112,14 @@
 // oneIn reports true once in n draws.
 func (p *plannedStops) oneIn(n int) bool { return p.random.IntN(n) == 0 }
 
-// reload tells a node that its settings may have changed.
+// reload tells an entry that its settings may have changed, unless its process is still starting: before it has begun to
+// handle the signal, that ends it as it would any process.
 func (p *plannedStops) reload(n *node) {
+	conn, err := net.DialTimeout("tcp", net.JoinHostPort(n.ip, fmt.Sprint(callerPort)), dialTimeout)
+	if err != nil {
+		return
+	}
+	_ = conn.Close()
 	p.log.reload(n)
 	n.signal(syscall.SIGHUP)
 }
@@ -161,7 +167,8 @@
 			n.signal(syscall.SIGTERM)
 			p.log.tell(s, "SIGTERM")
 		case <-reload:
-			p.reload(n)
+			p.log.reload(n)
+			n.signal(syscall.SIGHUP)
 			p.log.tell(s, "SIGHUP")
 		case <-kill:
 			n.signal(syscall.SIGKILL)
--- a/cmd/mastic-soak/stopcallers.go
+++ b/cmd/mastic-soak/stopcallers.go
@@ -25,6 +25,12 @@
 	// maxBodyPieces bounds the pieces in which a body is sent, maxPieceGap the time between two of them.
 	maxBodyPieces = 4
 	maxPieceGap   = 30 * time.Millisecond
+	// One in slowSenderOneIn requests has gaps of up to maxSlowGap, one in longBodyOneIn plain ones a body of up to
+	// maxBodyRepeats of the usual one.
+	slowSenderOneIn = 8
+	maxSlowGap      = 600 * time.Millisecond
+	longBodyOneIn   = 4
+	maxBodyRepeats  = 60
 	// balancerLag is for how long after SIGTERM a node is still sent new connections.
 	balancerLag = 2300 * time.Millisecond
 	// givingUpTime is how long after its deadline a caller goes on waiting.
@@ -36,9 +42,9 @@
 // stopRequest is one request of the callers beside planned stops; kind is nil for one of the plain service.
 type stopRequest struct {
 	attempt
-	method, target, framing string
-	runOnce                 bool
-	begunAt                 time.Time
+	method, target, content, framing string
+	runOnce                          bool
+	begunAt                          time.Time
 	// cutBy is how the connection ended; empty if the answer is whole.
 	cutBy string
 }
@@ -156,13 +162,16 @@
 		kinds := []*streamKind{plainStream, pairStream, singleStream, plainStream, onceStream}
 		r.kind, r.total = kinds[c.random.IntN(len(kinds))], minLongEvents+c.random.IntN(maxLongEvents-minLongEvents)
 		r.request, r.deadline, r.runOnce = fmt.Sprintf("%s-%d", c.name, c.sent), streamTimeout, r.kind.once
-		r.target = fmt.Sprintf("%s%d", r.kind.path, r.total)
+		r.target, r.content = fmt.Sprintf("%s%d", r.kind.path, r.total), prompt(r.request)
 		return r
 	}
 	r.request, r.deadline, r.runOnce, r.target = fmt.Sprintf("%s%s-%d", oncePrefix, c.name, c.sent), callTimeout, true, "/grant/x"
 	if c.random.IntN(2) == 0 {
 		r.request, r.runOnce, r.target = fmt.Sprintf("%s%s-%d", againPrefix, c.name, c.sent), false, "/lookup/x"
 	}
+	if r.content = prompt(r.request); c.random.IntN(longBodyOneIn) == 0 {
+		r.content = strings.Repeat(r.content, 1+c.random.IntN(maxBodyRepeats))
+	}
 	return r
 }
 
@@ -172,7 +181,7 @@
 	if r.kind != nil && r.kind.model != "" {
 		head += fmt.Sprintf("X-Model: %s\r\nX-Token-Counts: %s\r\n%s", r.kind.model, tokenCounts(r.total), promptPrefix(r.request, false))
 	}
-	body, chunked := prompt(r.request), c.random.IntN(2) == 0
+	body, chunked := r.content, c.random.IntN(2) == 0
 	var pieces []string
 	for n := 1 + c.random.IntN(maxBodyPieces); n > 0; n-- {
 		size := len(body)
@@ -194,7 +203,7 @@
 			pieces[len(pieces)-1] += end
 		}
 	} else {
-		head += fmt.Sprintf("Content-Length: %d\r\n\r\n", len(prompt(r.request)))
+		head += fmt.Sprintf("Content-Length: %d\r\n\r\n", len(r.content))
 	}
 	pieces[0] = head + pieces[0]
 	pieces = slices.DeleteFunc(pieces, func(p string) bool { return p == "" })
@@ -203,11 +212,14 @@
 }
 
 func (c *stopCaller) exchange(r *stopRequest) error {
-	pieces := c.message(r)
+	pieces, longest := c.message(r), maxPieceGap
+	if c.random.IntN(slowSenderOneIn) == 0 {
+		longest = maxSlowGap
+	}
 	r.begunAt = time.Now()
 	for i, piece := range pieces {
 		if i > 0 {
-			time.Sleep(time.Duration(c.random.Int64N(int64(maxPieceGap))))
+			time.Sleep(time.Duration(c.random.Int64N(int64(longest))))
 		}
 		if err := c.conn.conn.SetWriteDeadline(time.Now().Add(c.conn.timeout)); err != nil {
 			return err
