--- a/cmd/mastic-soak/plannedstops.go
+++ b/cmd/mastic-soak/plannedstops.go
@@ -172,7 +172,7 @@
 			p.log.tell(s, "SIGHUP")
 		case <-kill:
 			n.signal(syscall.SIGKILL)
-			p.log.tell(s, "SIGKILL")
+			p.log.kill(s)
 		}
 	}
 	p.log.tell(s, "exit")
@@ -318,5 +318,5 @@
 	if streams.counts.complete.Load() == 0 {
 		found = append(found, "no stream was served")
 	}
-	return found, fmt.Sprintf("%d requests: %d planned stops, answered by status: %v, complete streams: %d, cut: %v", len(s.requests), s.stops.count(), statuses, streams.counts.complete.Load(), classes), nil
+	return found, fmt.Sprintf("%s; %d requests, answered by status: %v, complete streams: %d, cut: %v", s.stops.counts(), len(s.requests), statuses, streams.counts.complete.Load(), classes), nil
 }
--- a/cmd/mastic-soak/stoplosses.go
+++ b/cmd/mastic-soak/stoplosses.go
@@ -27,6 +27,8 @@
 	termAt time.Time
 	// restartedAt is zero until the next process was started.
 	restartedAt time.Time
+	// killed is true if the process was still running at the end of the grace period.
+	killed bool
 	// story tells what else the process was sent, and how it ended.
 	story []string
 }
@@ -46,14 +48,26 @@
 	return s
 }
 
-func (l *stopLog) count() int {
+func (l *stopLog) counts() string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	all := 0
+	all, killed := 0, 0
 	for _, stops := range l.stops {
 		all += len(stops)
+		for _, s := range stops {
+			if s.killed {
+				killed++
+			}
+		}
 	}
-	return all
+	return fmt.Sprintf("%d planned stops, %d of them ended by SIGKILL", all, killed)
+}
+
+func (l *stopLog) kill(s *processStop) {
+	l.mu.Lock()
+	s.killed = true
+	l.mu.Unlock()
+	l.tell(s, "SIGKILL")
 }
 
 func (l *stopLog) tell(s *processStop, what string) {
