--- a/cmd/mastic-soak/plannedstops.go
+++ b/cmd/mastic-soak/plannedstops.go
@@ -318,5 +318,6 @@
 	if streams.counts.complete.Load() == 0 {
 		found = append(found, "no stream was served")
 	}
-	return found, fmt.Sprintf("%s; %d requests, answered by status: %v, complete streams: %d, cut: %v", s.stops.counts(), len(s.requests), statuses, streams.counts.complete.Load(), classes), nil
+	counts, err := s.stops.counts()
+	return found, fmt.Sprintf("%s; %d requests, answered by status: %v, complete streams: %d, cut: %v", counts, len(s.requests), statuses, streams.counts.complete.Load(), classes), err
 }
--- a/cmd/mastic-soak/stopcallers.go
+++ b/cmd/mastic-soak/stopcallers.go
@@ -282,7 +282,7 @@
 	for _, w := range c.runs {
 		fmt.Fprintf(&text, "; run begun %s, ended %s, whole %v, broken off %v", since(w.began), since(w.ended), w.whole, w.brokeOff)
 	}
-	lines, err := entryLines(r.entry, r.request)
+	lines, err := linesOf(r.entry, "request_id="+r.request+" ")
 	for _, line := range lines {
 		text.WriteString("\n    " + line)
 	}
--- a/cmd/mastic-soak/stoplosses.go
+++ b/cmd/mastic-soak/stoplosses.go
@@ -48,19 +48,44 @@
 	return s
 }
 
-func (l *stopLog) counts() string {
+// counts tells how many stops there were, how many the end of the grace period met, and how late entries handled SIGTERM.
+func (l *stopLog) counts() (string, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	all, killed := 0, 0
-	for _, stops := range l.stops {
+	all, killed, latest := 0, 0, time.Duration(0)
+	for n, stops := range l.stops {
+		handled, err := stopTimes(n)
+		if err != nil {
+			return "", err
+		}
 		all += len(stops)
 		for _, s := range stops {
 			if s.killed {
 				killed++
 			}
+			// A process that was still starting ends at once, without a line.
+			at := slices.IndexFunc(handled, func(t time.Time) bool { return !t.Before(s.termAt.Truncate(time.Millisecond)) })
+			if at >= 0 && !handled[at].After(s.termAt.Add(longGrace)) && (s.restartedAt.IsZero() || handled[at].Before(s.restartedAt)) {
+				latest = max(latest, handled[at].Sub(s.termAt))
+			}
+		}
+	}
+	return fmt.Sprintf("%d planned stops, %d of them ended by SIGKILL, SIGTERM handled at most %.3f s late", all, killed, latest.Seconds()), nil
+}
+
+// stopTimes returns when a node logged that it handles SIGTERM.
+func stopTimes(n *node) ([]time.Time, error) {
+	lines, err := linesOf(n, "event=node_stopping ")
+	var all []time.Time
+	for _, line := range lines {
+		text, _, _ := strings.Cut(strings.TrimPrefix(line, "time="), " ")
+		at, err := time.Parse(time.RFC3339Nano, text)
+		if err != nil {
+			return nil, err
 		}
+		all = append(all, at)
 	}
-	return fmt.Sprintf("%d planned stops, %d of them ended by SIGKILL", all, killed)
+	return all, err
 }
 
 func (l *stopLog) kill(s *processStop) {
@@ -169,8 +194,8 @@
 	}
 }
 
-// entryLines returns the lines of an entry's log that name a request.
-func entryLines(n *node, id string) ([]string, error) {
+// linesOf returns the lines of a node's log that contain a text at the end of a field.
+func linesOf(n *node, text string) ([]string, error) {
 	log, err := os.Open(filepath.Join(n.folder, "log"))
 	if err != nil {
 		return nil, err
@@ -180,7 +205,7 @@
 	lines := bufio.NewScanner(log)
 	lines.Buffer(nil, maxChunk)
 	for lines.Scan() {
-		if strings.Contains(lines.Text()+" ", "="+id+" ") {
+		if strings.Contains(lines.Text()+" ", text) {
 			found = append(found, lines.Text())
 		}
 	}
--- a/cmd/mastic-soak/stoplosses_test.go
+++ b/cmd/mastic-soak/stoplosses_test.go
@@ -66,9 +66,11 @@
 // Guards against cut requests that the check doesn't see, or describes without the entry's own lines.
 func TestLostRequestIsReportedWithTheLinesOfItsEntry(t *testing.T) {
 	n := &node{name: "entry-0", folder: t.TempDir()}
-	require.NoError(t, os.WriteFile(filepath.Join(n.folder, "log"), []byte("event=a request_id=c1-12 node=x\nevent=request_answered request_id=c1-1 outcome=cut\n"), 0o600))
 	stops := &stopLog{stops: map[*node][]*processStop{}, reloads: map[*node][]time.Time{}}
 	stop := stops.begin(n)
+	handled := stop.termAt.Add(1200 * time.Millisecond).UTC().Format(time.RFC3339Nano)
+	require.NoError(t, os.WriteFile(filepath.Join(n.folder, "log"), []byte("event=a request_id=c1-12 node=x\nevent=request_answered request_id=c1-1 outcome=cut\n"+
+		"time="+handled+" level=info event=node_stopping node=entry-0\n"), 0o600))
 	runs := newRunLog()
 	runs.add(&streamRun{request: "c1-1", number: 1, signature: "s", status: http.StatusOK, began: stop.termAt.Add(4 * time.Second), end: "in progress"})
 	r := &stopRequest{target: "/stream/30", begunAt: stop.termAt.Add(4 * time.Second), cutBy: "reset"}
@@ -83,6 +85,7 @@
 	assert.Contains(t, found[0], "event=request_answered request_id=c1-1")
 	assert.NotContains(t, found[0], "c1-12")
 	assert.Equal(t, "no stream was served", found[1])
+	assert.Contains(t, counts, "1 planned stops, 0 of them ended by SIGKILL, SIGTERM handled at most 1.200 s late")
 	assert.Contains(t, counts, "cut: map[lost in a planned stop:1]")
 }
 
