--- a/cmd/mastic-soak/stoplosses.go
+++ b/cmd/mastic-soak/stoplosses.go
@@ -22,9 +22,14 @@
 	maxOtherLosses = 3
 )
 
+// logTime is the form in which the summary gives times.
+const logTime = "15:04:05.000"
+
 // processStop is one planned stop of a process.
 type processStop struct {
 	termAt time.Time
+	// startedAt is when the harness started the process; zero for the first one of a node.
+	startedAt time.Time
 	// restartedAt is zero until the next process was started.
 	restartedAt time.Time
 	// killed is true if the process was still running at the end of the grace period.
@@ -44,6 +49,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := &processStop{termAt: time.Now()}
+	if stops := l.stops[n]; len(stops) > 0 {
+		s.startedAt = stops[len(stops)-1].restartedAt
+	}
 	l.stops[n] = append(l.stops[n], s)
 	return s
 }
@@ -52,7 +60,7 @@
 func (l *stopLog) counts() (string, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	all, killed, latest := 0, 0, time.Duration(0)
+	all, killed, latest, where := 0, 0, time.Duration(0), ""
 	for n, stops := range l.stops {
 		handled, err := stopTimes(n)
 		if err != nil {
@@ -66,11 +74,13 @@
 			// A process that was still starting ends at once, without a line.
 			at := slices.IndexFunc(handled, func(t time.Time) bool { return !t.Before(s.termAt.Truncate(time.Millisecond)) })
 			if at >= 0 && !handled[at].After(s.termAt.Add(longGrace)) && (s.restartedAt.IsZero() || handled[at].Before(s.restartedAt)) {
-				latest = max(latest, handled[at].Sub(s.termAt))
+				if late := handled[at].Sub(s.termAt); late > latest {
+					latest, where = late, fmt.Sprintf(" (%s at %s, started at %s)", n.name, s.termAt.UTC().Format(logTime), s.startedAt.UTC().Format(logTime))
+				}
 			}
 		}
 	}
-	return fmt.Sprintf("%d planned stops, %d of them ended by SIGKILL, SIGTERM handled at most %.3f s late", all, killed, latest.Seconds()), nil
+	return fmt.Sprintf("%d planned stops, %d of them ended by SIGKILL, SIGTERM handled at most %.3f s late%s", all, killed, latest.Seconds(), where), nil
 }
 
 // stopTimes returns when a node logged that it handles SIGTERM.
