--- a/pkg/keeper/keeper_test.go
+++ b/pkg/keeper/keeper_test.go
@@ -602,9 +602,10 @@
 		}
 		c.propose(c.latestLeader(), 121, 125)
 		c.split()
-		for !away.keeper.Removed() {
+		for range 2 * int(testCatchUp/tickInterval) {
 			waitTick()
 		}
+		require.True(t, away.keeper.Removed())
 		c.lose(away)
 		c.start(id)
 		c.waitRevision(125)
