mastic-soak: callers send each GET once

The caller gives a GET a body that the transport can't get again; on the wire it is the same. A GET whose connection ends now has status 0, as a POST always had: the checks on requests without an answer cover it too.

--- a/cmd/mastic-soak/callers.go
+++ b/cmd/mastic-soak/callers.go
@@ -111,6 +111,11 @@
 	if err != nil {
 		panic(err)
 	}
+	if r.method == http.MethodGet {
+		// The transport sends a GET again by itself if a persistent connection ends, unless it
+		// cannot get its body again.
+		req.Body, req.GetBody = io.NopCloser(strings.NewReader(r.body)), nil
+	}
 	req.Host = soakHost
 	req.Header.Set("X-Request-Id", id)
 	if r.key != "" {
