fleetnode: the path test's hung links don't spin

TestEntryWithoutPathToUpstreamsServesItsCallers/hung failed beside load (3 of 18 on, 2 of 18 on: 0 of 60 served), and /half, which runs beside it, once.

Cause, in the test: a proxied connection that the entry closed while its link hung was read again at once, for ever, as the read error was passed over. Each one kept a processor until the link was healed; the entry then answered 503, as its tunnels' handshakes (150 ms) and the tests' own connections didn't get to run.

The end of a hung connection is now held until the link is healed, and then seen on the other side, as before. No assertion is changed.

--- a/pkg/fleetnode/entry_path_test.go
+++ b/pkg/fleetnode/entry_path_test.go
@@ -47,11 +47,16 @@
 	mu   sync.Mutex
 	// conns are the open connections: the entry's side and the upstream's.
 	conns map[net.Conn]net.Conn
+	// healed is closed when the last cut ends.
+	healed chan struct{}
 }
 
 func newUplink() *uplink { return &uplink{conns: map[net.Conn]net.Conn{}} }
 
 func (u *uplink) cut(kind cutKind) {
+	u.mu.Lock()
+	u.healed = make(chan struct{})
+	u.mu.Unlock()
 	u.kind.Store(&kind)
 	if kind != cutRefused {
 		return
@@ -63,7 +68,20 @@
 	}
 }
 
-func (u *uplink) heal() { u.kind.Store(nil) }
+func (u *uplink) heal() {
+	u.kind.Store(nil)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	close(u.healed)
+}
+
+// waitHealed returns when the last cut has ended.
+func (u *uplink) waitHealed() {
+	u.mu.Lock()
+	healed := u.healed
+	u.mu.Unlock()
+	<-healed
+}
 
 // dial connects through a proxy that the cut affects.
 func (u *uplink) dial(ctx context.Context, address string) (net.Conn, error) {
@@ -100,13 +118,17 @@
 	return entrySide, nil
 }
 
-// copy forwards one direction; a hung connection loses what is sent.
+// copy forwards one direction; a hung connection loses what is sent, and its end is seen on the other side once it is healed.
 func (u *uplink) copy(from, to net.Conn) {
 	buf := make([]byte, 4<<10)
 	for {
 		n, err := from.Read(buf)
 		if kind := u.kind.Load(); kind != nil && *kind == cutHung {
-			continue
+			if err == nil {
+				continue
+			}
+			n = 0
+			u.waitHealed()
 		}
 		if n > 0 {
 			_, _ = to.Write(buf[:n])
