fleetnode: the path test's folder is removed after its keeper has stopped

Seen while tracing the failures of /hung: 2 of 18 plays (six processes at once, -test.count=3) failed with "TempDir RemoveAll cleanup: directory not empty", in /refused and /half. The folder was created after the cleanup that stops the nodes was registered, and so removed before it, under a keeper that still wrote. It is created first now: 0 of 30 plays, and 0 of 12 with GOMAXPROCS=1.

--- a/pkg/fleetnode/entry_path_test.go
+++ b/pkg/fleetnode/entry_path_test.go
@@ -194,6 +194,8 @@
 
 func startPathRegion(t *testing.T, entries int) *pathRegion {
 	r := &pathRegion{t: t, upstream: &countingUpstream{runs: map[string]int{}}}
+	// Created first, so that it is removed after the nodes have stopped.
+	folder := t.TempDir()
 	ctx, stop := context.WithCancel(context.Background())
 	var nodes sync.WaitGroup
 	t.Cleanup(func() {
@@ -202,7 +204,7 @@
 	})
 	keeperAddress := freeAddress()
 	keeper := NewKeeper(KeeperOptions{
-		Address: keeperAddress, FailureDomain: "fd", Seeds: []string{keeperAddress}, DataFolder: t.TempDir(), Bootstrap: true,
+		Address: keeperAddress, FailureDomain: "fd", Seeds: []string{keeperAddress}, DataFolder: folder, Bootstrap: true,
 		AnnounceInterval: time.Second, StallTimeout: 4 * time.Second, Decode: testDecode, OrderSender: noOrders{}, Log: zerolog.Nop(),
 	})
 	nodes.Go(func() { assert.NoError(t, keeper.Run(ctx)) })
