grouping: a proof that a new coordinator lets the group of a leaving member finish

TestNewCoordinatorLetsGroupOfLeavingMemberFinish passes with the planner as it is: the head is closed with wait, ordered to leave only once it is no longer closing, and then does leave, as an open order may still be under way. It fails if advanceDraining doesn't wait for a closing head ("leave e00 big.4.18y69" at once). Engines of the simulation that are busy are closing after a close that waits; before, all were ready at once.

--- a/pkg/grouping/handover_test.go
+++ b/pkg/grouping/handover_test.go
@@ -1,6 +1,7 @@
 package grouping
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -33,6 +34,29 @@
 	assert.Equal(t, 1, s.openGroups()["big"])
 }
 
+// Guards against cutting the streams of a group that finishes them because a member leaves: a new coordinator closes it and,
+// as an open order may still be under way, has its head leave, but only once nothing runs.
+func TestNewCoordinatorLetsGroupOfLeavingMemberFinish(t *testing.T) {
+	s, head, member := suspected(t, "member")
+	name := head.Group.Group
+	member.Draining, s.busy[head.ID] = true, true
+	s.deliverReport(member)
+	s.elect(Options{Term: 3})
+	before := len(s.orders)
+	s.run(settleTime + drainTimeout - tick)
+	assert.Contains(t, s.changes(before), fmt.Sprintf("%s %s %s", Close, head.ID, name))
+	assert.Equal(t, fleet.Closing, head.Group.State)
+	for _, o := range s.orders[before:] {
+		assert.False(t, o.Cancel, "%s %s %s", o.Kind, o.Upstream, o.Group)
+		assert.NotEqual(t, Leave, o.Kind, "%s %s", o.Upstream, o.Group)
+	}
+	head.Group.State, s.busy[head.ID] = fleet.Ready, false
+	s.deliverReport(head)
+	s.run(2 * interval)
+	assert.Contains(t, s.changes(before), fmt.Sprintf("%s %s %s", Leave, head.ID, name))
+	assert.NotContains(t, s.planner.groups, name)
+}
+
 // Guards against reusing the engines of a group that serves, because its model is no longer
 // configured when another coordinator takes over.
 func TestEnginesOfGroupWithRemovedModelAreNotReused(t *testing.T) {
--- a/pkg/grouping/simulation_test.go
+++ b/pkg/grouping/simulation_test.go
@@ -38,6 +38,8 @@
 	lastReport map[string]time.Time
 	// incompleteSince is the time since which an open head has lacked a member.
 	incompleteSince map[string]time.Time
+	// busy heads finish requests: they are closing, not ready, after an order to close that waits.
+	busy map[string]bool
 	// delayedReports makes engines report an executed order only in their next announcement.
 	delayedReports bool
 	// everReady holds the members that have been ready, by group.
@@ -81,7 +83,7 @@
 	return &simulation{
 		t: t, now: time.Unix(1000, 0), engines: map[string]*fleet.Upstream{}, reported: map[string]fleet.Upstream{},
 		partitioned: map[string]bool{}, unresponsive: map[string]bool{}, lastReport: map[string]time.Time{},
-		incompleteSince: map[string]time.Time{}, everReady: map[string]map[string]bool{}, startedOrders: map[incarnation]uint64{},
+		incompleteSince: map[string]time.Time{}, everReady: map[string]map[string]bool{}, busy: map[string]bool{}, startedOrders: map[incarnation]uint64{},
 		loadedModel: map[incarnation]string{}, announceInterval: interval, highestEpoch: map[incarnation]uint64{},
 		engineSpec: &document.Engine{
 			Slots: 17, LoadsPerSecond: 5, LoadsAtOnce: 7, StagedModels: 1,
@@ -232,6 +234,9 @@
 	case Close:
 		if e.Group.Group == o.Group && e.Group.State == fleet.Open {
 			e.Group.State = fleet.Ready
+			if s.busy[e.ID] && !o.Cancel {
+				e.Group.State = fleet.Closing
+			}
 		}
 	case Leave:
 		if e.Group.Group == o.Group {
