mastic-soak: a closed head is closing until its streams end

Cause, in the soak: its engines reported ready as soon as they were told to close, also while streams ran, so that the planner took them for idle.

Engines of the soak now count what they run, are closing until it has ended, open no group meanwhile, and are ready at once only if nothing runs or the close cancels. The check of joins is stricter by it: no member may join another group while its head is open or closing (open, before).

TestHeadIsClosingUntilItsStreamsEnd. It has no run on the old code, which knows no requests.

--- a/cmd/mastic-soak/engines.go
+++ b/cmd/mastic-soak/engines.go
@@ -248,8 +248,12 @@
 	case !valid || kind.service != e.service || body != prompt(id):
 		e.set.runs.addUnexpected(fmt.Sprintf("%s got request %q for %q with %d bytes and %v, which no caller sent", e.id, id, req.URL.Path, len(body), req.Header))
 		return e.refuse(conn, id, http.StatusBadRequest)
-	case e.service == groupService && !e.group.serves(time.Now(), req.Header.Get("X-Model")):
+	case e.service == groupService && !e.group.begin(time.Now(), req.Header.Get("X-Model")):
 		return e.refuse(conn, id, http.StatusServiceUnavailable)
+	case e.service == groupService:
+		defer e.group.end()
+	}
+	switch {
 	case hasCrashingPart(req):
 		return e.crash(conn, id)
 	case e.isFull.Load():
--- a/cmd/mastic-soak/lateorders.go
+++ b/cmd/mastic-soak/lateorders.go
@@ -32,7 +32,8 @@
 	})
 }
 
-// checkJoin records a violation if the engine takes a join of another group while the head of its group is open.
+// checkJoin records a violation if the engine takes a join of another group while the head of its group is open or
+// closing.
 func (e *engine) checkJoin(o order) {
 	now := time.Now()
 	group, taken := e.group.leavesFor(now, o)
@@ -41,7 +42,7 @@
 	}
 	for _, head := range e.set.all {
 		if head.group.heads(now, group) {
-			e.set.runs.addUnexpected(fmt.Sprintf("%s joins %s with epoch %d while the head %s of its group %s is open", e.id, o.Group, o.Epoch, head.id, group))
+			e.set.runs.addUnexpected(fmt.Sprintf("%s joins %s with epoch %d while the head %s of its group %s is open or closing", e.id, o.Group, o.Epoch, head.id, group))
 		}
 	}
 }
@@ -55,10 +56,10 @@
 	return m.group, taken
 }
 
-// heads reports whether the engine is the open head of a group.
+// heads reports whether the engine is the head of a group that is open or closing.
 func (m *membership) heads(now time.Time, group string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.applyDue(now)
-	return m.group == group && m.rank == 0 && m.state == groupOpen
+	return m.group == group && m.rank == 0 && (m.state == groupOpen || m.state == groupClosing)
 }
--- a/cmd/mastic-soak/membership.go
+++ b/cmd/mastic-soak/membership.go
@@ -12,6 +12,7 @@
 	groupJoining = "joining"
 	groupReady   = "ready"
 	groupOpen    = "open"
+	groupClosing = "closing"
 	groupBroken  = "broken"
 )
 
@@ -50,6 +51,8 @@
 	// nextState is the state entered at nextAt; empty if no change is scheduled.
 	nextState string
 	nextAt    time.Time
+	// running is the number of requests that the engine executes as the head of a group.
+	running int
 }
 
 // applyDue enters the scheduled state once it is due. The caller holds the lock.
@@ -98,14 +101,33 @@
 }
 
 // serves reports whether the engine executes requests for a model; only the head, rank 0,
-// does.
+// does. The caller holds the lock.
 func (m *membership) serves(now time.Time, model string) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
 	m.applyDue(now)
 	return m.group != "" && m.rank == 0 && m.state == groupOpen && m.model == model
 }
 
+// begin admits a request for a model if the engine serves it; the caller then ends it by end.
+func (m *membership) begin(now time.Time, model string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.serves(now, model) {
+		return false
+	}
+	m.running++
+	return true
+}
+
+// end ends a request that begin admitted. A closing head is ready again once nothing runs.
+func (m *membership) end() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.running--
+	if m.running == 0 && m.state == groupClosing {
+		m.state = groupReady
+	}
+}
+
 // memberLost marks the group as broken if the engine is its head and the member is in it. It
 // reports whether the member is in the engine's group.
 func (m *membership) memberLost(now time.Time, member string) bool {
@@ -113,7 +135,7 @@
 	defer m.mu.Unlock()
 	m.applyDue(now)
 	isMember := slices.Contains(m.members, member)
-	if m.rank == 0 && m.state == groupOpen && isMember {
+	if m.rank == 0 && (m.state == groupOpen || m.state == groupClosing) && isMember {
 		m.state, m.nextState = groupBroken, ""
 	}
 	return isMember
@@ -133,7 +155,7 @@
 		return m.join(now, o, self)
 	case "open":
 		switch {
-		case !m.matches(o) || m.rank != 0 || m.state == groupJoining || m.state == groupBroken:
+		case !m.matches(o) || m.rank != 0 || m.state == groupJoining || m.state == groupClosing || m.state == groupBroken:
 			return http.StatusConflict
 		case m.state == groupOpen:
 			return http.StatusOK
@@ -143,9 +165,7 @@
 		if !m.matches(o) {
 			return http.StatusConflict
 		}
-		if m.state == groupOpen || m.nextState == groupOpen {
-			m.state, m.nextState = groupReady, ""
-		}
+		m.close(o.Mode)
 		return http.StatusOK
 	case "leave":
 		if !m.matches(o) {
@@ -195,6 +215,16 @@
 	return m.schedule(now.Add(duration), groupReady)
 }
 
+// close makes a head stop serving; it is closing while it finishes its requests.
+func (m *membership) close(mode string) {
+	switch {
+	case m.state == groupOpen && m.running > 0 && mode != "cancel":
+		m.state, m.nextState = groupClosing, ""
+	case m.state == groupOpen, m.state == groupClosing && mode == "cancel", m.nextState == groupOpen:
+		m.state, m.nextState = groupReady, ""
+	}
+}
+
 func (m *membership) stage(model string) {
 	m.staged = slices.DeleteFunc(m.staged, func(have string) bool { return have == model })
 	m.staged = append(m.staged, model)
--- a/cmd/mastic-soak/membership_test.go
+++ b/cmd/mastic-soak/membership_test.go
@@ -66,3 +66,43 @@
 		assert.Equal(t, row.cancels, m.cancelsStreams(row.order), name)
 	}
 }
+
+// A head that was closed with streams in progress reported ready at once, so that its coordinator took it for idle, had it
+// leave its group and thereby cut the streams.
+func TestHeadIsClosingUntilItsStreamsEnd(t *testing.T) {
+	now := time.UnixMilli(0)
+	waiting, cancelling := order{Op: "close", Mode: "wait", Group: "g", Epoch: 2}, order{Op: "close", Mode: "cancel", Group: "g", Epoch: 2}
+	openHead := func(running int) *membership {
+		m := &membership{group: "g", epoch: 2, model: "m", state: groupOpen}
+		for range running {
+			assert.True(t, m.begin(now, "m"))
+		}
+		return m
+	}
+	m := openHead(2)
+	assert.Equal(t, 200, m.execute(now, waiting, "a"))
+	assert.False(t, m.begin(now, "m"))
+	assert.Equal(t, 409, m.execute(now, order{Op: "open", Group: "g", Epoch: 2}, "a"))
+	for range 2 {
+		assert.Equal(t, groupClosing, m.state)
+		assert.True(t, m.heads(now, "g"), "no member may join another group")
+		m.end()
+	}
+	assert.Equal(t, groupReady, m.state)
+	assert.False(t, m.heads(now, "g"))
+
+	m = openHead(0)
+	assert.Equal(t, 200, m.execute(now, waiting, "a"))
+	assert.Equal(t, groupReady, m.state, "nothing runs")
+
+	m = openHead(1)
+	assert.Equal(t, 200, m.execute(now, waiting, "a"))
+	assert.Equal(t, 200, m.execute(now, cancelling, "a"))
+	assert.Equal(t, groupReady, m.state, "cancelled")
+	m.end()
+	assert.Equal(t, groupReady, m.state)
+
+	m = openHead(1)
+	m.end()
+	assert.Equal(t, groupOpen, m.state)
+}
