--- a/pkg/grouping/simulation_test.go
+++ b/pkg/grouping/simulation_test.go
@@ -232,12 +232,7 @@
 		s.checkWhole(o)
 		e.Group.State = fleet.Open
 	case Close:
-		if e.Group.Group == o.Group && e.Group.State == fleet.Open {
-			e.Group.State = fleet.Ready
-			if s.busy[e.ID] && !o.Cancel {
-				e.Group.State = fleet.Closing
-			}
-		}
+		s.closeHead(e, o)
 	case Leave:
 		if e.Group.Group == o.Group {
 			e.Group = fleet.Membership{}
@@ -249,6 +244,16 @@
 	return Accepted
 }
 
+func (s *simulation) closeHead(e *fleet.Upstream, o Order) {
+	if e.Group.Group != o.Group || e.Group.State != fleet.Open {
+		return
+	}
+	e.Group.State = fleet.Ready
+	if s.busy[e.ID] && !o.Cancel {
+		e.Group.State = fleet.Closing
+	}
+}
+
 // checkJoin asserts that no engine joins a group while the head of its previous group is open.
 // A head that has lacked a member for the stall time is broken and no longer open.
 func (s *simulation) checkJoin(e *fleet.Upstream, o Order) {
