fleetnode: a test of two beats right after a pause

After a pause of the process a ticker's next beat can come at once. The second beat counts as one on time, so a signal that waited through the pause seems to be 3 ms old: expected 1.203 s, actual 3 ms.

--- a/pkg/fleetnode/stop_plan_test.go
+++ b/pkg/fleetnode/stop_plan_test.go
@@ -50,6 +50,7 @@
 		"no beat after a long pause": {[]time.Duration{100, 200}, 1301, 1201},
 		"several late beats":         {[]time.Duration{100, 200, 700, 1300}, 1400, 1300},
 		"on time again":              {[]time.Duration{100, 1300, 1400, 1500}, 1510, 110},
+		"two beats after a pause":    {[]time.Duration{100, 200, 1300, 1301}, 1303, 1203},
 	} {
 		h := newHeartbeat(began)
 		for _, at := range c.beats {
