fleetnode: a beat right after a pause does not prove that no signal waits

heartbeat.beat took a beat 1 ms after a late one as on time, so a signal that waited through a pause of 1.1 s counted as 3 ms old (TestSignalLag, 'two beats after a pause': failed before, passes now). Beats within half an interval are now ignored.

--- a/pkg/fleetnode/stop_plan.go
+++ b/pkg/fleetnode/stop_plan.go
@@ -6,9 +6,11 @@
 )
 
 const (
-	// beatInterval is the time between two beats of a process; a beat that comes lateBeat after the one before is late.
+	// beatInterval is the time between two beats of a process; a beat that comes lateBeat after the one before is late. One that
+	// comes within earlyBeat proves nothing: after a pause of the process the next beat can be due at once.
 	beatInterval = 100 * time.Millisecond
 	lateBeat     = 250 * time.Millisecond
+	earlyBeat    = beatInterval / 2
 	// killReserve is the time from the end of a planned stop to the kill at the end of the grace period.
 	killReserve = 400 * time.Millisecond
 	// cutMargin is the time from when the grace period lets streams be cut until they are.
@@ -22,6 +24,9 @@
 
 // beat records that the process runs and has noticed no signal.
 func (h *heartbeat) beat(now time.Time) {
+	if now.Sub(h.last) < earlyBeat {
+		return
+	}
 	if now.Sub(h.last) < lateBeat {
 		h.steady = h.last
 	}
