--- a/pkg/forward/session.go
+++ b/pkg/forward/session.go
@@ -72,6 +72,9 @@
 
 // serve handles one request.
 func (e *Entry) serve(ctx *fasthttp.RequestCtx) {
+	// The server holds an answer back while it has read the beginning of the caller's next request, unless the handler sets a
+	// write deadline. The connection sets its own at each write.
+	_ = ctx.SetWriteDeadline(time.Now().Add(readTimeout))
 	b, refused := e.readBody(ctx)
 	e.inFlight.Add(1)
 	answer := e.unwritten.add(ctx.Conn())
