--- a/cmd/mastic-soak/callers.go
+++ b/cmd/mastic-soak/callers.go
@@ -94,6 +94,7 @@
 		transport = &http.Transport{DisableKeepAlives: true}
 	}
 	x := exchange{entry: c.region.entries[entry%len(c.region.entries)], sentAt: time.Now(), deadline: callTimeout}
+	c.region.repeats.send(serviceOf(r.path), id)
 	a := sendPlain(transport, x.entry, id, r)
 	x.endedAt = time.Now()
 	a.exchange = x
--- a/cmd/mastic-soak/engines.go
+++ b/cmd/mastic-soak/engines.go
@@ -236,6 +236,9 @@
 
 func (e *engine) answer(conn net.Conn, req *http.Request, body string) error {
 	id := req.Header.Get("X-Request-Id")
+	if isStream := !strings.HasPrefix(req.URL.Path, "/api/"); isStream {
+		e.set.region.repeats.arrive(e.service, id)
+	}
 	if expected := req.Header.Get("X-Expect-Instance"); expected != "" && expected != e.id {
 		return e.refuse(conn, id, http.StatusMisdirectedRequest)
 	}
--- a/cmd/mastic-soak/main.go
+++ b/cmd/mastic-soak/main.go
@@ -27,6 +27,7 @@
 	OnlyFullDisks   bool          `arg:"--only-full-disks" help:"inject only full disks of keepers, one after another"`
 	OnlySilences    bool          `arg:"--only-silences" help:"inject only silences of sound upstreams, planned restarts and changes of the configuration"`
 	OnlyStops       bool          `arg:"--only-stops" help:"stop entries and keepers as planned, one after another and at once, and count the requests that get no whole answer"`
+	OnlyRetries     bool          `arg:"--only-retries" help:"have most requests fail while entries restart and keepers stand still, and count the repeats"`
 	KeepAll         bool          `arg:"--keep" help:"also keep the folders of seeds without a violation"`
 }
 
@@ -36,8 +37,11 @@
 	failed := 0
 	for seed := args.First; seed < args.First+uint64(args.Seeds); seed++ {
 		play := soak
-		if args.OnlyStops {
+		switch {
+		case args.OnlyStops:
 			play = soakStops
+		case args.OnlyRetries:
+			play = soakRetries
 		}
 		result, err := play(&args, seed)
 		if err != nil {
@@ -185,6 +189,9 @@
 		return nil, err
 	}
 	violations = append(append(violations, r.violations()...), logged...)
+	repeated, margins := r.repeats.check()
+	violations = append(violations, repeated...)
+	fmt.Printf("seed %d: %s\n", seed, margins)
 	return &result{folder: folder, violations: violations, fewStreams: !groupsServed || served < int64(args.Callers)}, nil
 }
 
--- a/cmd/mastic-soak/operator.go
+++ b/cmd/mastic-soak/operator.go
@@ -16,7 +16,8 @@
 	kioskService = "kiosk"
 	// changeInterval is the time between two changes of the configuration.
 	changeInterval = 400 * time.Millisecond
-	// streamAttempts is the max_attempts of the routes of streams.
+	// The max_attempts of the routes of plain services, unless a mode has another one, and of streams.
+	usualAttempts  = 2
 	streamAttempts = 3
 	// controlTimeout bounds a call to a keeper.
 	controlTimeout = 2 * time.Second
@@ -38,7 +39,7 @@
 	route := func(name, prefix, kind, service string) map[string]any {
 		return map[string]any{
 			"name": name, "host": soakHost, "path_prefix": prefix, "kind": kind, "timeout_ms": callTimeout.Milliseconds(),
-			"slo_ms": 150, "priority": 1, "service": service, "max_attempts": 2, "public": service == deskService,
+			"slo_ms": 150, "priority": 1, "service": service, "max_attempts": t.plainAttempts, "public": service == deskService,
 		}
 	}
 	stream := func(k *streamKind) map[string]any {
--- a/cmd/mastic-soak/plainservice.go
+++ b/cmd/mastic-soak/plainservice.go
@@ -24,6 +24,8 @@
 	upstreams []*upstream
 	// crashing records the requests that crash upstreams; nil in a service without such ones.
 	crashing *crashLedger
+	// press has most requests fail; nil otherwise.
+	press *retryPress
 	// faultsActive is true while faults are injected; then one answer in dropOneIn is lost.
 	faultsActive atomic.Bool
 	done         chan struct{}
@@ -114,6 +116,7 @@
 // ServeHTTP executes a request and answers it according to the active faults.
 func (u *upstream) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	id := req.Header.Get("X-Request-Id")
+	u.service.region.repeats.arrive(u.service.name, id)
 	w.Header().Set("X-Request-Id", id)
 	w.Header().Set("X-Response-Stamp", "soak")
 	instance := u.instance()
@@ -123,8 +126,9 @@
 		return
 	}
 	u.limit.apply(w)
+	failure := u.service.press.draw()
 	switch {
-	case u.refuses.Load():
+	case u.refuses.Load(), failure == pressRefused:
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -133,7 +137,7 @@
 		return
 	}
 	u.executed.Add(1)
-	if u.service.recordRun(id, u.dropsAnswers.Load()) {
+	if u.service.recordRun(id, u.dropsAnswers.Load() || failure == pressDropped) {
 		panic(http.ErrAbortHandler)
 	}
 	// The error is ignored: the client may have disconnected.
--- a/cmd/mastic-soak/plannedstops.go
+++ b/cmd/mastic-soak/plannedstops.go
@@ -211,7 +211,7 @@
 	if err != nil {
 		return nil, err
 	}
-	t := timing{grace: longGrace, slots: fewSlots, step: longStep, slowness: drawSlowness(seed)}
+	t := timing{grace: longGrace, slots: fewSlots, step: longStep, plainAttempts: usualAttempts, slowness: drawSlowness(seed)}
 	r, err := startRegion(binary, folder, args.Subnet, args.Entries, t)
 	if err != nil {
 		return nil, err
@@ -268,7 +268,9 @@
 	if err != nil {
 		return nil, err
 	}
-	violations = append(append(append(violations, op.violations()...), r.violations()...), logged...)
+	repeated, margins := r.repeats.check()
+	violations = append(append(append(append(violations, op.violations()...), r.violations()...), logged...), repeated...)
+	fmt.Printf("seed %d: %s\n", seed, margins)
 	fmt.Printf("seed %d: %s; slowness of engine-0 %g, delay at entries: %v\n", seed, counts, t.slowness("engine-0"), links != nil)
 	return &result{folder: folder, violations: violations}, nil
 }
--- a/cmd/mastic-soak/region.go
+++ b/cmd/mastic-soak/region.go
@@ -44,6 +44,8 @@
 	timing  timing
 	keepers []*node
 	entries []*node
+	// repeats counts the requests and arrivals of each service.
+	repeats *repeatLedger
 	mu      sync.Mutex
 	// unexpectedExits describes the processes that exited without being asked to.
 	unexpectedExits []string
@@ -57,12 +59,14 @@
 	step  time.Duration
 	// slowness is by how much an engine takes longer than its step; nil if engines write without regard to it.
 	slowness func(engine string) float64
+	// plainAttempts is the max_attempts of the routes of plain services.
+	plainAttempts int
 }
 
-var usualTiming = timing{grace: stopGrace, slots: engineSlots, step: engineStep}
+var usualTiming = timing{grace: stopGrace, slots: engineSlots, step: engineStep, plainAttempts: usualAttempts}
 
 func startRegion(binary, folder string, subnet, entries int, t timing) (*region, error) {
-	r := &region{binary: binary, subnet: subnet, timing: t}
+	r := &region{binary: binary, subnet: subnet, timing: t, repeats: newRepeatLedger()}
 	for i := range keeperCount + entries {
 		n := &node{name: fmt.Sprintf("keeper-%d", i), role: "keeper", ip: fmt.Sprintf("127.0.%d.%d", subnet, i+1)}
 		if i >= keeperCount {
--- a/cmd/mastic-soak/stopcallers.go
+++ b/cmd/mastic-soak/stopcallers.go
@@ -126,6 +126,7 @@
 		}
 	}
 	r := c.draw()
+	c.callers.region.repeats.send(serviceOf(r.target), r.request)
 	err := c.exchange(r)
 	r.endedAt = time.Now()
 	malformed, isMalformed := protocolErrorOf(err)
--- a/cmd/mastic-soak/streamcallers.go
+++ b/cmd/mastic-soak/streamcallers.go
@@ -248,6 +248,7 @@
 }
 
 func (c *streamCaller) exchange(a *attempt, disconnect bool) error {
+	c.callers.engines.region.repeats.send(a.kind.service, a.request)
 	if c.conn == nil {
 		conn, err := dialClient(c.callers.entryAddresses[c.entry], streamReadTimeout)
 		if err != nil {
