--- a/cmd/mastic-soak/main.go
+++ b/cmd/mastic-soak/main.go
@@ -78,13 +78,18 @@
 	fewStreams bool
 }
 
+// paths makes the folder of a seed and returns it with the path of the daemon.
+func (a *arguments) paths(name string, seed uint64) (folder, binary string, err error) {
+	if folder, err = os.MkdirTemp("", fmt.Sprintf("%s-%d-", name, seed)); err != nil {
+		return "", "", err
+	}
+	binary, err = filepath.Abs(a.Binary)
+	return folder, binary, err
+}
+
 // soak runs one seed.
 func soak(args *arguments, seed uint64) (*result, error) {
-	folder, err := os.MkdirTemp("", fmt.Sprintf("mastic-soak-%d-", seed))
-	if err != nil {
-		return nil, err
-	}
-	binary, err := filepath.Abs(args.Binary)
+	folder, binary, err := args.paths("mastic-soak", seed)
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/mastic-soak/plainservice.go
+++ b/cmd/mastic-soak/plainservice.go
@@ -126,9 +126,9 @@
 		return
 	}
 	u.limit.apply(w)
-	failure := u.service.press.draw()
+	dropped, refused := u.service.press.draw()
 	switch {
-	case u.refuses.Load(), failure == pressRefused:
+	case u.refuses.Load(), refused:
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -137,7 +137,7 @@
 		return
 	}
 	u.executed.Add(1)
-	if u.service.recordRun(id, u.dropsAnswers.Load() || failure == pressDropped) {
+	if u.service.recordRun(id, u.dropsAnswers.Load() || dropped) {
 		panic(http.ErrAbortHandler)
 	}
 	// The error is ignored: the client may have disconnected.
--- a/cmd/mastic-soak/plannedstops.go
+++ b/cmd/mastic-soak/plannedstops.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"os"
-	"path/filepath"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -203,11 +201,7 @@
 // soakStops runs one seed in which nothing happens but planned stops, reloads and changes of the configuration, while
 // sound engines are slower than the configuration says.
 func soakStops(args *arguments, seed uint64) (*result, error) {
-	folder, err := os.MkdirTemp("", fmt.Sprintf("mastic-soak-stops-%d-", seed))
-	if err != nil {
-		return nil, err
-	}
-	binary, err := filepath.Abs(args.Binary)
+	folder, binary, err := args.paths("mastic-soak-stops", seed)
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/mastic-soak/retrypress.go
+++ b/cmd/mastic-soak/retrypress.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"os"
-	"path/filepath"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -33,15 +31,6 @@
 	longRestartGap = repeatWindow
 )
 
-// pressFailure is how an upstream answers a request.
-type pressFailure int
-
-const (
-	pressNone pressFailure = iota
-	pressDropped
-	pressRefused
-)
-
 // retryPress has upstreams drop most answers and refuse other requests, in parts that a seed draws.
 type retryPress struct {
 	active atomic.Bool
@@ -56,54 +45,54 @@
 	return &retryPress{random: random, droppedPart: 60 + random.IntN(25), refusedPart: random.IntN(15)}
 }
 
-// draw returns how the next request fails.
-func (p *retryPress) draw() pressFailure {
+// draw returns how the next request fails, if it does.
+func (p *retryPress) draw() (dropped, refused bool) {
 	if p == nil || !p.active.Load() {
-		return pressNone
+		return false, false
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	switch n := p.random.IntN(100); {
-	case n < p.droppedPart:
-		return pressDropped
-	case n < p.droppedPart+p.refusedPart:
-		return pressRefused
-	}
-	return pressNone
+	n := p.random.IntN(100)
+	return n < p.droppedPart, n >= p.droppedPart && n < p.droppedPart+p.refusedPart
 }
 
-// pressScenario is what happens to the nodes while requests fail.
-type pressScenario int
-
-const (
-	killAll pressScenario = iota
-	restartInSeries
-	restartBesideStillKeepers
-	termAll
-	pressScenarios
-)
+// pressScenarios are what happens to the nodes, again and again, while requests fail.
+var pressScenarios = []struct {
+	name string
+	play func(f *faults, turn int, until time.Time)
+}{
+	{"all entries killed twice", func(f *faults, _ int, until time.Time) { f.restartTwice(f.killNode, until) }},
+	{"entries restarted in series", func(f *faults, turn int, _ time.Time) {
+		restarts := []func(*node){f.killNode, f.terminateNode}
+		restarts[f.random.IntN(len(restarts))](f.region.entries[turn%len(f.region.entries)])
+		time.Sleep(seriesInterval)
+	}},
+	{"all entries killed beside keepers that stand still", func(f *faults, _ int, until time.Time) {
+		f.standStill()
+		f.restartAll(f.killNode)
+		time.Sleep(f.randomTime(minRestartGap, maxRestartGap))
+		f.standStill()
+		time.Sleep(min(longRestartGap, max(time.Until(until), 0)))
+	}},
+	{"all entries stopped twice", func(f *faults, _ int, until time.Time) { f.restartTwice(f.terminateNode, until) }},
+}
 
-func (s pressScenario) String() string {
-	return [...]string{"all entries killed twice", "entries restarted in series", "all entries killed beside keepers that stand still", "all entries stopped twice"}[s]
+func (f *faults) restartTwice(restart func(*node), until time.Time) {
+	f.restartAll(restart)
+	time.Sleep(f.randomTime(minRestartGap, maxRestartGap))
+	f.restartAll(restart)
+	time.Sleep(min(longRestartGap, max(time.Until(until), 0)))
 }
 
-// restartAll restarts all entries at once.
-func (f *faults) restartAll(s syscall.Signal) {
+func (f *faults) restartAll(restart func(*node)) {
 	var all sync.WaitGroup
 	for _, n := range f.region.entries {
-		all.Go(func() { f.restartEntry(n, s) })
+		all.Go(func() { restart(n) })
 	}
 	all.Wait()
 }
 
-func (f *faults) restartEntry(n *node, s syscall.Signal) {
-	inject(n, func() {
-		n.stopWith(s)
-		f.restart(n)
-	})
-}
-
-// standStill suspends all keepers for some time, so that entries know late what others sent, or never.
+// standStill suspends all keepers for some time, so that entries know late what others sent.
 func (f *faults) standStill() {
 	for _, n := range f.region.keepers {
 		n.signal(syscall.SIGSTOP)
@@ -114,33 +103,6 @@
 	}
 }
 
-// press plays a scenario again and again until a time.
-func (f *faults) press(scenario pressScenario, until time.Time) {
-	for i := 0; time.Now().Before(until); i++ {
-		switch scenario {
-		case restartInSeries:
-			signals := []syscall.Signal{syscall.SIGKILL, syscall.SIGTERM}
-			f.restartEntry(f.region.entries[i%len(f.region.entries)], signals[f.random.IntN(len(signals))])
-			time.Sleep(seriesInterval)
-			continue
-		case restartBesideStillKeepers:
-			f.standStill()
-			f.restartAll(syscall.SIGKILL)
-			time.Sleep(f.randomTime(minRestartGap, maxRestartGap))
-			f.standStill()
-		default:
-			s := syscall.SIGKILL
-			if scenario == termAll {
-				s = syscall.SIGTERM
-			}
-			f.restartAll(s)
-			time.Sleep(f.randomTime(minRestartGap, maxRestartGap))
-			f.restartAll(s)
-		}
-		time.Sleep(min(longRestartGap, max(time.Until(until), 0)))
-	}
-}
-
 // breakStreams breaks the connections of one engine after another, and has every second one refuse requests for as long.
 func breakStreams(engines *engineSet, random *rand.Rand, until time.Time) {
 	for time.Now().Before(until) {
@@ -169,11 +131,7 @@
 
 // soakRetries runs one seed in which most requests fail while entries restart.
 func soakRetries(args *arguments, seed uint64) (*result, error) {
-	folder, err := os.MkdirTemp("", fmt.Sprintf("mastic-soak-retries-%d-", seed))
-	if err != nil {
-		return nil, err
-	}
-	binary, err := filepath.Abs(args.Binary)
+	folder, binary, err := args.paths("mastic-soak-retries", seed)
 	if err != nil {
 		return nil, err
 	}
@@ -214,7 +172,7 @@
 	}
 	from := time.Now().Add(pressCalm)
 	until := from.Add(args.Faults)
-	scenario := pressScenario(seed % uint64(pressScenarios))
+	scenario := pressScenarios[seed%uint64(len(pressScenarios))]
 	var all sync.WaitGroup
 	all.Go(func() { deskCalls.sendRepeatable("/lookup/", "", deskInterval, until) })
 	all.Go(func() { kioskCalls.sendRepeatable(quotePath, accountKey(otherAccount), kioskInterval, until) })
@@ -227,11 +185,13 @@
 		all.Go(func() { breakStreams(engines, random, until) })
 		f := &faults{region: r, random: randomSource(seed, "restarts")}
 		time.Sleep(f.randomTime(0, minRestartGap))
-		f.press(scenario, until)
+		for turn := 0; time.Now().Before(until); turn++ {
+			scenario.play(f, turn, until)
+		}
 	})
 	all.Wait()
 	violations, margins := r.repeats.check()
-	fmt.Printf("seed %d: %s; %d%% dropped, %d%% refused; %s; %s\n", seed, scenario, press.droppedPart, press.refusedPart, margins, &streams.counts)
+	fmt.Printf("seed %d: %s; %d%% dropped, %d%% refused; %s; %s\n", seed, scenario.name, press.droppedPart, press.refusedPart, margins, &streams.counts)
 	logged, err := r.logViolations()
 	if err != nil {
 		return nil, err
