--- a/cmd/mastic-soak/callers.go
+++ b/cmd/mastic-soak/callers.go
@@ -148,10 +148,10 @@
 	calls.Wait()
 }
 
-// waitServed reports whether requiredSuccesses requests in a row succeed before the timeout.
-func (c *callers) waitServed(timeout time.Duration) bool {
+// waitServed reports whether requiredSuccesses requests in a row succeed before the start timeout.
+func (c *callers) waitServed() bool {
 	successes := 0
-	for end := time.Now().Add(timeout); time.Now().Before(end); {
+	for end := time.Now().Add(startTimeout); time.Now().Before(end); {
 		if c.call(successes%2 == 0).status != http.StatusOK {
 			successes = 0
 			time.Sleep(callInterval)
--- a/cmd/mastic-soak/main.go
+++ b/cmd/mastic-soak/main.go
@@ -122,7 +122,7 @@
 	}
 	c := &callers{region: r}
 	streams := &streamCallers{engines: engines, entryAddresses: addresses(entryLinks), entryLinks: entryLinks, entries: r.entries, kinds: streamKinds(args.Grouped > 0)}
-	if !c.waitServed(startTimeout) || !streams.waitServed("start", streamKinds(false)) {
+	if !c.waitServed() || !streams.waitServed("start", streamKinds(false)) {
 		return &result{folder: folder, violations: []string{"the region does not serve at the start"}}, nil
 	}
 	groupsServed := args.Grouped == 0 || streams.waitServed("start-groups", groupKinds())
@@ -163,7 +163,7 @@
 	var crashViolations []string
 	var calm sync.WaitGroup
 	calm.Go(func() { crashViolations = kioskCalls.check() })
-	if !c.waitServed(endTimeout) {
+	if !c.waitServed() {
 		violations = append(violations, "requests are not served again after the faults")
 	}
 	if !streams.waitServed("end", streamKinds(false)) {
--- a/cmd/mastic-soak/plannedstops.go
+++ b/cmd/mastic-soak/plannedstops.go
@@ -231,7 +231,7 @@
 	if err := op.publishInitial(); err != nil {
 		return nil, err
 	}
-	if !(&callers{region: r}).waitServed(startTimeout) {
+	if !(&callers{region: r}).waitServed() {
 		return &result{folder: folder, violations: []string{"the region does not serve at the start"}}, nil
 	}
 	stops := &stopLog{stops: map[*node][]*processStop{}, reloads: map[*node][]time.Time{}}
--- a/cmd/mastic-soak/retrypress.go
+++ b/cmd/mastic-soak/retrypress.go
@@ -167,7 +167,7 @@
 	}
 	deskCalls, kioskCalls := &callers{region: r}, &callers{region: r}
 	streams := &streamCallers{engines: engines, entryAddresses: addresses(links), entryLinks: links, entries: r.entries, kinds: streamKinds(false)}
-	if !deskCalls.waitServed(startTimeout) || !streams.waitServed("start", streamKinds(false)) {
+	if !deskCalls.waitServed() || !streams.waitServed("start", streamKinds(false)) {
 		return &result{folder: folder, violations: []string{"the region does not serve at the start"}}, nil
 	}
 	from := time.Now().Add(pressCalm)
