--- a/cmd/mastic-soak/callers.go
+++ b/cmd/mastic-soak/callers.go
@@ -94,6 +94,7 @@
 		transport = &http.Transport{DisableKeepAlives: true}
 	}
 	x := exchange{entry: c.region.entries[entry%len(c.region.entries)], sentAt: time.Now(), deadline: callTimeout}
+	c.region.repeats.send(serviceOf(r.path), id)
 	a := sendPlain(transport, x.entry, id, r)
 	x.endedAt = time.Now()
 	a.exchange = x
@@ -147,10 +148,10 @@
 	calls.Wait()
 }
 
-// waitServed reports whether requiredSuccesses requests in a row succeed before the timeout.
-func (c *callers) waitServed(timeout time.Duration) bool {
+// waitServed reports whether requiredSuccesses requests in a row succeed before the start timeout.
+func (c *callers) waitServed() bool {
 	successes := 0
-	for end := time.Now().Add(timeout); time.Now().Before(end); {
+	for end := time.Now().Add(startTimeout); time.Now().Before(end); {
 		if c.call(successes%2 == 0).status != http.StatusOK {
 			successes = 0
 			time.Sleep(callInterval)
--- a/cmd/mastic-soak/main.go
+++ b/cmd/mastic-soak/main.go
@@ -27,6 +27,7 @@
 	OnlyFullDisks   bool          `arg:"--only-full-disks" help:"inject only full disks of keepers, one after another"`
 	OnlySilences    bool          `arg:"--only-silences" help:"inject only silences of sound upstreams, planned restarts and changes of the configuration"`
 	OnlyStops       bool          `arg:"--only-stops" help:"stop entries and keepers as planned, one after another and at once, and count the requests that get no whole answer"`
+	OnlyRetries     bool          `arg:"--only-retries" help:"have most requests fail while entries restart and keepers stand still, and count the repeats"`
 	KeepAll         bool          `arg:"--keep" help:"also keep the folders of seeds without a violation"`
 }
 
@@ -36,8 +37,11 @@
 	failed := 0
 	for seed := args.First; seed < args.First+uint64(args.Seeds); seed++ {
 		play := soak
-		if args.OnlyStops {
+		switch {
+		case args.OnlyStops:
 			play = soakStops
+		case args.OnlyRetries:
+			play = soakRetries
 		}
 		result, err := play(&args, seed)
 		if err != nil {
@@ -74,13 +78,18 @@
 	fewStreams bool
 }
 
+// paths makes the folder of a seed and returns it with the path of the daemon.
+func (a *arguments) paths(name string, seed uint64) (folder, binary string, err error) {
+	if folder, err = os.MkdirTemp("", fmt.Sprintf("%s-%d-", name, seed)); err != nil {
+		return "", "", err
+	}
+	binary, err = filepath.Abs(a.Binary)
+	return folder, binary, err
+}
+
 // soak runs one seed.
 func soak(args *arguments, seed uint64) (*result, error) {
-	folder, err := os.MkdirTemp("", fmt.Sprintf("mastic-soak-%d-", seed))
-	if err != nil {
-		return nil, err
-	}
-	binary, err := filepath.Abs(args.Binary)
+	folder, binary, err := args.paths("mastic-soak", seed)
 	if err != nil {
 		return nil, err
 	}
@@ -113,7 +122,7 @@
 	}
 	c := &callers{region: r}
 	streams := &streamCallers{engines: engines, entryAddresses: addresses(entryLinks), entryLinks: entryLinks, entries: r.entries, kinds: streamKinds(args.Grouped > 0)}
-	if !c.waitServed(startTimeout) || !streams.waitServed("start", streamKinds(false)) {
+	if !c.waitServed() || !streams.waitServed("start", streamKinds(false)) {
 		return &result{folder: folder, violations: []string{"the region does not serve at the start"}}, nil
 	}
 	groupsServed := args.Grouped == 0 || streams.waitServed("start-groups", groupKinds())
@@ -154,7 +163,7 @@
 	var crashViolations []string
 	var calm sync.WaitGroup
 	calm.Go(func() { crashViolations = kioskCalls.check() })
-	if !c.waitServed(endTimeout) {
+	if !c.waitServed() {
 		violations = append(violations, "requests are not served again after the faults")
 	}
 	if !streams.waitServed("end", streamKinds(false)) {
@@ -185,6 +194,9 @@
 		return nil, err
 	}
 	violations = append(append(violations, r.violations()...), logged...)
+	repeated, margins := r.repeats.check()
+	violations = append(violations, repeated...)
+	fmt.Printf("seed %d: %s\n", seed, margins)
 	return &result{folder: folder, violations: violations, fewStreams: !groupsServed || served < int64(args.Callers)}, nil
 }
 
--- a/cmd/mastic-soak/plannedstops.go
+++ b/cmd/mastic-soak/plannedstops.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"os"
-	"path/filepath"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -203,15 +201,11 @@
 // soakStops runs one seed in which nothing happens but planned stops, reloads and changes of the configuration, while
 // sound engines are slower than the configuration says.
 func soakStops(args *arguments, seed uint64) (*result, error) {
-	folder, err := os.MkdirTemp("", fmt.Sprintf("mastic-soak-stops-%d-", seed))
+	folder, binary, err := args.paths("mastic-soak-stops", seed)
 	if err != nil {
 		return nil, err
 	}
-	binary, err := filepath.Abs(args.Binary)
-	if err != nil {
-		return nil, err
-	}
-	t := timing{grace: longGrace, slots: fewSlots, step: longStep, slowness: drawSlowness(seed)}
+	t := timing{grace: longGrace, slots: fewSlots, step: longStep, plainAttempts: usualAttempts, slowness: drawSlowness(seed)}
 	r, err := startRegion(binary, folder, args.Subnet, args.Entries, t)
 	if err != nil {
 		return nil, err
@@ -237,7 +231,7 @@
 	if err := op.publishInitial(); err != nil {
 		return nil, err
 	}
-	if !(&callers{region: r}).waitServed(startTimeout) {
+	if !(&callers{region: r}).waitServed() {
 		return &result{folder: folder, violations: []string{"the region does not serve at the start"}}, nil
 	}
 	stops := &stopLog{stops: map[*node][]*processStop{}, reloads: map[*node][]time.Time{}}
@@ -268,7 +262,9 @@
 	if err != nil {
 		return nil, err
 	}
-	violations = append(append(append(violations, op.violations()...), r.violations()...), logged...)
+	repeated, margins := r.repeats.check()
+	violations = append(append(append(append(violations, op.violations()...), r.violations()...), logged...), repeated...)
+	fmt.Printf("seed %d: %s\n", seed, margins)
 	fmt.Printf("seed %d: %s; slowness of engine-0 %g, delay at entries: %v\n", seed, counts, t.slowness("engine-0"), links != nil)
 	return &result{folder: folder, violations: violations}, nil
 }
