--- a/cmd/mastic-soak/plainservice.go
+++ b/cmd/mastic-soak/plainservice.go
@@ -24,6 +24,8 @@
 	upstreams []*upstream
 	// crashing records the requests that crash upstreams; nil in a service without such ones.
 	crashing *crashLedger
+	// repeats records what arrives; nil in a service without callers.
+	repeats *repeatLedger
 	// press has most requests fail; nil otherwise.
 	press *retryPress
 	// faultsActive is true while faults are injected; then one answer in dropOneIn is lost.
@@ -65,7 +67,7 @@
 )
 
 func newPlainService(r *region, name string, count int, crashing *crashLedger) *plainService {
-	s := &plainService{region: r, name: name, crashing: crashing, runs: map[string]int{}, broken: map[string]int{}, done: make(chan struct{})}
+	s := &plainService{region: r, repeats: r.repeats, name: name, crashing: crashing, runs: map[string]int{}, broken: map[string]int{}, done: make(chan struct{})}
 	for i := range count {
 		u := &upstream{service: s, number: i, addr: r.endpoint()}
 		u.start()
@@ -116,7 +118,7 @@
 // ServeHTTP executes a request and answers it according to the active faults.
 func (u *upstream) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	id := req.Header.Get("X-Request-Id")
-	u.service.region.repeats.arrive(u.service.name, id)
+	u.service.repeats.arrive(u.service.name, id)
 	w.Header().Set("X-Request-Id", id)
 	w.Header().Set("X-Response-Stamp", "soak")
 	instance := u.instance()
--- a/cmd/mastic-soak/repeats.go
+++ b/cmd/mastic-soak/repeats.go
@@ -81,8 +81,11 @@
 	l.unsent[serviceRequest{service, id}]--
 }
 
-// arrive records that a request has reached an upstream.
+// arrive records that a request has reached an upstream. A nil ledger records nothing.
 func (l *repeatLedger) arrive(service, id string) {
+	if l == nil {
+		return
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r := serviceRequest{service, id}
