--- a/cmd/mastic-soak/fulldisks.go
+++ b/cmd/mastic-soak/fulldisks.go
@@ -46,7 +46,7 @@
 func (o *operator) changesAcknowledged() []string {
 	before := o.acknowledged
 	for i, end := 0, time.Now().Add(recoveryTime); time.Now().Before(end); i++ {
-		if o.replace(o.region.keepers[i%keeperCount]) {
+		if o.replace(o.region.keeperInTurn(i)) {
 			return nil
 		}
 		time.Sleep(changeInterval)
--- a/cmd/mastic-soak/logs.go
+++ b/cmd/mastic-soak/logs.go
@@ -17,7 +17,7 @@
 // logViolations returns the lines of all nodes' logs that contain a crash pattern.
 func (r *region) logViolations() ([]string, error) {
 	var found []string
-	for _, n := range r.nodes() {
+	for _, n := range r.allNodes() {
 		log, err := os.Open(filepath.Join(n.folder, "log"))
 		if err != nil {
 			return found, err
--- a/cmd/mastic-soak/main.go
+++ b/cmd/mastic-soak/main.go
@@ -14,21 +14,23 @@
 )
 
 type arguments struct {
-	Binary          string        `arg:"--binary" default:"bin/mastic-platformd" help:"the daemon to run"`
-	First           uint64        `arg:"--first" default:"1" help:"first seed"`
-	Seeds           int           `arg:"--seeds" default:"1" help:"number of seeds"`
-	Faults          time.Duration `arg:"--faults" default:"12s" help:"duration of fault injection"`
-	Subnet          int           `arg:"--subnet" default:"50" help:"third byte of the loopback addresses"`
-	Entries         int           `arg:"--entries" default:"3" help:"number of entries"`
-	Engines         int           `arg:"--engines" default:"6" help:"number of engines that answer with streams"`
-	Grouped         int           `arg:"--grouped" default:"6" help:"number of engines that form groups; 0 for none"`
-	GroupsMustServe bool          `arg:"--groups-must-serve" help:"count it as a violation if streams of groups are not served at the start or the end"`
-	Callers         int           `arg:"--callers" default:"24" help:"number of callers of streams"`
-	OnlyFullDisks   bool          `arg:"--only-full-disks" help:"inject only full disks of keepers, one after another"`
-	OnlySilences    bool          `arg:"--only-silences" help:"inject only silences of sound upstreams, planned restarts and changes of the configuration"`
-	OnlyStops       bool          `arg:"--only-stops" help:"stop entries and keepers as planned, one after another and at once, and count the requests that get no whole answer"`
-	OnlyRetries     bool          `arg:"--only-retries" help:"have most requests fail while entries restart and keepers stand still, and count the repeats"`
-	KeepAll         bool          `arg:"--keep" help:"also keep the folders of seeds without a violation"`
+	Binary           string        `arg:"--binary" default:"bin/mastic-platformd" help:"the daemon to run"`
+	First            uint64        `arg:"--first" default:"1" help:"first seed"`
+	Seeds            int           `arg:"--seeds" default:"1" help:"number of seeds"`
+	Faults           time.Duration `arg:"--faults" default:"12s" help:"duration of fault injection"`
+	Subnet           int           `arg:"--subnet" default:"50" help:"third byte of the loopback addresses"`
+	Entries          int           `arg:"--entries" default:"3" help:"number of entries"`
+	Engines          int           `arg:"--engines" default:"6" help:"number of engines that answer with streams"`
+	Grouped          int           `arg:"--grouped" default:"6" help:"number of engines that form groups; 0 for none"`
+	GroupsMustServe  bool          `arg:"--groups-must-serve" help:"count it as a violation if streams of groups are not served at the start or the end"`
+	Callers          int           `arg:"--callers" default:"24" help:"number of callers of streams"`
+	OnlyFullDisks    bool          `arg:"--only-full-disks" help:"inject only full disks of keepers, one after another"`
+	OnlySilences     bool          `arg:"--only-silences" help:"inject only silences of sound upstreams, planned restarts and changes of the configuration"`
+	OnlyStops        bool          `arg:"--only-stops" help:"stop entries and keepers as planned, one after another and at once, and count the requests that get no whole answer"`
+	OnlyReplacements bool          `arg:"--only-replacements" help:"replace keepers by empty ones at other addresses, and take another one's disk once the successor counts"`
+	Keepers          int           `arg:"--keepers" default:"3" help:"number of keepers with --only-replacements"`
+	OnlyRetries      bool          `arg:"--only-retries" help:"have most requests fail while entries restart and keepers stand still, and count the repeats"`
+	KeepAll          bool          `arg:"--keep" help:"also keep the folders of seeds without a violation"`
 }
 
 func main() {
@@ -42,6 +44,8 @@
 			play = soakStops
 		case args.OnlyRetries:
 			play = soakRetries
+		case args.OnlyReplacements:
+			play = soakReplacements
 		}
 		result, err := play(&args, seed)
 		if err != nil {
--- a/cmd/mastic-soak/operator.go
+++ b/cmd/mastic-soak/operator.go
@@ -32,6 +32,10 @@
 	sent         map[uint64][]byte
 	// found describes the reads that were stale or wrong.
 	found []string
+	// acknowledgedBy receives the keeper of each acknowledgement that is waited for; nil if none ever is.
+	acknowledgedBy chan *node
+	// acknowledgedAfter are the times from a change's sending to its acknowledgement.
+	acknowledgedAfter []time.Duration
 }
 
 // document returns the configuration of a version; versions differ only in the idle timeout.
@@ -92,7 +96,7 @@
 	}
 	o.version++
 	o.sent[o.version] = document(o.version, o.region.timing)
-	client := &http.Client{Timeout: controlTimeout}
+	client, sentAt := &http.Client{Timeout: controlTimeout}, time.Now()
 	resp, err := client.Post(fmt.Sprintf("http://%s:%d/api/config/replace", keeper.ip, controlPort), "application/json", bytes.NewReader(o.sent[o.version]))
 	if err != nil {
 		return false
@@ -100,6 +104,11 @@
 	_ = resp.Body.Close()
 	if resp.StatusCode == http.StatusOK {
 		o.acknowledged = o.version
+		o.acknowledgedAfter = append(o.acknowledgedAfter, time.Since(sentAt))
+		select {
+		case o.acknowledgedBy <- keeper:
+		default:
+		}
 	}
 	return resp.StatusCode == http.StatusOK
 }
@@ -117,8 +126,8 @@
 // run changes the configuration and reads it back until a time.
 func (o *operator) run(until time.Time) {
 	for i := 0; time.Now().Before(until); i++ {
-		o.replace(o.region.keepers[i%keeperCount])
-		o.check(o.region.keepers[(i+1)%keeperCount])
+		o.replace(o.region.keeperInTurn(i))
+		o.check(o.region.keeperInTurn(i + 1))
 		time.Sleep(changeInterval)
 	}
 }
@@ -162,7 +171,7 @@
 
 // violations reads from every keeper after the faults and returns all faulty reads.
 func (o *operator) violations() []string {
-	for _, keeper := range o.region.keepers {
+	for _, keeper := range o.region.listedKeepers() {
 		answered := false
 		for end := time.Now().Add(endTimeout); !answered && time.Now().Before(end); {
 			if answered = o.check(keeper); !answered {
--- a/cmd/mastic-soak/plainservice.go
+++ b/cmd/mastic-soak/plainservice.go
@@ -188,7 +188,7 @@
 		if err != nil {
 			panic(err)
 		}
-		keeper := u.service.region.keepers[seq%keeperCount]
+		keeper := u.service.region.keeperInTurn(seq)
 		resp, err := client.Post(fmt.Sprintf("http://%s:%d/api/instances/%s/heartbeat", keeper.ip, controlPort, id), "application/json", bytes.NewReader(body))
 		if err == nil {
 			_ = resp.Body.Close()
--- a/cmd/mastic-soak/region.go
+++ b/cmd/mastic-soak/region.go
@@ -42,11 +42,13 @@
 	binary  string
 	subnet  int
 	timing  timing
-	keepers []*node
 	entries []*node
 	// repeats counts the requests and arrivals of each service.
 	repeats *repeatLedger
 	mu      sync.Mutex
+	// keepers are those of the platform's list, lost those that were removed from it. Only soakReplacements changes
+	// either after the start.
+	keepers, lost []*node
 	// unexpectedExits describes the processes that exited without being asked to.
 	unexpectedExits []string
 }
@@ -61,57 +63,89 @@
 	slowness func(engine string) float64
 	// plainAttempts is the max_attempts of the routes of plain services.
 	plainAttempts int
+	// keepers is the number of keepers at the start, catchUp the catch-up time in their settings; 0 states none.
+	keepers int
+	catchUp time.Duration
 }
 
-var usualTiming = timing{grace: stopGrace, slots: engineSlots, step: engineStep, plainAttempts: usualAttempts}
+var usualTiming = timing{grace: stopGrace, slots: engineSlots, step: engineStep, plainAttempts: usualAttempts, keepers: keeperCount}
 
 func startRegion(binary, folder string, subnet, entries int, t timing) (*region, error) {
 	r := &region{binary: binary, subnet: subnet, timing: t, repeats: newRepeatLedger()}
-	for i := range keeperCount + entries {
+	for i := range t.keepers + entries {
 		n := &node{name: fmt.Sprintf("keeper-%d", i), role: "keeper", ip: fmt.Sprintf("127.0.%d.%d", subnet, i+1)}
-		if i >= keeperCount {
-			n.name, n.role = fmt.Sprintf("entry-%d", i-keeperCount), "entry"
+		if i >= t.keepers {
+			n.name, n.role = fmt.Sprintf("entry-%d", i-t.keepers), "entry"
 			r.entries = append(r.entries, n)
 		} else {
 			r.keepers = append(r.keepers, n)
 		}
 		n.folder = filepath.Join(folder, n.name)
-		if err := os.MkdirAll(filepath.Join(n.folder, "data"), 0o755); err != nil {
-			return nil, err
-		}
 	}
 	for i, n := range r.nodes() {
-		if err := r.writeSettings(n, i, true); err != nil {
-			return nil, err
-		}
-		if err := r.start(n); err != nil {
+		if err := r.startNew(n, i, true); err != nil {
 			return nil, err
 		}
 	}
 	return r, nil
 }
 
+// startNew starts a node with an empty disk.
+func (r *region) startNew(n *node, i int, bootstrap bool) error {
+	if err := os.MkdirAll(filepath.Join(n.folder, "data"), 0o755); err != nil {
+		return err
+	}
+	if err := r.writeSettings(n, i, bootstrap); err != nil {
+		return err
+	}
+	return r.start(n)
+}
+
 // endpoint returns the listen address of engines and links.
 func (r *region) endpoint() string { return fmt.Sprintf("127.0.%d.%d:0", r.subnet, endpointHost) }
 
-func (r *region) nodes() []*node { return append(append([]*node(nil), r.keepers...), r.entries...) }
+func (r *region) nodes() []*node { return append(r.listedKeepers(), r.entries...) }
+
+// listedKeepers returns the keepers of the platform's list.
+func (r *region) listedKeepers() []*node {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.keepers)
+}
+
+// keeperInTurn returns a keeper of the platform's list, in rotation.
+func (r *region) keeperInTurn(turn int) *node {
+	keepers := r.listedKeepers()
+	return keepers[turn%len(keepers)]
+}
+
+// allNodes returns the nodes with those that were lost.
+func (r *region) allNodes() []*node {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Concat(r.keepers, r.lost, r.entries)
+}
 
 // writeSettings writes a node's settings file with the given bootstrap flag.
 func (r *region) writeSettings(n *node, i int, bootstrap bool) error {
 	var seeds []string
-	for _, k := range r.keepers {
+	for _, k := range r.listedKeepers() {
 		seeds = append(seeds, fmt.Sprintf("%s:%d", k.ip, controlPort))
 	}
 	listen := map[string]string{"control": fmt.Sprintf("%s:%d", n.ip, controlPort)}
 	if n.role == "entry" {
 		listen = map[string]string{"front": fmt.Sprintf("%s:%d", n.ip, callerPort), "ready": fmt.Sprintf("%s:%d", n.ip, readyPort)}
 	}
+	bounds := map[string]float64{"grace_s": r.timing.grace.Seconds(), "revoke_ms": 5000, "stall_ms": 4000}
+	if r.timing.catchUp > 0 {
+		bounds["catch_up_s"] = r.timing.catchUp.Seconds()
+	}
 	data, err := json.Marshal(map[string]any{
 		"node": n.name, "ip": n.ip, "zone": fmt.Sprintf("zone-%d", i%keeperCount), "listen": listen,
 		"internal_port_range": []int{peerPort, peerPort + 3}, "seeds": seeds, "bootstrap": bootstrap,
 		"limits": map[string]int{"memory_mb": 256}, "data_dir": filepath.Join(n.folder, "data"),
-		"heartbeat_interval_ms": announceInterval.Milliseconds(), "fault_tolerance": map[string]int{"machines": 1},
-		"bounds": map[string]float64{"grace_s": r.timing.grace.Seconds(), "revoke_ms": 5000, "stall_ms": 4000},
+		"heartbeat_interval_ms": announceInterval.Milliseconds(), "fault_tolerance": map[string]int{"machines": (r.timing.keepers - 1) / 2},
+		"bounds": bounds,
 	})
 	if err != nil {
 		return err
@@ -238,7 +272,7 @@
 }
 
 func (r *region) stop() {
-	for _, n := range r.nodes() {
+	for _, n := range r.allNodes() {
 		n.signal(syscall.SIGCONT)
 		n.stopWith(syscall.SIGKILL)
 	}
