keeper: a voter that stops as planned hands its vote over to a learner that stands by

Within the limits: a removed machine stops counting once its successor has had its time.

Change: MembershipChange ACTION_DEMOTE makes a voter a learner that keeps identity and log. A keeper that stops asks the leader for it, after it has transferred its own leadership; the leader promotes a caught-up learner first and refuses without one. Learners that are silent for eight times the absence time are removed, so that demoted keepers that never return do not pile up. An older leader refuses the unknown action; then the old times hold. The membership on the wire and the disks has no new form.

Tests: TestQuorumSurvivesLostDiskAfterPlannedReplacement (leader, follower) and TestKeeperReturnsFromPlannedStopAsLearner failed with the hand-over switched off.

--- a/pkg/keeper/events.go
+++ b/pkg/keeper/events.go
@@ -56,6 +56,26 @@
 	l.keeper.waiters.add(index, term, e.done)
 }
 
+// successionEvent asks the leader to promote the learner that takes over a voter's vote.
+type successionEvent struct {
+	voter   uint64
+	refused chan<- error
+	done    chan<- proposalResult
+}
+
+func (e successionEvent) handle(l *logLoop) {
+	change, err := l.planner.succession(l.machine.Status(), e.voter)
+	if err != nil {
+		e.refused <- err
+		return
+	}
+	if change == nil {
+		e.done <- proposalResult{status: committed}
+		return
+	}
+	changeEvent{change, e.refused, e.done}.handle(l)
+}
+
 // readResult is an index confirmed by a quorum, or an error.
 type readResult struct {
 	index uint64
--- a/pkg/keeper/faults.go
+++ b/pkg/keeper/faults.go
@@ -52,6 +52,8 @@
 		return overloaded()
 	case errors.Is(err, regionlog.ErrQuorumAtRisk):
 		return fault.New(fault.NoQuorum, "restore the other keepers first", "%v", err)
+	case errors.Is(err, regionlog.ErrNoLearnerReady):
+		return fault.New(fault.InvalidRequest, "start another keeper and wait until 'masticmount keepers status' shows it at the commit", "%v", err)
 	case errors.Is(err, regionlog.ErrTermNotCommitted), errors.Is(err, regionlog.ErrTransferring):
 		return fault.New(fault.NoQuorum, "wait a second and send the command again", "%v", err).WithRetryAfter(retryAfter)
 	case errors.Is(err, regionlog.ErrNotCaughtUp), errors.Is(err, regionlog.ErrChangePending):
--- /dev/null
+++ b/pkg/keeper/handover.go
@@ -0,0 +1,59 @@
+package keeper
+
+import (
+	"context"
+	"time"
+
+	"github.com/samber/lo"
+	"google.golang.org/grpc"
+
+	"github.com/masticmount/masticmount/pkg/fault"
+	"github.com/masticmount/masticmount/pkg/peerpb"
+	"github.com/masticmount/masticmount/pkg/regionlog"
+)
+
+// handOverTimeout limits the time in which a keeper that stops hands its vote over.
+const handOverTimeout = time.Second
+
+// handOverVote has the leader give this keeper's vote to a learner that stands by, and make
+// this keeper a learner. Whether a keeper that stops returns is not known: until then its
+// vote would be missing, and with it the tolerance of one more lost disk. A keeper that
+// returns goes on with its log, as a learner.
+func (k *Keeper) handOverVote(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	change := &peerpb.MembershipChange{Action: peerpb.MembershipChange_ACTION_DEMOTE, Identity: k.store.Identity(), Forwarded: true}
+	for k.opts.TargetVoters > 0 {
+		v := k.view.get()
+		if self, ok := regionlog.FindMember(v.status.Membership, k.store.Identity()); !ok || self.GetLearner() || !standsBy(v.status.Membership) {
+			return
+		}
+		err := k.tryLeader(ctx, v, false, leaderCall{
+			local: func(ctx context.Context) error { return k.changeLocally(ctx, change) },
+			remote: func(ctx context.Context, conn *grpc.ClientConn, opts ...grpc.CallOption) error {
+				_, err := peerpb.NewRegionLogClient(conn).ChangeMembership(ctx, change, opts...)
+				return err
+			},
+		})
+		if err == nil {
+			k.opts.Log.Info().Uint64("identity", k.store.Identity()).Msg("vote_handed_over")
+			return
+		}
+		if f := asFault(err); f.Kind != fault.Conflict && !retriable(f) {
+			k.opts.Log.Info().Err(err).Msg("vote_not_handed_over")
+			return
+		}
+		select {
+		case <-time.After(leaderRetryInterval):
+		case <-v.changed:
+		case <-ctx.Done():
+			k.opts.Log.Info().Err(err).Msg("vote_not_handed_over")
+			return
+		}
+	}
+}
+
+// standsBy reports whether a membership has a learner that may take over any vote.
+func standsBy(membership *peerpb.Membership) bool {
+	return lo.ContainsBy(membership.GetMembers(), func(m *peerpb.Member) bool { return m.GetLearner() && !m.GetReplacing() })
+}
--- a/pkg/keeper/keeper.go
+++ b/pkg/keeper/keeper.go
@@ -228,13 +228,23 @@
 
 // TransferLeadership begins a planned stop. A leader transfers its leadership, which avoids an
 // election timeout, and applies the entries that it appended, so that their proposers
-// get a result. The keeper accepts no proposals after this call.
+// get a result. A voter then hands its vote over to a learner that stands by, if there is
+// one. The keeper accepts no proposals after this call.
 func (k *Keeper) TransferLeadership() {
-	if k.stop == nil || k.stopping.Swap(true) || !k.view.get().isLeader() || k.failed.Load() != nil {
+	if k.stop == nil || k.stopping.Swap(true) || k.failed.Load() != nil {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), stopTransferTimeout)
 	defer cancel()
+	if k.view.get().isLeader() {
+		k.transferToFollower(ctx)
+	}
+	k.handOverVote(ctx)
+}
+
+// transferToFollower transfers the leadership and waits until this keeper has applied what it
+// appended.
+func (k *Keeper) transferToFollower(ctx context.Context) {
 	if !k.events.Push(transferEvent{}) {
 		return
 	}
--- a/pkg/keeper/keeper_test.go
+++ b/pkg/keeper/keeper_test.go
@@ -524,6 +524,64 @@
 	}
 }
 
+// Guards against a keeper that stops as planned and never returns, whose vote its successor
+// gets only seconds later: a disk lost until then ends the quorum permanently.
+func TestQuorumSurvivesLostDiskAfterPlannedReplacement(t *testing.T) {
+	for role, choose := range map[string]func(c *cluster) *member{"leader": (*cluster).leader, "follower": (*cluster).voterThatFollows} {
+		t.Run(role, func(t *testing.T) {
+			inClusterWithSpare(t, func(c *cluster) {
+				<-time.After(testCatchUp)
+				stopped := choose(c)
+				c.stopPlanned(stopped)
+				again := c.voterThatFollows()
+				c.lose(again)
+				c.start(again.keeper.opts.NodeID)
+				c.propose(c.leader(), 121, 125)
+				c.waitRevision(125)
+				_, _, removed := c.membership()
+				require.Zero(t, removed, "the keeper that stopped may return with its log")
+			})
+		})
+	}
+}
+
+// Guards against a disk that is copied anew at each planned restart: a keeper whose vote was
+// handed over goes on with its identity, as a learner, and may get a vote again.
+func TestKeeperReturnsFromPlannedStopAsLearner(t *testing.T) {
+	inClusterWithSpare(t, func(c *cluster) {
+		for _, id := range nodeIDs {
+			m := c.members[id]
+			identity := m.keeper.store.Identity()
+			c.stopPlanned(m)
+			c.propose(c.leader(), 200, 200)
+			voters, learners, removed := c.membership()
+			require.Len(t, voters, 3)
+			require.NotContains(t, voters, id)
+			require.Equal(t, []string{id}, learners)
+			require.Zero(t, removed)
+			require.Equal(t, identity, c.start(id).keeper.store.Identity())
+			c.waitRevision(121)
+		}
+	})
+}
+
+// Guards against a planned stop that waits for a learner, or gives the vote to one that is
+// down: the voter then keeps its vote.
+func TestVoteIsNotHandedOverWithoutReadyLearner(t *testing.T) {
+	inClusterWithSpare(t, func(c *cluster) {
+		c.stop(c.members["k4"], c.members["k4"].keeper.Kill)
+		for range 2 * heartbeatTicks * 2 {
+			waitTick()
+		}
+		stopped, before := c.voterThatFollows(), time.Now()
+		c.stopPlanned(stopped)
+		require.Less(t, time.Since(before), handOverTimeout)
+		voters, learners, _ := c.membership()
+		require.Equal(t, nodeIDs, voters)
+		require.Equal(t, []string{"k4"}, learners)
+	})
+}
+
 // inClusterWithSpare runs a test with three voters and the caught-up learner k4.
 func inClusterWithSpare(t *testing.T, test func(c *cluster)) {
 	inClusterOf(t, 3, func(c *cluster) {
--- a/pkg/keeper/members.go
+++ b/pkg/keeper/members.go
@@ -27,9 +27,7 @@
 	var membership *peerpb.Membership
 	err = k.callLeader(ctx, change.GetForwarded(), leaderCall{
 		local: func(ctx context.Context) error {
-			_, err := k.append(ctx, func(refused chan<- error, done chan<- proposalResult) event {
-				return changeEvent{change, refused, done}
-			})
+			err := k.changeLocally(ctx, change)
 			membership = k.Status().Membership
 			return err
 		},
@@ -44,6 +42,23 @@
 	return membership, err
 }
 
+// changeLocally commits a change on the leader. A demotion takes two changes: until the
+// learner has the vote, the voter keeps its own.
+func (k *Keeper) changeLocally(ctx context.Context, change *peerpb.MembershipChange) error {
+	if change.GetAction() == peerpb.MembershipChange_ACTION_DEMOTE {
+		_, err := k.append(ctx, func(refused chan<- error, done chan<- proposalResult) event {
+			return successionEvent{change.GetIdentity(), refused, done}
+		})
+		if err != nil {
+			return err
+		}
+	}
+	_, err := k.append(ctx, func(refused chan<- error, done chan<- proposalResult) event {
+		return changeEvent{change, refused, done}
+	})
+	return err
+}
+
 // resolveIdentity sets the identity of a keeper to be added, if it is missing, by
 // asking the keeper at the given address.
 func (k *Keeper) resolveIdentity(ctx context.Context, change *peerpb.MembershipChange) (*peerpb.MembershipChange, error) {
--- a/pkg/keeper/voterplanner.go
+++ b/pkg/keeper/voterplanner.go
@@ -13,6 +13,10 @@
 // keeper its vote.
 const DefaultCatchUp = 16 * time.Second
 
+// lostLearnerFactor is the ratio of the time after which a silent learner is removed to that
+// after which a voter counts as absent.
+const lostLearnerFactor = 8
+
 // Reasons for which a learner is not promoted yet.
 const (
 	learnerIsSilent = "the learner does not respond"
@@ -23,6 +27,9 @@
 // voterPlanner decides on the leader which learners become voters.
 type voterPlanner struct {
 	targetVoters int
+	// lostLearnerTicks is the time without a response after which a learner is removed. It
+	// exceeds the time of a restart, after which a learner goes on with its log.
+	lostLearnerTicks int
 	// absentTicks is the time without a response after which a learner takes over a
 	// voter's vote. A voter that returns later joins as a learner.
 	absentTicks int
@@ -33,7 +40,8 @@
 // keeper led, the checks and the two changes. A leader that lost its quorum steps down
 // within two election timeouts, and no voter counts as absent earlier.
 func newVoterPlanner(targetVoters int, catchUp time.Duration) voterPlanner {
-	return voterPlanner{targetVoters: targetVoters, absentTicks: max(int(catchUp/2/tickInterval), 2*electionTicks)}
+	absentTicks := max(int(catchUp/2/tickInterval), 2*electionTicks)
+	return voterPlanner{targetVoters: targetVoters, absentTicks: absentTicks, lostLearnerTicks: lostLearnerFactor * absentTicks}
 }
 
 // plan is a planner's decision. Without a change, learner is a learner that has no vote
@@ -56,6 +64,9 @@
 	if len(voters) > p.targetVoters && len(absent) > 0 {
 		return plan{change: removal(absent[0])}
 	}
+	if lost, ok := p.lostLearner(s); ok {
+		return plan{change: removal(lost)}
+	}
 	ready, waiting := readyLearner(s, lo.Without(voters, absent...))
 	if ready == nil || waiting != "" {
 		return plan{learner: ready.GetIdentity(), waiting: waiting}
@@ -66,7 +77,40 @@
 	if len(voters)-len(absent) >= p.targetVoters {
 		return plan{learner: ready.GetIdentity(), waiting: noVoterIsAbsent}
 	}
-	return plan{change: &peerpb.MembershipChange{Action: peerpb.MembershipChange_ACTION_PROMOTE, Identity: ready.GetIdentity()}}
+	return plan{change: promotion(ready)}
+}
+
+// succession returns the promotion of the learner that takes over the vote of a voter which is
+// about to stop; nil if the others suffice. Without a learner that stands by, the voter keeps
+// its vote.
+func (p voterPlanner) succession(s regionlog.Status, voter uint64) (*peerpb.MembershipChange, error) {
+	if s.Role != regionlog.Leader {
+		return nil, &regionlog.NotLeaderError{Leader: s.Leader}
+	}
+	if m, ok := regionlog.FindMember(s.Membership, voter); !ok || m.GetLearner() {
+		return nil, &regionlog.InvalidChangeError{Reason: "only a voter can be demoted"}
+	}
+	others := lo.Filter(s.Membership.GetMembers(), func(m *peerpb.Member, _ int) bool { return !m.GetLearner() && m.GetIdentity() != voter })
+	if p.targetVoters > 0 && len(others) >= p.targetVoters {
+		return nil, nil
+	}
+	ready, waiting := readyLearner(s, others)
+	switch {
+	case p.targetVoters == 0 || ready == nil || waiting == learnerIsSilent:
+		return nil, regionlog.ErrNoLearnerReady
+	case waiting != "":
+		// A new leader does not know yet what the learner has replicated.
+		return nil, regionlog.ErrNotCaughtUp
+	}
+	return promotion(ready), nil
+}
+
+// lostLearner returns a learner that has been silent for so long that it is not expected to
+// return. If it does, it joins again.
+func (p voterPlanner) lostLearner(s regionlog.Status) (*peerpb.Member, bool) {
+	return lo.Find(s.Membership.GetMembers(), func(m *peerpb.Member) bool {
+		return m.GetLearner() && s.SilentTicks[m.GetIdentity()] >= p.lostLearnerTicks
+	})
 }
 
 // absentVoters returns the number of voters that count as absent; 0 if this keeper does
@@ -79,6 +123,10 @@
 	return m.GetIdentity() != s.Identity && s.SilentTicks[m.GetIdentity()] >= p.absentTicks
 }
 
+func promotion(m *peerpb.Member) *peerpb.MembershipChange {
+	return &peerpb.MembershipChange{Action: peerpb.MembershipChange_ACTION_PROMOTE, Identity: m.GetIdentity()}
+}
+
 func removal(m *peerpb.Member) *peerpb.MembershipChange {
 	return &peerpb.MembershipChange{Action: peerpb.MembershipChange_ACTION_REMOVE, Identity: m.GetIdentity()}
 }
--- a/pkg/keeper/voterplanner_test.go
+++ b/pkg/keeper/voterplanner_test.go
@@ -161,3 +161,53 @@
 	members[3] = &peerpb.Member{Identity: 5, NodeId: "d"}
 	requireChange(t, peerpb.MembershipChange_ACTION_REMOVE, 3, threeVoters.next(leaderStatus(members, absentTicks, 1, 2, 5)))
 }
+
+// Guards against a stopping voter whose vote goes to a learner that cannot commit, or to none.
+func TestSuccessionNeedsReadyLearner(t *testing.T) {
+	members := []*peerpb.Member{{Identity: 1}, {Identity: 2}, {Identity: 3}, {Identity: 4, Learner: true}}
+	behind := leaderStatus(members, 0, 1, 2, 3, 4)
+	behind.Match[4] = 0
+	follower := leaderStatus(members, 0, 1, 2, 3, 4)
+	follower.Role = regionlog.Follower
+	var invalid *regionlog.InvalidChangeError
+	var notLeader *regionlog.NotLeaderError
+	for name, c := range map[string]struct {
+		planner  voterPlanner
+		status   regionlog.Status
+		voter    uint64
+		promoted uint64
+		refused  any
+	}{
+		"learner ready":                {threeVoters, leaderStatus(members, 0, 1, 2, 3, 4), 3, 4, nil},
+		"the leader itself":            {threeVoters, leaderStatus(members, 0, 1, 2, 3, 4), 1, 4, nil},
+		"learner behind":               {threeVoters, behind, 3, 0, regionlog.ErrNotCaughtUp},
+		"learner silent":               {threeVoters, leaderStatus(members, absentTicks, 1, 2, 3), 3, 0, regionlog.ErrNoLearnerReady},
+		"no learner":                   {threeVoters, leaderStatus(members[:3], 0, 1, 2, 3), 3, 0, regionlog.ErrNoLearnerReady},
+		"membership left to operators": {newVoterPlanner(0, 4*time.Second), leaderStatus(members, 0, 1, 2, 3, 4), 3, 0, regionlog.ErrNoLearnerReady},
+		"a learner stops":              {threeVoters, leaderStatus(members, 0, 1, 2, 3, 4), 4, 0, &invalid},
+		"not the leader":               {threeVoters, follower, 3, 0, &notLeader},
+		"enough other voters":          {newVoterPlanner(2, 4*time.Second), leaderStatus(members, 0, 1, 2, 3, 4), 3, 0, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			change, err := c.planner.succession(c.status, c.voter)
+			require.Equal(t, c.promoted, change.GetIdentity())
+			switch refused := c.refused.(type) {
+			case nil:
+				require.NoError(t, err)
+			case error:
+				require.ErrorIs(t, err, refused)
+			default:
+				require.ErrorAs(t, err, refused)
+			}
+		})
+	}
+}
+
+// Guards against learners that pile up: one that is gone for good leaves the membership, one
+// that restarts does not.
+func TestLostLearnerIsRemoved(t *testing.T) {
+	members := []*peerpb.Member{{Identity: 1}, {Identity: 2}, {Identity: 3}, {Identity: 4, Learner: true}}
+	requireWaiting(t, learnerIsSilent, threeVoters.next(leaderStatus(members, threeVoters.lostLearnerTicks-1, 1, 2, 3)))
+	requireChange(t, peerpb.MembershipChange_ACTION_REMOVE, 4, threeVoters.next(leaderStatus(members, threeVoters.lostLearnerTicks, 1, 2, 3)))
+	require.Equal(t, plan{}, newVoterPlanner(0, 4*time.Second).next(leaderStatus(members, 1<<20, 1, 2, 3)), "membership is left to operators")
+}
--- a/pkg/regionlog/errors.go
+++ b/pkg/regionlog/errors.go
@@ -24,6 +24,8 @@
 	// ErrQuorumAtRisk rejects a removal or a promotion after which no majority would be
 	// reachable.
 	ErrQuorumAtRisk = errors.New("too few of the remaining voters respond to form a majority")
+	// ErrNoLearnerReady rejects the demotion of a voter whose vote no learner can take over.
+	ErrNoLearnerReady = errors.New("no learner stands by that could take over the vote")
 	// ErrNotCaughtUp rejects the promotion of a learner that lacks committed entries.
 	ErrNotCaughtUp = errors.New("the learner has not replicated all committed entries yet")
 )
--- a/pkg/regionlog/membership.go
+++ b/pkg/regionlog/membership.go
@@ -58,6 +58,8 @@
 		return promote(next, member, known)
 	case peerpb.MembershipChange_ACTION_REMOVE:
 		return remove(next, member, known)
+	case peerpb.MembershipChange_ACTION_DEMOTE:
+		return demote(next, member, known)
 	default:
 		return nil, &InvalidChangeError{"unknown action"}
 	}
@@ -92,6 +94,19 @@
 	return next, nil
 }
 
+// demote takes the vote of a voter, which keeps its identity and its log and may be promoted
+// again.
+func demote(next *peerpb.Membership, member *peerpb.Member, known bool) (*peerpb.Membership, error) {
+	if !known || member.GetLearner() {
+		return nil, &InvalidChangeError{"only a voter can be demoted"}
+	}
+	if len(Voters(next)) == 1 {
+		return nil, &InvalidChangeError{"the last voter cannot be demoted"}
+	}
+	member.Learner = true
+	return next, nil
+}
+
 func remove(next *peerpb.Membership, member *peerpb.Member, known bool) (*peerpb.Membership, error) {
 	if !known {
 		return nil, &InvalidChangeError{"the keeper is not a member"}
--- a/pkg/regionlog/membership_test.go
+++ b/pkg/regionlog/membership_test.go
@@ -122,23 +122,27 @@
 }
 
 // runRandomReplacements runs random events in which voters are replaced by a spare keeper,
-// promoted first, and the removed ones join again.
+// promoted first. The removed ones join again; in half of the seeds they are demoted instead
+// and promoted again.
 func runRandomReplacements(seed uint64, f injectedFault) (*network, error) {
 	const steps = 3000
 	n := newNetwork(f, votersOf(seed))
-	n.targetVoters = votersOf(seed)
+	n.targetVoters, n.demotes = votersOf(seed), seed%4 >= 2
 	n.start(n.addEmptyKeeper("spare"))
 	return n, n.runEvents(rand.New(rand.NewPCG(seed, 1)), steps)
 }
 
 func TestRandomReplacementsPreserveInvariants(t *testing.T) {
-	replacements := 0
-	for seed := range uint64(150) {
+	replacements, demotions := 0, 0
+	for seed := range uint64(300) {
 		n, err := runRandomReplacements(seed, faultNone)
 		require.NoError(t, err, "seed %d", seed)
 		replacements += len(n.leader().machine.log.membership().GetRemoved())
+		demotions += n.demotions
 	}
 	require.Greater(t, replacements, 100, "too few voters were replaced")
+	require.Greater(t, demotions, 100, "too few voters were demoted")
+	t.Logf("%d replacements, %d demotions", replacements, demotions)
 }
 
 // Guards against replacements too rare to detect that two changes take effect at once.
--- a/pkg/regionlog/network_test.go
+++ b/pkg/regionlog/network_test.go
@@ -63,7 +63,10 @@
 	// targetVoters makes repair replace a voter whenever there is a caught-up spare; 0
 	// does not.
 	targetVoters int
-	reads        map[uint64]readCheck
+	// demotes has surplus voters demoted instead of removed; demotions counts them.
+	demotes   bool
+	demotions int
+	reads     map[uint64]readCheck
 	// committed is the first committed entry seen at each index.
 	committed    map[uint64]*peerpb.LogEntry
 	leaders      map[uint64]uint64
@@ -399,6 +402,9 @@
 		return
 	}
 	if _, _, err := k.machine.ProposeMembership(k.clock, change); err == nil {
+		if change.GetAction() == peerpb.MembershipChange_ACTION_DEMOTE {
+			n.demotions++
+		}
 		n.processReady(k, crashNever)
 	}
 }
@@ -413,14 +419,17 @@
 	return nil
 }
 
-// nextSurplusRemoval returns the removal of the voter that was silent for longest if
-// there are more than the target, or nil.
+// nextSurplusRemoval returns the removal, or the demotion, of the voter that was silent for
+// longest if there are more than the target, or nil.
 func (n *network) nextSurplusRemoval(k *keeperNode) *peerpb.MembershipChange {
 	voters := lo.Without(Voters(k.machine.log.membership()), k.identity)
 	if n.targetVoters == 0 || len(voters) < n.targetVoters {
 		return nil
 	}
 	silent := lo.MaxBy(voters, func(a, b uint64) bool { return k.machine.progress[a].silentTicks > k.machine.progress[b].silentTicks })
+	if n.demotes {
+		return &peerpb.MembershipChange{Action: peerpb.MembershipChange_ACTION_DEMOTE, Identity: silent}
+	}
 	return &peerpb.MembershipChange{Action: peerpb.MembershipChange_ACTION_REMOVE, Identity: silent}
 }
 
