keeper: connections between keepers that went silent are found within an election timeout

Seen (test, whole keepers in virtual time): a keeper is replaced, open connections between keepers go silent for good while new ones work, another disk is lost 4 s after the successor's start: no quorum any more.

Cause: only the keepalive ended such a connection, after up to 13 s (3 s where the kernel sees unacknowledged data); the successor has 4 s. A follower whose answers alone were lost noticed nothing, and would have been replaced.

Change: keepers check the connections to those from whom they should have heard, after two heartbeat intervals, and ask them to check theirs (IntroduceRequest.unheard, ignored by earlier builds). A second connection replaces the first only if it answers, so a frozen keeper costs none. keeper.Options takes a Dialer that can do so. A keeper that joins tries another connection too and bounds its request.

Not played with real processes: nothing on loopback silences such a connection without privileges.

--- a/pkg/bench/agreement.go
+++ b/pkg/bench/agreement.go
@@ -103,7 +103,7 @@
 	dialer, server := peers.NewDialer(nil), grpc.NewServer(peers.ServerKeepalive())
 	k := keeper.New(keeper.Options{
 		Machine: &countingMachine{}, OnApplied: func(uint64) {}, NodeID: list[i].NodeID, Address: list[i].Address,
-		Folder: filepath.Join(s.folder, list[i].NodeID), Keepers: list, Dial: dialer.Dial, Log: zerolog.Nop(),
+		Folder: filepath.Join(s.folder, list[i].NodeID), Keepers: list, Dialer: dialer, Log: zerolog.Nop(),
 	})
 	if err := k.Open(); err != nil {
 		return err
@@ -308,7 +308,7 @@
 	}
 	k := keeper.New(keeper.Options{
 		Machine: &countingMachine{}, OnApplied: func(uint64) {}, NodeID: "k0", Folder: folder,
-		Dial:            peers.NewDialer(nil).Dial,
+		Dialer:          peers.NewDialer(nil),
 		SnapshotEntries: 2 * restartEntries, Log: zerolog.Nop(),
 	})
 	start := time.Now()
--- a/pkg/bench/ledger_inforce.go
+++ b/pkg/bench/ledger_inforce.go
@@ -175,7 +175,7 @@
 	if self.Keeper {
 		n.keeper = keeper.New(keeper.Options{
 			Machine: n.machine, NodeID: self.ID, Address: n.listener.Addr().String(), Keepers: keepers,
-			Folder: filepath.Join(folder, self.ID), Dial: h.dialer.Dial, Log: zerolog.Nop(),
+			Folder: filepath.Join(folder, self.ID), Dialer: h.dialer, Log: zerolog.Nop(),
 			OnApplied: func(uint64) { feed.Notify(n.machine.Revision()) },
 		})
 		n.keeper.Register(n.server)
--- a/pkg/control/departures_test.go
+++ b/pkg/control/departures_test.go
@@ -77,7 +77,7 @@
 	var c *Control
 	regionLog := keeper.New(keeper.Options{
 		Machine: machine, NodeID: keeperAddress(i), Address: keeperAddress(i), Folder: k.folder, Keepers: members, TargetVoters: len(members),
-		OnApplied: func(uint64) { c.Applied() }, Dial: dialer.Dial, Log: zerolog.Nop(),
+		OnApplied: func(uint64) { c.Applied() }, Dialer: dialer, Log: zerolog.Nop(),
 	})
 	c = New(Options{
 		Keeper: regionLog, Machine: machine, Dialer: dialer, Address: keeperAddress(i), AnnounceInterval: time.Second, StallTimeout: 4 * time.Second, OrderSender: rejectOrders{}, Log: zerolog.Nop(),
--- a/pkg/fleetnode/keeper.go
+++ b/pkg/fleetnode/keeper.go
@@ -149,7 +149,7 @@
 		Keepers:      lo.Map(inst.opts.Seeds, func(a string, _ int) keeper.Peer { return keeper.Peer{NodeID: a, Address: a} }),
 		OnlyJoin:     !inst.opts.Bootstrap || !lo.Contains(inst.opts.Seeds, inst.opts.Address),
 		TargetVoters: 2*inst.opts.MaxFailures + 1, CatchUp: inst.opts.CatchUp,
-		Dial:    do.MustInvoke[*peers.Dialer](i).Dial,
+		Dialer:  do.MustInvoke[*peers.Dialer](i),
 		Metrics: inst.opts.Metrics, Log: inst.opts.Log,
 	}), nil
 }
--- /dev/null
+++ b/pkg/keeper/connectioncheck.go
@@ -0,0 +1,96 @@
+package keeper
+
+import (
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/masticmount/masticmount/pkg/peerpb"
+)
+
+const (
+	// unheardTicks is the time without a message, two heartbeat intervals, after which the
+	// connections between two keepers are checked.
+	unheardTicks = 2 * heartbeatTicks
+	// checkTicks is the least time between two checks of a connection.
+	checkTicks = electionTicks
+	// checkTimeout is the time without an answer after which another connection is tried. With
+	// unheardTicks and a heartbeat interval it is within an election timeout, so that a leader
+	// whose connections went silent can still lead on.
+	checkTimeout = 150 * time.Millisecond
+	// renewTimeout limits the try of another connection.
+	renewTimeout = 500 * time.Millisecond
+)
+
+// checkSchedule limits how often connections are checked: it holds the tick of the last check
+// by identity.
+type checkSchedule map[uint64]uint64
+
+// due returns the identities to check now, out of those that were not heard.
+func (s checkSchedule) due(tick uint64, unheard []uint64) []uint64 {
+	var due []uint64
+	for _, id := range unheard {
+		if last, ok := s[id]; !ok || tick >= last+checkTicks {
+			s[id] = tick
+			due = append(due, id)
+		}
+	}
+	return due
+}
+
+// checkConnections checks the connections to keepers from which no message came, and has
+// them check theirs to this keeper. A connection may go silent for good while new ones work;
+// its keepalive needs far longer than an election timeout.
+func (t *transport) checkConnections(identities []uint64) {
+	for _, id := range identities {
+		t.checkConnection(id, true)
+	}
+}
+
+// checkConnection checks a connection in the background, unless a check is in progress.
+func (t *transport) checkConnection(identity uint64, unheard bool) {
+	l, address := t.link(identity), t.address(identity)
+	if l == nil {
+		return
+	}
+	t.start(func() {
+		if !l.checking.TryLock() {
+			return
+		}
+		defer l.checking.Unlock()
+		request := &peerpb.IntroduceRequest{NodeId: t.keeper.opts.NodeID, Identity: t.keeper.store.Identity(), Unheard: unheard}
+		conn, err := t.keeper.opts.Dialer.Dial(address)
+		if err != nil {
+			return
+		}
+		if _, err = introduceOn(t.ctx, conn, checkTimeout, request); status.Code(err) != codes.DeadlineExceeded {
+			return
+		}
+		err = t.keeper.renew(address, func(conn *grpc.ClientConn) error {
+			_, err := introduceOn(t.ctx, conn, renewTimeout, request)
+			return err
+		})
+		if err != nil {
+			// The keeper does not answer on a new connection, either.
+			return
+		}
+		select {
+		case l.renewed <- struct{}{}:
+		default:
+		}
+	})
+}
+
+// renew replaces the connection to an address if another one works.
+func (k *Keeper) renew(address string, check func(*grpc.ClientConn) error) error {
+	if err := k.opts.Dialer.Renew(address, check); err != nil {
+		return err
+	}
+	k.opts.Log.Warn().Str("address", address).Dur("unanswered_for", checkTimeout).Msg("silent_connection_replaced")
+	if k.opts.Metrics != nil {
+		k.opts.Metrics.Add("regionlog.silent_connections", 1)
+	}
+	return nil
+}
--- a/pkg/keeper/formation.go
+++ b/pkg/keeper/formation.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/samber/lo"
+	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
@@ -114,10 +115,12 @@
 		k.opts.Log.Warn().Str("remedy", "masticmount keepers add "+k.opts.NodeID+" "+k.opts.Address).Msg("keeper_not_a_member")
 		return
 	}
-	conn, err := k.opts.Dial(address)
+	conn, err := k.opts.Dialer.Dial(address)
 	if err != nil {
 		return
 	}
+	ctx, cancel := context.WithTimeout(ctx, introduceTimeout)
+	defer cancel()
 	_, err = peerpb.NewRegionLogClient(conn).ChangeMembership(ctx, &peerpb.MembershipChange{
 		Action: peerpb.MembershipChange_ACTION_ADD_LEARNER, NodeId: k.opts.NodeID,
 		Address: k.opts.Address, Identity: k.store.Identity(), FailureDomain: k.opts.FailureDomain,
@@ -125,30 +128,46 @@
 	k.opts.Log.Info().Uint64("identity", k.store.Identity()).AnErr("refused", err).Msg("keeper_rejoins_as_learner")
 }
 
+// introduce asks the keeper at an address who it is, on another connection if there is no
+// answer on the present one.
 func (k *Keeper) introduce(ctx context.Context, address string) (*peerpb.IntroduceResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, introduceTimeout)
 	defer cancel()
-	conn, err := k.opts.Dial(address)
+	conn, err := k.opts.Dialer.Dial(address)
 	if err != nil {
 		return nil, err
 	}
 	conn.ResetConnectBackoff()
-	client := peerpb.NewRegionLogClient(conn)
 	request := &peerpb.IntroduceRequest{NodeId: k.opts.NodeID, Identity: k.store.Identity()}
-	answer, err := client.Introduce(ctx, request)
-	if status.Code(err) == codes.Unavailable {
+	answer, err := introduceOn(ctx, conn, checkTimeout, request)
+	switch status.Code(err) {
+	case codes.Unavailable:
 		// A connection to a process that was restarted fails at its first use. The
 		// call has no side effects and is retried on a new connection.
-		answer, err = client.Introduce(ctx, request)
+		return introduceOn(ctx, conn, introduceTimeout, request)
+	case codes.DeadlineExceeded:
+		err = k.renew(address, func(conn *grpc.ClientConn) (err error) {
+			answer, err = introduceOn(ctx, conn, introduceTimeout, request)
+			return err
+		})
 	}
 	return answer, err
 }
 
+func introduceOn(ctx context.Context, conn *grpc.ClientConn, timeout time.Duration, request *peerpb.IntroduceRequest) (*peerpb.IntroduceResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return peerpb.NewRegionLogClient(conn).Introduce(ctx, request)
+}
+
 // Introduce returns the identity and the membership of this keeper.
-func (k *Keeper) Introduce(context.Context, *peerpb.IntroduceRequest) (*peerpb.IntroduceResponse, error) {
+func (k *Keeper) Introduce(_ context.Context, req *peerpb.IntroduceRequest) (*peerpb.IntroduceResponse, error) {
 	if k.store == nil {
 		return nil, statusOf(stoppingFault())
 	}
+	if req.GetUnheard() {
+		k.transport.checkConnection(req.GetIdentity(), false)
+	}
 	v := k.view.get()
 	return &peerpb.IntroduceResponse{
 		NodeId: k.opts.NodeID, Identity: k.store.Identity(), Formed: v.formed(),
--- a/pkg/keeper/keeper.go
+++ b/pkg/keeper/keeper.go
@@ -76,6 +76,15 @@
 	Address string
 }
 
+// Dialer holds the connections to other keepers.
+type Dialer interface {
+	// Dial returns the connection to a peer's address.
+	Dial(address string) (*grpc.ClientConn, error)
+	// Renew replaces the connection to a peer's address by another one on which check
+	// succeeds. Otherwise nothing changes, and it returns the error of check.
+	Renew(address string, check func(*grpc.ClientConn) error) error
+}
+
 // Options configure a Keeper.
 type Options struct {
 	Machine StateMachine
@@ -98,8 +107,7 @@
 	// CatchUp is the time after a keeper's start within which it has the vote of a keeper
 	// that was lost before. 0 means DefaultCatchUp.
 	CatchUp time.Duration
-	// Dial returns the connection to a peer's address.
-	Dial func(address string) (*grpc.ClientConn, error)
+	Dialer  Dialer
 	// SnapshotEntries is the number of entries between two snapshots; 0 means the default.
 	SnapshotEntries uint64
 	// Metrics may be nil.
--- a/pkg/keeper/keeper_test.go
+++ b/pkg/keeper/keeper_test.go
@@ -42,6 +42,8 @@
 	dropping    map[string]bool
 	// farSide are the members that reach each other but not the rest.
 	farSide map[string]bool
+	// silences counts how often all open connections between a pair have gone silent.
+	silences map[[2]string]int
 	// targetVoters is Options.TargetVoters of the keepers that are started from now on.
 	targetVoters int
 }
@@ -66,7 +68,7 @@
 func inClusterOf(t *testing.T, targetVoters int, test func(c *cluster)) {
 	root := t.TempDir()
 	synctest.Test(t, func(t *testing.T) {
-		c := &cluster{t: t, root: root, members: map[string]*member{}, listeners: map[string]*bufconn.Listener{}, partitioned: map[string]bool{}, dropping: map[string]bool{}, targetVoters: targetVoters}
+		c := &cluster{t: t, root: root, members: map[string]*member{}, listeners: map[string]*bufconn.Listener{}, partitioned: map[string]bool{}, dropping: map[string]bool{}, silences: map[[2]string]int{}, targetVoters: targetVoters}
 		defer func() {
 			for _, m := range lo.Values(c.members) {
 				c.stop(m, m.keeper.Kill)
@@ -87,8 +89,8 @@
 		Machine: m.machine, OnApplied: func(uint64) {}, NodeID: id, Address: id, Folder: filepath.Join(c.root, id),
 		Keepers:  lo.Map(nodeIDs, func(id string, _ int) Peer { return Peer{NodeID: id, Address: id} }),
 		OnlyJoin: !lo.Contains(nodeIDs, id), TargetVoters: c.targetVoters, CatchUp: testCatchUp,
-		Dial: m.dialer.Dial,
-		Log:  zerolog.Nop(), SnapshotEntries: 50,
+		Dialer: m.dialer,
+		Log:    zerolog.Nop(), SnapshotEntries: 50,
 	})
 	require.NoError(c.t, m.keeper.Open())
 	m.keeper.Register(m.server)
@@ -131,12 +133,34 @@
 	if conn := d.conns[to]; conn != nil {
 		return conn, nil
 	}
-	connect := func(ctx context.Context, _ string) (net.Conn, error) { return d.cluster.connect(ctx, d.from, to) }
-	conn, err := grpc.NewClient("passthrough:///"+to, grpc.WithContextDialer(connect), peers.Keepalive(), grpc.WithTransportCredentials(insecure.NewCredentials()))
+	conn, err := d.open(to)
 	d.conns[to] = conn
 	return conn, err
 }
 
+func (d *testDialer) open(to string) (*grpc.ClientConn, error) {
+	connect := func(ctx context.Context, _ string) (net.Conn, error) { return d.cluster.connect(ctx, d.from, to) }
+	return grpc.NewClient("passthrough:///"+to, grpc.WithContextDialer(connect), peers.Keepalive(), grpc.WithTransportCredentials(insecure.NewCredentials()))
+}
+
+func (d *testDialer) Renew(to string, check func(*grpc.ClientConn) error) error {
+	conn, err := d.open(to)
+	if err != nil {
+		return err
+	}
+	if err := check(conn); err != nil {
+		_ = conn.Close()
+		return err
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if former := d.conns[to]; former != nil {
+		_ = former.Close()
+	}
+	d.conns[to] = conn
+	return nil
+}
+
 func (d *testDialer) Close() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -150,8 +174,11 @@
 	listener := c.listeners[to]
 	c.mu.Unlock()
 	partitioned := func() bool { return c.isPartitioned(from) || c.isPartitioned(to) || c.isSplit(from, to) }
-	dropping := func() bool { return c.isDropping(from) || c.isDropping(to) }
-	if listener == nil || partitioned() || dropping() {
+	opened := c.silencesOf(from, to)
+	dropping := func() bool {
+		return c.isDropping(from) || c.isDropping(to) || c.silencesOf(from, to) != opened
+	}
+	if listener == nil || partitioned() || c.isDropping(from) || c.isDropping(to) {
 		return nil, net.ErrClosed
 	}
 	conn, err := listener.DialContext(ctx)
@@ -183,6 +210,24 @@
 	c.farSide = lo.SliceToMap(farSide, func(id string) (string, bool) { return id, true })
 }
 
+func (c *cluster) silencesOf(from, to string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.silences[[2]string{from, to}]
+}
+
+// silence has the open connections from the given members to the others go silent for good.
+// Connections that are opened later work.
+func (c *cluster) silence(members ...string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, from := range members {
+		for to := range c.members {
+			c.silences[[2]string{from, to}]++
+		}
+	}
+}
+
 func (c *cluster) setDropping(id string, dropping bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -524,6 +569,61 @@
 	}
 }
 
+// Guards against connections that are silent for good, beside a replacement: until they are
+// given up no vote can pass to the successor, and a disk lost then ends the quorum permanently.
+func TestQuorumSurvivesLostDiskBesideSilentConnections(t *testing.T) {
+	for name, silenced := range map[string]func(c *cluster) []string{
+		"of all keepers":  func(c *cluster) []string { return lo.Keys(c.members) },
+		"of the leader":   func(c *cluster) []string { return []string{c.leader().keeper.opts.NodeID} },
+		"of the others":   func(c *cluster) []string { return lo.Without(lo.Keys(c.members), c.leader().keeper.opts.NodeID) },
+		"of one follower": func(c *cluster) []string { return []string{c.voterThatFollows().keeper.opts.NodeID} },
+	} {
+		for _, delay := range []time.Duration{0, testCatchUp / 8, testCatchUp / 4} {
+			t.Run(fmt.Sprint(name, " after ", delay), func(t *testing.T) {
+				inClusterOf(t, 3, func(c *cluster) {
+					c.propose(c.leader(), 1, 120)
+					c.lose(c.follower())
+					<-time.After(time.Second)
+					c.start("k4")
+					started := time.Now()
+					<-time.After(delay)
+					c.silence(silenced(c)...)
+					<-time.After(time.Until(started.Add(testCatchUp)))
+					again := c.voterThatFollows()
+					c.lose(again)
+					c.start(again.keeper.opts.NodeID)
+					c.propose(c.leader(), 121, 125)
+					c.waitRevision(125)
+				})
+			})
+		}
+	}
+}
+
+// Guards against voters that are replaced needlessly, and changes that are accepted late,
+// because connections went silent for good.
+func TestSilentConnectionsCostNoVote(t *testing.T) {
+	const contactTime = 3 * time.Second
+	for _, silenced := range [][]string{nodeIDs, nodeIDs[:1], nodeIDs[1:2], {"k1", "k2", "k3", "k4"}} {
+		t.Run(fmt.Sprint(silenced), func(t *testing.T) {
+			inClusterWithSpare(t, func(c *cluster) {
+				for i := range 5 {
+					c.silence(silenced...)
+					<-time.After(contactTime)
+					before := time.Now()
+					for _, m := range c.members {
+						c.propose(m, 200+10*i, 200+10*i)
+					}
+					require.Less(t, time.Since(before), contactTime)
+				}
+				voters, _, removed := c.membership()
+				require.Equal(t, nodeIDs, voters)
+				require.Zero(t, removed)
+			})
+		})
+	}
+}
+
 // Guards against a keeper that stops as planned and never returns, whose vote its successor
 // gets only seconds later: a disk lost until then ends the quorum permanently.
 func TestQuorumSurvivesLostDiskAfterPlannedReplacement(t *testing.T) {
--- a/pkg/keeper/logloop.go
+++ b/pkg/keeper/logloop.go
@@ -50,6 +50,7 @@
 	hardState *peerpb.HardState
 	published regionlog.Status
 	planner   voterPlanner
+	checks    checkSchedule
 	schedule  changeSchedule
 	// reported is the reason last logged for which a membership change waits.
 	reported string
@@ -58,7 +59,7 @@
 }
 
 func newLogLoop(k *Keeper) (*logLoop, error) {
-	l := &logLoop{keeper: k, reads: map[uint64]chan<- readResult{}, planner: newVoterPlanner(k.opts.TargetVoters, k.opts.CatchUp)}
+	l := &logLoop{keeper: k, reads: map[uint64]chan<- readResult{}, planner: newVoterPlanner(k.opts.TargetVoters, k.opts.CatchUp), checks: checkSchedule{}}
 	if err := l.load(k.store.Stored()); err != nil {
 		return nil, err
 	}
@@ -116,6 +117,7 @@
 	l.machine.Tick()
 	l.keeper.tickedAt.Store(boottime.Now().UnixNano())
 	l.ticks++
+	l.keeper.transport.checkConnections(l.checks.due(l.ticks, l.machine.Unheard(unheardTicks)))
 	if l.schedule.due(l.ticks) {
 		l.changeVoters()
 	}
--- a/pkg/keeper/propose.go
+++ b/pkg/keeper/propose.go
@@ -126,7 +126,7 @@
 	if !ok || forwarded {
 		return &regionlog.NotLeaderError{Leader: v.status.Leader}
 	}
-	conn, err := k.opts.Dial(member.GetAddress())
+	conn, err := k.opts.Dialer.Dial(member.GetAddress())
 	if err != nil || !connected(ctx, conn) {
 		return &regionlog.NotLeaderError{Leader: v.status.Leader}
 	}
--- a/pkg/keeper/transport.go
+++ b/pkg/keeper/transport.go
@@ -47,6 +47,10 @@
 type link struct {
 	messages   *ring.Ring[*peerpb.LogMessage]
 	installing sync.Mutex
+	// checking is held while the connection is checked.
+	checking sync.Mutex
+	// renewed receives a value once the connection was replaced.
+	renewed chan struct{}
 }
 
 func newTransport(ctx context.Context, k *Keeper) *transport {
@@ -90,13 +94,32 @@
 	if l := t.links[identity]; l != nil || t.addresses[identity] == "" {
 		return l
 	}
-	l := &link{messages: ring.New[*peerpb.LogMessage](sendRingSize, ring.DropOldest)}
+	l := &link{messages: ring.New[*peerpb.LogMessage](sendRingSize, ring.DropOldest), renewed: make(chan struct{}, 1)}
 	t.links[identity] = l
 	t.senders.Go(func() { t.runSender(identity, l) })
 	return l
 }
 
-func (t *transport) wait() { t.senders.Wait() }
+// start runs fn in the background unless the keeper has stopped.
+func (t *transport) start(fn func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.ctx.Err() == nil {
+		t.senders.Go(fn)
+	}
+}
+
+// wait waits for the background work after the keeper has stopped.
+func (t *transport) wait() {
+	t.awaitStarts()
+	t.senders.Wait()
+}
+
+// awaitStarts waits for the calls of start that saw a running keeper.
+func (t *transport) awaitStarts() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+}
 
 // runSender sends the queued messages to one keeper over a stream, which it reopens
 // after a failure.
@@ -120,30 +143,31 @@
 		}
 		if err != nil {
 			stream = nil
-			t.awaitReconnect(identity)
+			t.awaitReconnect(identity, l)
 		}
 	}
 }
 
 func (t *transport) open(identity uint64) (peerpb.RegionLog_DeliverClient, error) {
-	conn, err := t.keeper.opts.Dial(t.address(identity))
+	conn, err := t.keeper.opts.Dialer.Dial(t.address(identity))
 	if err != nil {
 		return nil, err
 	}
 	return peerpb.NewRegionLogClient(conn).Deliver(t.ctx)
 }
 
-// awaitReconnect waits after a failure and then resets the connect backoff, so that
-// the connection is retried immediately.
-func (t *transport) awaitReconnect(identity uint64) {
+// awaitReconnect waits after a failure, unless the connection was replaced, and then resets
+// the connect backoff, so that the connection is retried immediately.
+func (t *transport) awaitReconnect(identity uint64, l *link) {
 	timer := time.NewTimer(reconnectInterval)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
+	case <-l.renewed:
 	case <-t.ctx.Done():
 		return
 	}
-	if conn, err := t.keeper.opts.Dial(t.address(identity)); err == nil {
+	if conn, err := t.keeper.opts.Dialer.Dial(t.address(identity)); err == nil {
 		conn.ResetConnectBackoff()
 	}
 }
@@ -189,7 +213,7 @@
 	}
 	ctx, cancel := context.WithTimeout(t.ctx, snapshotTimeout)
 	defer cancel()
-	conn, err := t.keeper.opts.Dial(t.address(message.GetTo()))
+	conn, err := t.keeper.opts.Dialer.Dial(t.address(message.GetTo()))
 	if err != nil {
 		return err
 	}
--- a/pkg/node/keeper.go
+++ b/pkg/node/keeper.go
@@ -28,7 +28,7 @@
 		Keepers: lo.Map(n.settings.Keepers(), func(p settings.Peer, _ int) keeper.Peer {
 			return keeper.Peer{NodeID: p.ID, Address: p.Address}
 		}),
-		Dial:    do.MustInvoke[*peers.Dialer](i).Dial,
+		Dialer:  do.MustInvoke[*peers.Dialer](i),
 		Metrics: do.MustInvoke[*telemetry.Registry](i),
 		Log:     n.log,
 	}), nil
--- a/pkg/peers/peers.go
+++ b/pkg/peers/peers.go
@@ -53,6 +53,27 @@
 	}
 }
 
+// Renew opens another connection to an address. If check succeeds on it, it becomes the
+// shared one and the former one is closed, so that calls on it fail. Otherwise nothing
+// changes, and Renew returns the error of check.
+func (d *Dialer) Renew(address string, check func(*grpc.ClientConn) error) error {
+	conn, err := grpc.NewClient(address, d.options...)
+	if err != nil {
+		return fmt.Errorf("peer %s: %w", address, err)
+	}
+	if err := check(conn); err != nil {
+		_ = conn.Close()
+		return err
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if former, ok := d.conns[address]; ok {
+		_ = former.Close()
+	}
+	d.conns[address] = conn
+	return nil
+}
+
 // Close closes every connection.
 func (d *Dialer) Close() {
 	d.mu.Lock()
--- a/pkg/regionlog/election.go
+++ b/pkg/regionlog/election.go
@@ -175,3 +175,19 @@
 		m.countVote(msg.GetFrom(), !msg.GetReject())
 	}
 }
+
+// Unheard returns the members that should have sent a message within the last ticks and did
+// not: on the leader those that do not respond, on a follower the leader, and without a
+// leader all other voters.
+func (m *Machine) Unheard(ticks int) []uint64 {
+	switch {
+	case m.role == Leader:
+		return lo.Filter(m.peers, func(id uint64, _ int) bool { return m.progress[id].silentTicks >= ticks })
+	case m.leader != 0 && m.leaderSilent >= ticks:
+		return []uint64{m.leader}
+	case m.leader == 0 && m.leaderSilent >= ticks:
+		return lo.Without(Voters(m.log.membership()), m.cfg.Identity)
+	default:
+		return nil
+	}
+}
--- a/pkg/regionlog/membership_test.go
+++ b/pkg/regionlog/membership_test.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"testing"
 
+	"github.com/samber/lo"
 	"github.com/stretchr/testify/require"
 
 	"github.com/masticmount/masticmount/pkg/peerpb"
@@ -153,3 +154,30 @@
 	}
 	require.Error(t, detected, "no random sequence detected the injected fault")
 }
+
+// Guards against a connection that stays silent because neither side looks for it: each
+// keeper must name those from which it should have heard.
+func TestUnheardMembersAreNamed(t *testing.T) {
+	const patience = 4
+	n := electedNetwork(t)
+	n.stepFor(testElectionTicks)
+	leader := n.leader()
+	others := lo.Without(n.ids(), leader.identity)
+	for _, id := range n.ids() {
+		require.Empty(t, n.nodes[id].machine.Unheard(patience))
+	}
+	n.cut[[2]uint64{others[0], leader.identity}] = true
+	n.stepFor(patience + 2)
+	require.Equal(t, others[:1], leader.machine.Unheard(patience), "it does not respond")
+	require.Empty(t, n.nodes[others[0]].machine.Unheard(patience), "it hears the leader")
+	clear(n.cut)
+	n.cut[[2]uint64{leader.identity, others[1]}] = true
+	n.stepFor(patience + 2)
+	require.Equal(t, []uint64{leader.identity}, n.nodes[others[1]].machine.Unheard(patience))
+	n.crash(leader)
+	follower := n.nodes[others[0]].machine
+	for follower.leader != 0 {
+		follower.Tick()
+	}
+	require.ElementsMatch(t, lo.Without(n.ids(), others[0]), follower.Unheard(patience), "without a leader")
+}
