keeper: a call that the leader refuses for now is retried with pauses

Seen: a test that moves the leadership every 0.8 s did not end. A leader that transfers its leadership to a follower that does not answer is busy for up to 500 ms if a call waits; the VM's processor is missing for the election.

Cause: the retry waits for a newer view, and the view is published after each event, also after the retry's own. Change: the wait ends early only for a view with another leader, term, role or commit index.

--- a/pkg/keeper/propose.go
+++ b/pkg/keeper/propose.go
@@ -168,9 +168,9 @@
 	return errors.As(err, &f) && f.Outcome == fault.NotRun && f.Kind == fault.NoQuorum
 }
 
-// awaitLeader waits for a new view, at most leaderRetryInterval if a leader is known.
-// It returns false if no leader has been known for noLeaderTimeout, the keeper is
-// stopping, or ctx has ended.
+// awaitLeader waits for a view in which a call may succeed that failed before, at most
+// leaderRetryInterval if a leader is known. It returns false if no leader has been known for
+// noLeaderTimeout, the keeper is stopping, or ctx has ended.
 func (k *Keeper) awaitLeader(ctx context.Context, v *view) bool {
 	wait := leaderRetryInterval
 	if v.status.Leader == 0 {
@@ -181,6 +181,10 @@
 	}
 	waitCtx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
-	changed := v.wait(waitCtx)
-	return ctx.Err() == nil && (changed || v.status.Leader != 0)
+	for next := v; next.wait(waitCtx); {
+		if next = k.view.get(); next.progressedFrom(v) {
+			return ctx.Err() == nil
+		}
+	}
+	return ctx.Err() == nil && v.status.Leader != 0
 }
--- a/pkg/keeper/view.go
+++ b/pkg/keeper/view.go
@@ -22,6 +22,14 @@
 
 func (v *view) formed() bool { return len(v.status.Membership.GetMembers()) > 0 }
 
+// progressedFrom reports whether a call that the earlier view's leader refused may succeed.
+// Views are published at each event: without a difference that matters, the retry would be
+// the event that publishes the next view.
+func (v *view) progressedFrom(earlier *view) bool {
+	a, b := v.status, earlier.status
+	return a.Leader != b.Leader || a.Term != b.Term || a.Role != b.Role || a.Commit != b.Commit
+}
+
 // wait returns true once a newer view is published, false if ctx ends first.
 func (v *view) wait(ctx context.Context) bool {
 	select {
