regionlog: a new leader counts the absence of voters on from the term before

Seen (test): a keeper is replaced while the leadership of the others changes every 0.8 s; 4 s after the successor's start another loses its disk: no quorum any more.

Cause: absence is 2 s without a response in the present term; a new leader knew nothing of the time before it.

Change: heartbeats name the members that have been silent for an election timeout (empty as a rule), a leader that steps down remembers its own. A new leader counts on, up to 500 ms short of absence, so that a member which has returned has that time to respond.

--- a/pkg/keeper/keeper_test.go
+++ b/pkg/keeper/keeper_test.go
@@ -393,6 +393,23 @@
 	})
 }
 
+// Guards against a call that is retried without a pause while the leadership is transferred:
+// it keeps the processor busy, and virtual time from advancing.
+func TestRetryWaitsWhileLeadershipIsTransferred(t *testing.T) {
+	inCluster(t, func(c *cluster) {
+		c.propose(c.leader(), 1, 1)
+		leader := c.leader()
+		c.split(leader.keeper.opts.NodeID)
+		leader.keeper.events.Push(transferEvent{})
+		before := time.Now()
+		_, err := leader.keeper.Propose(context.Background(), change(2))
+		require.Equal(t, fault.NoQuorum, FaultOf(err).Kind)
+		require.Positive(t, time.Since(before))
+		c.split()
+		c.propose(c.leader(), 3, 3)
+	})
+}
+
 func TestPlannedStopTransfersLeadership(t *testing.T) {
 	inCluster(t, func(c *cluster) {
 		old := c.leader()
@@ -600,6 +617,26 @@
 	}
 }
 
+// Guards against absence that is counted anew from each election, as busy keepers hold them:
+// the successor would get no vote as long as leaders change.
+func TestSuccessorGetsVoteBesideElections(t *testing.T) {
+	inClusterOf(t, 3, func(c *cluster) {
+		c.propose(c.leader(), 1, 120)
+		c.lose(c.voterThatFollows())
+		<-time.After(time.Second)
+		c.start("k4")
+		for end := time.Now().Add(testCatchUp); time.Now().Before(end); {
+			c.leader().keeper.events.Push(transferEvent{})
+			<-time.After(testCatchUp / 5)
+		}
+		again := c.voterThatFollows()
+		c.lose(again)
+		c.start(again.keeper.opts.NodeID)
+		c.propose(c.leader(), 121, 125)
+		c.waitRevision(125)
+	})
+}
+
 // Guards against voters that are replaced needlessly, and changes that are accepted late,
 // because connections went silent for good.
 func TestSilentConnectionsCostNoVote(t *testing.T) {
--- a/pkg/regionlog/election.go
+++ b/pkg/regionlog/election.go
@@ -10,6 +10,7 @@
 func (m *Machine) Tick() {
 	m.electionElapsed++
 	m.leaderSilent++
+	m.silences.age++
 	if m.role == Leader {
 		m.tickLeader()
 		return
@@ -71,6 +72,9 @@
 	if term != m.term {
 		m.term, m.vote = term, 0
 	}
+	if m.role == Leader {
+		m.recordSilences(m.silentMembers())
+	}
 	m.role, m.leader, m.transferee = Follower, leader, 0
 	m.progress, m.peers, m.votes = nil, nil, nil
 	m.reads = readQueue{}
@@ -134,6 +138,7 @@
 	if p, ok := m.progress[m.lastLeader]; ok && m.lastLeader != m.cfg.Identity {
 		p.silentTicks = min(m.leaderSilent, 2*m.cfg.ElectionTicks)
 	}
+	m.inheritSilences()
 	m.lastLeader = m.cfg.Identity
 	m.appendEntry(peerpb.EntryKind_ENTRY_KIND_NOOP, 0, nil)
 }
--- a/pkg/regionlog/machine.go
+++ b/pkg/regionlog/machine.go
@@ -46,6 +46,9 @@
 	MaxWindowEntries uint64
 	// MaxUncommittedBytes limits the size of the uncommitted entries.
 	MaxUncommittedBytes int
+	// MaxInheritedSilence limits, in ticks, the silence of a member that a new leader counts from
+	// before its term. 0 counts from the beginning of the term.
+	MaxInheritedSilence int
 	// Seed of the random election timeouts.
 	Seed uint64
 	// injectedFault disables a rule of the protocol; only tests set it.
@@ -99,9 +102,10 @@
 	Match map[uint64]uint64
 	// Active reports which members responded recently; set on the leader only.
 	Active map[uint64]bool
-	// SilentTicks is the number of ticks since each member's last response, or since the
-	// term began; set on the leader only. For the preceding leader, up to two election
-	// timeouts without a message before the term count as well.
+	// SilentTicks is the number of ticks since each member's last response; set on the leader
+	// only. Of the time before the term, up to Config.MaxInheritedSilence counts if the member
+	// did not respond to the preceding leader, and up to two election timeouts without a
+	// message of the preceding leader itself.
 	SilentTicks map[uint64]int
 }
 
@@ -122,6 +126,7 @@
 	// last message.
 	lastLeader   uint64
 	leaderSilent int
+	silences     silences
 
 	// votes received as a candidate or pre-candidate.
 	votes map[uint64]bool
--- a/pkg/regionlog/membership_test.go
+++ b/pkg/regionlog/membership_test.go
@@ -57,6 +57,33 @@
 	}
 }
 
+// Guards against an absence that each election counts anew, and against one that is held
+// against a member which has returned.
+func TestSilenceIsCountedOnAfterElection(t *testing.T) {
+	n := electedNetwork(t)
+	leader := n.leader()
+	others := lo.Without(n.ids(), leader.identity)
+	lost, next := n.nodes[others[0]], n.nodes[others[1]]
+	n.crash(lost)
+	n.stepFor(5 * testElectionTicks)
+	require.NoError(t, leader.machine.Transfer(next.identity))
+	n.processReady(leader, crashNever)
+	for n.leader() != next {
+		n.step()
+	}
+	silent := next.machine.Status().SilentTicks
+	require.InDelta(t, testInheritedSilence, silent[lost.identity], 3, "as far as it may count")
+	require.LessOrEqual(t, silent[leader.identity], 2*2)
+	n.start(lost)
+	n.stepFor(testElectionTicks)
+	require.NoError(t, next.machine.Transfer(leader.identity))
+	n.processReady(next, crashNever)
+	for n.leader() != leader {
+		n.step()
+	}
+	require.LessOrEqual(t, leader.machine.Status().SilentTicks[lost.identity], 2*2, "it has returned")
+}
+
 // Guards against a voter that led an earlier term, still responds, and counts as silent
 // once the present leader is elected again.
 func TestEarlierLeaderThatRespondsIsNotSilent(t *testing.T) {
--- a/pkg/regionlog/network_test.go
+++ b/pkg/regionlog/network_test.go
@@ -78,7 +78,11 @@
 	onRefused func(*keeperNode, *peerpb.LogMessage, error)
 }
 
-const testElectionTicks = 10
+const (
+	testElectionTicks = 10
+	// testInheritedSilence is Config.MaxInheritedSilence.
+	testInheritedSilence = 3 * testElectionTicks
+)
 
 func newNetwork(f injectedFault, voters int) *network {
 	n := &network{
@@ -122,7 +126,7 @@
 func (n *network) start(k *keeperNode) {
 	m, err := New(Config{
 		Identity: k.identity, ElectionTicks: testElectionTicks, FirstElectionTicks: n.firstElectionTicks, HeartbeatTicks: 2,
-		MaxAppendBytes: 200, MaxWindowEntries: 8, MaxUncommittedBytes: 1 << 20,
+		MaxInheritedSilence: testInheritedSilence, MaxAppendBytes: 200, MaxWindowEntries: 8, MaxUncommittedBytes: 1 << 20,
 		Seed: k.identity, injectedFault: n.injectedFault,
 	}, k.disk.stored)
 	if err != nil {
--- a/pkg/regionlog/replication.go
+++ b/pkg/regionlog/replication.go
@@ -33,8 +33,8 @@
 	active bool
 	// wasActive is active as of the last quorum check.
 	wasActive bool
-	// silentTicks is the number of ticks since the member's last response, or since the
-	// term began.
+	// silentTicks is the number of ticks since the member's last response, as in
+	// Status.SilentTicks.
 	silentTicks int
 	// read is the number of the last read that the member confirmed.
 	read uint64
@@ -99,10 +99,11 @@
 
 func (m *Machine) broadcastHeartbeat() {
 	m.reads.sent = m.reads.last
+	silent := m.silentMembers()
 	for _, id := range m.peers {
 		m.send(&peerpb.LogMessage{
 			Kind: peerpb.MessageKind_MESSAGE_KIND_HEARTBEAT, To: id,
-			Commit: min(m.progress[id].match, m.log.commit), Read: m.reads.last,
+			Commit: min(m.progress[id].match, m.log.commit), Read: m.reads.last, Silences: silent,
 		})
 	}
 }
@@ -193,6 +194,7 @@
 
 func (m *Machine) handleHeartbeat(msg *peerpb.LogMessage) {
 	m.log.commitTo(msg.GetCommit())
+	m.recordSilences(msg.GetSilences())
 	m.send(&peerpb.LogMessage{
 		Kind: peerpb.MessageKind_MESSAGE_KIND_HEARTBEAT_RESPONSE, To: msg.GetFrom(), Read: msg.GetRead(),
 	})
--- a/pkg/regionlog/step.go
+++ b/pkg/regionlog/step.go
@@ -17,6 +17,7 @@
 	if msg.GetFrom() == m.lastLeader {
 		m.leaderSilent = 0
 	}
+	delete(m.silences.ticks, msg.GetFrom())
 	switch {
 	case msg.GetTerm() > m.term:
 		if !m.enterTerm(msg) {
