regionlog: in an upgrade a voter of a later revision takes the leadership over

Seen before: with an older leader lost voters are replaced after 8 to 10 s, 0 of 5 within the stated 4 s; a disk lost meanwhile ends the quorum. Cause: the leader alone replaces voters, and it may be the last one upgraded.

Change: heartbeats carry a revision (0 from builds without the field). A voter of a later one holds an election, as for a transfer, 1 to 2 s after it first heard the leader, if it knows of no uncommitted entry; the time doubles with each attempt. Between builds of one revision nothing changes.

What an older keeper does at its own stop is as before.

--- a/pkg/keeper/keeper.go
+++ b/pkg/keeper/keeper.go
@@ -36,6 +36,9 @@
 	firstElectionTicks = 4
 	// heartbeatTicks gives a heartbeat interval of 100 ms.
 	heartbeatTicks = 2
+	// revision is increased whenever the leader's rules for replacing voters change in a way on
+	// which the tolerance of lost disks rests.
+	revision = 1
 	// maxAppendBytes limits the entries in one message.
 	maxAppendBytes = 512 << 10
 	// maxWindowEntries limits the unacknowledged entries in flight to a peer.
--- a/pkg/keeper/logloop.go
+++ b/pkg/keeper/logloop.go
@@ -73,7 +73,7 @@
 	machine, err := regionlog.New(regionlog.Config{
 		Identity: l.keeper.store.Identity(), ElectionTicks: electionTicks, FirstElectionTicks: firstElectionTicks, HeartbeatTicks: heartbeatTicks,
 		MaxAppendBytes: maxAppendBytes, MaxWindowEntries: maxWindowEntries,
-		MaxInheritedSilence: l.planner.absentTicks - electionTicks,
+		Revision: revision, MaxInheritedSilence: l.planner.absentTicks - electionTicks,
 		MaxUncommittedBytes: maxUncommittedBytes, Seed: binary.LittleEndian.Uint64(seed[:]),
 	}, stored)
 	if err != nil {
--- a/pkg/regionlog/election.go
+++ b/pkg/regionlog/election.go
@@ -15,6 +15,11 @@
 		m.tickLeader()
 		return
 	}
+	if m.takesOver() {
+		m.takeover.attempts++
+		m.campaign(false, true)
+		return
+	}
 	if m.electionElapsed >= m.electionTimeout && m.isVoter() {
 		m.campaign(m.cfg.injectedFault != faultNoPreVote, false)
 	}
--- a/pkg/regionlog/machine.go
+++ b/pkg/regionlog/machine.go
@@ -49,6 +49,9 @@
 	// MaxInheritedSilence limits, in ticks, the silence of a member that a new leader counts from
 	// before its term. 0 counts from the beginning of the term.
 	MaxInheritedSilence int
+	// Revision numbers the rules by which a leader replaces voters. A voter takes the leadership
+	// over from a leader of an earlier revision.
+	Revision uint32
 	// Seed of the random election timeouts.
 	Seed uint64
 	// injectedFault disables a rule of the protocol; only tests set it.
@@ -127,6 +130,7 @@
 	lastLeader   uint64
 	leaderSilent int
 	silences     silences
+	takeover     takeover
 
 	// votes received as a candidate or pre-candidate.
 	votes map[uint64]bool
--- a/pkg/regionlog/membership_test.go
+++ b/pkg/regionlog/membership_test.go
@@ -156,6 +156,10 @@
 	const steps = 3000
 	n := newNetwork(f, votersOf(seed))
 	n.targetVoters, n.demotes = votersOf(seed), seed%4 >= 2
+	if seed%3 == 0 {
+		// Each node that restarts is upgraded.
+		n.revisions = lo.SliceToMap(n.ids(), func(id uint64) (string, uint32) { return n.nodes[id].nodeID, 1 })
+	}
 	n.start(n.addEmptyKeeper("spare"))
 	return n, n.runEvents(rand.New(rand.NewPCG(seed, 1)), steps)
 }
--- a/pkg/regionlog/network_test.go
+++ b/pkg/regionlog/network_test.go
@@ -63,6 +63,8 @@
 	// targetVoters makes repair replace a voter whenever there is a caught-up spare; 0
 	// does not.
 	targetVoters int
+	// revisions are Config.Revision by node; 0 if not listed.
+	revisions map[string]uint32
 	// demotes has surplus voters demoted instead of removed; demotions counts them.
 	demotes   bool
 	demotions int
@@ -126,7 +128,7 @@
 func (n *network) start(k *keeperNode) {
 	m, err := New(Config{
 		Identity: k.identity, ElectionTicks: testElectionTicks, FirstElectionTicks: n.firstElectionTicks, HeartbeatTicks: 2,
-		MaxInheritedSilence: testInheritedSilence, MaxAppendBytes: 200, MaxWindowEntries: 8, MaxUncommittedBytes: 1 << 20,
+		MaxInheritedSilence: testInheritedSilence, Revision: n.revisions[k.nodeID], MaxAppendBytes: 200, MaxWindowEntries: 8, MaxUncommittedBytes: 1 << 20,
 		Seed: k.identity, injectedFault: n.injectedFault,
 	}, k.disk.stored)
 	if err != nil {
--- a/pkg/regionlog/replication.go
+++ b/pkg/regionlog/replication.go
@@ -103,7 +103,7 @@
 	for _, id := range m.peers {
 		m.send(&peerpb.LogMessage{
 			Kind: peerpb.MessageKind_MESSAGE_KIND_HEARTBEAT, To: id,
-			Commit: min(m.progress[id].match, m.log.commit), Read: m.reads.last, Silences: silent,
+			Commit: min(m.progress[id].match, m.log.commit), Read: m.reads.last, Silences: silent, Revision: m.cfg.Revision,
 		})
 	}
 }
@@ -195,6 +195,7 @@
 func (m *Machine) handleHeartbeat(msg *peerpb.LogMessage) {
 	m.log.commitTo(msg.GetCommit())
 	m.recordSilences(msg.GetSilences())
+	m.takeover.leaderRevision = msg.GetRevision()
 	m.send(&peerpb.LogMessage{
 		Kind: peerpb.MessageKind_MESSAGE_KIND_HEARTBEAT_RESPONSE, To: msg.GetFrom(), Read: msg.GetRead(),
 	})
--- a/pkg/regionlog/step.go
+++ b/pkg/regionlog/step.go
@@ -98,6 +98,9 @@
 	if m.role != Follower {
 		m.becomeFollower(m.term, leader)
 	}
+	if m.takeover.term != m.term {
+		m.follow()
+	}
 	m.leader, m.lastLeader = leader, leader
 	m.electionElapsed, m.leaderSilent = 0, 0
 }
