keeper: a quorum that cannot return is reported at once, and a new one is forced only then

Change: a keeper that has had no leader for 2 s asks each voter who it is (it did so already, to learn of its own removal). Voters that answer under another identity have lost their disks, of silent ones nothing is known: quorum_unreachable or quorum_lost says which, once for each change, with the remedy; regionlog.quorum_lost, regionlog.unreachable_voters, regionlog.lost_disks.

Tests: TestLostQuorumIsReportedAndRecovered, TestVoterStatesTellWhetherQuorumCanForm.

--- a/cmd/mastic-platformd/main.go
+++ b/cmd/mastic-platformd/main.go
@@ -17,10 +17,12 @@
 )
 
 type arguments struct {
-	Role          string `arg:"positional,required" help:"entry or keeper"`
-	Settings      string `arg:"--settings,env:MASTICMOUNT_CONFIG" help:"path of the platform's settings file"`
-	CheckSettings bool   `arg:"--check-settings" help:"check the settings and exit"`
-	LogLevel      string `arg:"--log-level" default:"info" help:"debug, info, warn or error"`
+	Role          string   `arg:"positional,required" help:"entry or keeper"`
+	Settings      string   `arg:"--settings,env:MASTICMOUNT_CONFIG" help:"path of the platform's settings file"`
+	CheckSettings bool     `arg:"--check-settings" help:"check the settings and exit"`
+	ForceQuorum   bool     `arg:"--force-new-quorum" help:"make this stopped keeper the only voter of the region log and exit, unless a quorum could still exist; loses what only other keepers accepted"`
+	Gone          []string `arg:"--gone" help:"with --force-new-quorum: peer addresses of keepers whose disks do not exist any more"`
+	LogLevel      string   `arg:"--log-level" default:"info" help:"debug, info, warn or error"`
 }
 
 // memoryLimitPercent is the Go runtime's soft memory limit as a share of the VM's memory;
@@ -52,6 +54,9 @@
 	if err != nil || args.CheckSettings {
 		return err
 	}
+	if args.ForceQuorum {
+		return platform.ForceNewQuorum(ctx, s, args.Gone)
+	}
 	if s.Mechanisms, err = mechanism.Parse(without); err != nil {
 		return err
 	}
--- a/cmd/masticmountd/main.go
+++ b/cmd/masticmountd/main.go
@@ -12,14 +12,14 @@
 
 	"github.com/masticmount/masticmount/pkg/logging"
 	"github.com/masticmount/masticmount/pkg/node"
-	"github.com/masticmount/masticmount/pkg/regionlog/storage"
 	"github.com/masticmount/masticmount/pkg/settings"
 )
 
 type arguments struct {
-	Settings      string `arg:"positional,required" help:"path of the TOML settings file"`
-	CheckSettings bool   `arg:"--check-settings" help:"check the settings and exit"`
-	ForceQuorum   bool   `arg:"--force-new-quorum" help:"make this stopped keeper the only voter of the region log and exit; loses what only other keepers accepted"`
+	Settings      string   `arg:"positional,required" help:"path of the TOML settings file"`
+	CheckSettings bool     `arg:"--check-settings" help:"check the settings and exit"`
+	ForceQuorum   bool     `arg:"--force-new-quorum" help:"make this stopped keeper the only voter of the region log and exit, unless a quorum could still exist; loses what only other keepers accepted"`
+	Gone          []string `arg:"--gone" help:"with --force-new-quorum: nodes whose disks do not exist any more"`
 }
 
 func main() {
@@ -37,7 +37,7 @@
 		return err
 	}
 	if args.ForceQuorum {
-		return storage.ForceNewQuorum(s.Node.DataFolder, s.Node.ID)
+		return node.ForceNewQuorum(context.Background(), s, args.Gone)
 	}
 	log, err := logging.New(os.Stderr, s.Log.Level, s.Node.ID)
 	if err != nil {
--- a/pkg/keeper/formation.go
+++ b/pkg/keeper/formation.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
@@ -35,7 +36,9 @@
 		case !v.formed():
 			k.formOrJoin(ctx)
 		case v.status.Leader == 0 && time.Since(v.leaderlessSince) > noLeaderTimeout:
-			k.checkRemoved(ctx)
+			k.checkMembers(ctx)
+		case v.status.Leader != 0:
+			k.clearQuorumReport()
 		}
 		select {
 		case <-ticker.C:
@@ -69,11 +72,14 @@
 	}
 }
 
-// checkRemoved stops the keeper if another keeper lists its identity as removed.
-// Its own log may end before the removal and must not be used again.
-func (k *Keeper) checkRemoved(ctx context.Context) {
+// checkMembers asks the other members why there is no leader. It stops the keeper if one
+// lists its identity as removed: its own log may end before the removal and must not be used
+// again.
+func (k *Keeper) checkMembers(ctx context.Context) {
+	var states voterStates
 	for _, m := range k.Status().Membership.GetMembers() {
 		if m.GetIdentity() == k.store.Identity() {
+			states.add(m, &peerpb.IntroduceResponse{Identity: m.GetIdentity()})
 			continue
 		}
 		answer, err := k.introduce(ctx, m.GetAddress())
@@ -83,6 +89,13 @@
 				"keeper identity %x was removed from the region log", k.store.Identity()))
 			return
 		}
+		if err != nil {
+			answer = nil
+		}
+		states.add(m, answer)
+	}
+	if k.Status().Leader == 0 && ctx.Err() == nil {
+		k.reportQuorum(states)
 	}
 }
 
@@ -125,7 +138,10 @@
 		Action: peerpb.MembershipChange_ACTION_ADD_LEARNER, NodeId: k.opts.NodeID,
 		Address: k.opts.Address, Identity: k.store.Identity(), FailureDomain: k.opts.FailureDomain,
 	})
-	k.opts.Log.Info().Uint64("identity", k.store.Identity()).AnErr("refused", err).Msg("keeper_rejoins_as_learner")
+	if refused := fmt.Sprint(err); refused != k.joinReported {
+		k.joinReported = refused
+		k.opts.Log.Info().Uint64("identity", k.store.Identity()).AnErr("refused", err).Msg("keeper_rejoins_as_learner")
+	}
 }
 
 // introduce asks the keeper at an address who it is, on another connection if there is no
--- a/pkg/keeper/keeper.go
+++ b/pkg/keeper/keeper.go
@@ -140,6 +140,9 @@
 	// appliedBase is the position of the last applied entry; only the apply loop uses it.
 	appliedBase   regionlog.Base
 	sinceSnapshot uint64
+	// quorumReported and joinReported are what was logged last of a lost quorum and of a
+	// refused join; only runFormation uses them.
+	quorumReported, joinReported string
 
 	stop    context.CancelFunc
 	stopped chan struct{}
--- a/pkg/keeper/keeper_test.go
+++ b/pkg/keeper/keeper_test.go
@@ -1,12 +1,14 @@
 package keeper
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net"
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -54,6 +56,26 @@
 	server   *grpc.Server
 	listener *bufconn.Listener
 	dialer   *testDialer
+	log      *logBuffer
+}
+
+// logBuffer collects the log lines of a keeper.
+type logBuffer struct {
+	mu    sync.Mutex
+	lines bytes.Buffer
+}
+
+func (b *logBuffer) Write(line []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.lines.Write(line)
+}
+
+// count returns the number of times that the log names an event.
+func (b *logBuffer) count(event string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return strings.Count(b.lines.String(), `"`+event+`"`)
 }
 
 // testCatchUp is Options.CatchUp of the keepers.
@@ -83,14 +105,14 @@
 }
 
 func (c *cluster) start(id string) *member {
-	m := &member{machine: state.New(), server: grpc.NewServer(peers.ServerKeepalive()), listener: bufconn.Listen(1 << 20)}
+	m := &member{log: &logBuffer{}, machine: state.New(), server: grpc.NewServer(peers.ServerKeepalive()), listener: bufconn.Listen(1 << 20)}
 	m.dialer = &testDialer{cluster: c, from: id, conns: map[string]*grpc.ClientConn{}}
 	m.keeper = New(Options{
 		Machine: m.machine, OnApplied: func(uint64) {}, NodeID: id, Address: id, Folder: filepath.Join(c.root, id),
 		Keepers:  lo.Map(nodeIDs, func(id string, _ int) Peer { return Peer{NodeID: id, Address: id} }),
 		OnlyJoin: !lo.Contains(nodeIDs, id), TargetVoters: c.targetVoters, CatchUp: testCatchUp,
 		Dialer: m.dialer,
-		Log:    zerolog.Nop(), SnapshotEntries: 50,
+		Log:    zerolog.New(m.log), SnapshotEntries: 50,
 	})
 	require.NoError(c.t, m.keeper.Open())
 	m.keeper.Register(m.server)
--- a/pkg/node/keeper.go
+++ b/pkg/node/keeper.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"fmt"
 
 	"github.com/samber/do/v2"
@@ -13,6 +14,7 @@
 	"github.com/masticmount/masticmount/pkg/settings"
 	"github.com/masticmount/masticmount/pkg/state"
 	"github.com/masticmount/masticmount/pkg/telemetry"
+	"github.com/masticmount/masticmount/pkg/tlsconf"
 )
 
 func (n *Node) provideKeeper(i do.Injector) (*keeper.Keeper, error) {
@@ -34,6 +36,18 @@
 	}), nil
 }
 
+// ForceNewQuorum makes the stopped keeper of the settings the only voter of the region log, as
+// keeper.ForcedQuorum does.
+func ForceNewQuorum(ctx context.Context, s settings.Settings, gone []string) error {
+	tlsConfig, err := tlsconf.Load(s.TLS)
+	if err != nil {
+		return err
+	}
+	dialer := peers.NewDialer(tlsConfig.PeerClient())
+	defer dialer.Close()
+	return keeper.ForcedQuorum{Folder: s.Node.DataFolder, NodeID: s.Node.ID, Gone: gone, Dialer: dialer}.Run(ctx)
+}
+
 // keeperOperator returns the client through which operators administer the region
 // log; a keeper lists itself as the first address.
 func (n *Node) keeperOperator(dialer *peers.Dialer) *keeper.Operator {
--- a/pkg/regionlog/storage/force.go
+++ b/pkg/regionlog/storage/force.go
@@ -1,6 +1,8 @@
 package storage
 
 import (
+	"errors"
+
 	"github.com/samber/lo"
 	"google.golang.org/protobuf/proto"
 
@@ -13,10 +15,7 @@
 // removes every other identity. Entries that are not in this folder are lost, even
 // if other keepers accepted them. The keeper must not be running.
 func ForceNewQuorum(folder, nodeID string) (err error) {
-	if !Exists(folder) {
-		return fault.New(fault.NotFound, "use the settings of a keeper whose disk is intact", "%s contains no region log", folder)
-	}
-	s, err := Open(folder, nodeID, func() uint64 { return 0 })
+	s, err := openExisting(folder, nodeID)
 	if err != nil {
 		return err
 	}
@@ -36,6 +35,27 @@
 	return s.appendForced(old, self)
 }
 
+// ReadMembership returns the last membership in a data folder and the identity of its keeper,
+// which must not be running.
+func ReadMembership(folder, nodeID string) (membership *peerpb.Membership, identity uint64, err error) {
+	s, err := openExisting(folder, nodeID)
+	if err != nil {
+		return nil, 0, err
+	}
+	if membership, err = s.membership(); err != nil {
+		return nil, 0, errors.Join(err, s.Close())
+	}
+	return membership, s.Identity(), s.Close()
+}
+
+// openExisting opens a data folder that contains a region log.
+func openExisting(folder, nodeID string) (*Store, error) {
+	if !Exists(folder) {
+		return nil, fault.New(fault.NotFound, "use the settings of a keeper whose disk is intact", "%s contains no region log", folder)
+	}
+	return Open(folder, nodeID, func() uint64 { return 0 })
+}
+
 // appendForced commits, on this disk only, a membership with a single voter in a
 // term above the highest known to this keeper.
 func (s *Store) appendForced(old *peerpb.Membership, self *peerpb.Member) error {
