--- a/cmd/mastic-platformd/main.go
+++ b/cmd/mastic-platformd/main.go
@@ -21,7 +21,7 @@
 	Settings      string   `arg:"--settings,env:MASTICMOUNT_CONFIG" help:"path of the platform's settings file"`
 	CheckSettings bool     `arg:"--check-settings" help:"check the settings and exit"`
 	ForceQuorum   bool     `arg:"--force-new-quorum" help:"make this stopped keeper the only voter of the region log and exit, unless a quorum could still exist; loses what only other keepers accepted"`
-	Gone          []string `arg:"--gone" help:"with --force-new-quorum: peer addresses of keepers whose disks do not exist any more"`
+	Gone          []string `arg:"--gone,separate" help:"with --force-new-quorum: peer addresses of keepers whose disks do not exist any more"`
 	LogLevel      string   `arg:"--log-level" default:"info" help:"debug, info, warn or error"`
 }
 
--- a/cmd/masticmountd/main.go
+++ b/cmd/masticmountd/main.go
@@ -19,7 +19,7 @@
 	Settings      string   `arg:"positional,required" help:"path of the TOML settings file"`
 	CheckSettings bool     `arg:"--check-settings" help:"check the settings and exit"`
 	ForceQuorum   bool     `arg:"--force-new-quorum" help:"make this stopped keeper the only voter of the region log and exit, unless a quorum could still exist; loses what only other keepers accepted"`
-	Gone          []string `arg:"--gone" help:"with --force-new-quorum: nodes whose disks do not exist any more"`
+	Gone          []string `arg:"--gone,separate" help:"with --force-new-quorum: nodes whose disks do not exist any more"`
 }
 
 func main() {
