keeper: a replaced keeper that returns late joins through the members it was told of

Cause: it looks for the region at its seeds, none of which belongs to it now, and forgets the members that it has just been told of. It also kept bootstrap of the first start: several such keepers could have formed a second log.

Change: it joins through those members beside its seeds, and forms no log any more in that process.

--- a/pkg/fleetnode/keeper.go
+++ b/pkg/fleetnode/keeper.go
@@ -109,16 +109,19 @@
 
 // prepareRestart prepares the data folder for a restart. It discards the data of an
 // identity that was removed from the region log: another keeper has replaced its vote, so
-// it must join under a new identity.
+// it must join under a new identity. The region exists, and the seeds may all have been
+// replaced as well, so it joins through the members and never forms a log.
 func (k *Keeper) prepareRestart(cause error) {
-	if !errors.Is(cause, errIdentityRemoved) {
+	var removed *identityRemovedError
+	if !errors.As(cause, &removed) {
 		return
 	}
 	if err := storage.Discard(k.opts.DataFolder); err != nil {
 		k.opts.Log.Error().Err(err).Msg("data_folder_not_emptied")
 		return
 	}
-	k.opts.Log.Warn().Msg("data_folder_emptied")
+	k.opts.Bootstrap, k.opts.Seeds = false, lo.Union(k.opts.Seeds, removed.members)
+	k.opts.Log.Warn().Strs("members", removed.members).Msg("data_folder_emptied")
 }
 
 func (k *Keeper) waitToRestart(ctx context.Context) {
@@ -198,9 +201,17 @@
 	return failed
 }
 
-// errIdentityRemoved means that the keeper's identity was removed while the keeper was
+// identityRemovedError means that the keeper's identity was removed while the keeper was
 // down or unreachable.
-var errIdentityRemoved = errors.New("keeper identity removed from the region log; joining again under a new identity")
+type identityRemovedError struct {
+	// members are the addresses of the region log's members.
+	members []string
+}
+
+// Error implements error.
+func (e *identityRemovedError) Error() string {
+	return "keeper identity removed from the region log; joining again under a new identity"
+}
 
 // errDiskFailed means that the keeper stopped because its disk failed.
 var errDiskFailed = errors.New("keeper stopped after a disk failure; free space or replace the disk, the keeper restarts by itself")
@@ -211,7 +222,7 @@
 	select {
 	case <-k.Done():
 		if k.Removed() {
-			return errIdentityRemoved
+			return &identityRemovedError{members: k.RemovedFrom()}
 		}
 		return errDiskFailed
 	case <-ctx.Done():
--- a/pkg/keeper/formation.go
+++ b/pkg/keeper/formation.go
@@ -84,6 +84,7 @@
 		}
 		answer, err := k.introduce(ctx, m.GetAddress())
 		if err == nil && lo.Contains(answer.GetMembership().GetRemoved(), k.store.Identity()) {
+			k.removedFrom.Store(answer.GetMembership())
 			k.halt(fault.New(fault.Forbidden,
 				"move the data folder away and start the node again: it rejoins as a learner under a new identity",
 				"keeper identity %x was removed from the region log", k.store.Identity()))
--- a/pkg/keeper/keeper.go
+++ b/pkg/keeper/keeper.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/samber/lo"
 	"google.golang.org/grpc"
 
 	"github.com/masticmount/masticmount/pkg/boottime"
@@ -134,6 +135,8 @@
 	// tickedAt is the time of the log loop's last tick, in nanoseconds of boot time.
 	tickedAt atomic.Int64
 	failed   atomic.Pointer[fault.Error]
+	// removedFrom is the membership that lists this keeper's identity as removed.
+	removedFrom atomic.Pointer[peerpb.Membership]
 
 	// mu guards the state machine.
 	mu sync.Mutex
@@ -282,6 +285,12 @@
 	return f != nil && f.Kind == fault.Forbidden
 }
 
+// RemovedFrom returns the addresses of the members of a region log from which this keeper's
+// identity was removed. Any of them lets it join again.
+func (k *Keeper) RemovedFrom() []string {
+	return lo.Map(k.removedFrom.Load().GetMembers(), func(m *peerpb.Member, _ int) string { return m.GetAddress() })
+}
+
 // StalledFor returns the time since the log loop's last tick. A hanging disk blocks the
 // loop, and the last published view of leadership may then be stale.
 func (k *Keeper) StalledFor() time.Duration {
--- a/pkg/keeper/keeper_test.go
+++ b/pkg/keeper/keeper_test.go
@@ -823,6 +823,7 @@
 			waitTick()
 		}
 		require.True(t, away.keeper.Removed())
+		require.Contains(t, away.keeper.RemovedFrom(), "k4")
 		c.lose(away)
 		c.start(id)
 		c.waitRevision(125)
