--- a/pkg/keeper/apply.go
+++ b/pkg/keeper/apply.go
@@ -33,7 +33,7 @@
 		if len(b.entries) > 0 {
 			k.applied.set(k.appliedBase.Index)
 		}
-		if k.sinceSnapshot >= k.opts.SnapshotEntries {
+		if k.sinceSnapshot.due(k.opts.SnapshotEntries) {
 			k.takeSnapshot()
 		}
 	}
@@ -47,7 +47,7 @@
 		k.haltOnError(err, "restore the snapshot received from the leader")
 		return
 	}
-	k.appliedBase, k.sinceSnapshot = storage.BaseOf(snapshot), 0
+	k.appliedBase, k.sinceSnapshot = storage.BaseOf(snapshot), progressSince{snapshotSize: len(snapshot.GetData())}
 	k.waiters.completeCovered(snapshot.GetIndex())
 	k.applied.set(snapshot.GetIndex())
 	k.opts.OnApplied(snapshot.GetIndex())
@@ -69,7 +69,7 @@
 	k.appliedBase = regionlog.Base{
 		Index: e.GetIndex(), Term: e.GetTerm(), LeaderTimeMs: e.GetLeaderTimeMs(), Membership: membership,
 	}
-	k.sinceSnapshot++
+	k.sinceSnapshot.add(e)
 	k.waiters.complete(e.GetIndex(), e.GetTerm(), result)
 }
 
@@ -103,7 +103,7 @@
 		k.haltOnError(err, "write a snapshot")
 		return
 	}
-	k.sinceSnapshot = 0
+	k.sinceSnapshot = progressSince{snapshotSize: len(data)}
 	k.events.Push(snapshotWrittenEvent{k.appliedBase.Index})
 }
 
--- a/pkg/keeper/keeper.go
+++ b/pkg/keeper/keeper.go
@@ -53,6 +53,13 @@
 	// keptEntries is the number of entries kept in the log before a snapshot, so that
 	// a keeper that was down for a short time does not need the snapshot.
 	keptEntries = 4096
+	// snapshotBytes is the least size of the entries applied after a snapshot that causes the
+	// next one, snapshotRatio their least ratio to the snapshot's size. Both limit what a new
+	// keeper has to fetch, and what the log needs on the disk.
+	snapshotBytes = 8 << 20
+	snapshotRatio = 4
+	// keptBytes limits the size of the entries kept in the log before a snapshot.
+	keptBytes = 4 << 20
 	// eventRingSize limits the events queued for the log loop. When it is full,
 	// proposals are rejected as overloaded and messages are dropped.
 	eventRingSize = 8192
@@ -142,7 +149,7 @@
 	mu sync.Mutex
 	// appliedBase is the position of the last applied entry; only the apply loop uses it.
 	appliedBase   regionlog.Base
-	sinceSnapshot uint64
+	sinceSnapshot progressSince
 	// quorumReported and joinReported are what was logged last of a lost quorum and of a
 	// refused join; only runFormation uses them.
 	quorumReported, joinReported string
--- a/pkg/keeper/keeper_test.go
+++ b/pkg/keeper/keeper_test.go
@@ -44,6 +44,10 @@
 	dropping    map[string]bool
 	// farSide are the members that reach each other but not the rest.
 	farSide map[string]bool
+	// snapshotEntries is Options.SnapshotEntries of the keepers that are started from now on.
+	snapshotEntries uint64
+	// bytesWritten counts the bytes that keepers sent on connections they opened.
+	bytesWritten atomic.Int64
 	// silences counts how often all open connections between a pair have gone silent.
 	silences map[[2]string]int
 	// targetVoters is Options.TargetVoters of the keepers that are started from now on.
@@ -90,7 +94,7 @@
 func inClusterOf(t *testing.T, targetVoters int, test func(c *cluster)) {
 	root := t.TempDir()
 	synctest.Test(t, func(t *testing.T) {
-		c := &cluster{t: t, root: root, members: map[string]*member{}, listeners: map[string]*bufconn.Listener{}, partitioned: map[string]bool{}, dropping: map[string]bool{}, silences: map[[2]string]int{}, targetVoters: targetVoters}
+		c := &cluster{t: t, root: root, members: map[string]*member{}, listeners: map[string]*bufconn.Listener{}, partitioned: map[string]bool{}, dropping: map[string]bool{}, silences: map[[2]string]int{}, snapshotEntries: 50, targetVoters: targetVoters}
 		defer func() {
 			for _, m := range lo.Values(c.members) {
 				c.stop(m, m.keeper.Kill)
@@ -112,7 +116,7 @@
 		Keepers:  lo.Map(nodeIDs, func(id string, _ int) Peer { return Peer{NodeID: id, Address: id} }),
 		OnlyJoin: !lo.Contains(nodeIDs, id), TargetVoters: c.targetVoters, CatchUp: testCatchUp,
 		Dialer: m.dialer,
-		Log:    zerolog.New(m.log), SnapshotEntries: 50,
+		Log:    zerolog.New(m.log), SnapshotEntries: c.snapshotEntries,
 	})
 	require.NoError(c.t, m.keeper.Open())
 	m.keeper.Register(m.server)
@@ -204,7 +208,7 @@
 		return nil, net.ErrClosed
 	}
 	conn, err := listener.DialContext(ctx)
-	return &faultyConn{Conn: conn, partitioned: partitioned, dropping: dropping}, err
+	return &faultyConn{Conn: conn, partitioned: partitioned, dropping: dropping, written: &c.bytesWritten}, err
 }
 
 func (c *cluster) isPartitioned(id string) bool {
@@ -268,6 +272,7 @@
 	net.Conn
 	partitioned func() bool
 	dropping    func() bool
+	written     *atomic.Int64
 	dead        atomic.Bool
 }
 
@@ -298,6 +303,7 @@
 	if c.isDead() {
 		return len(b), nil
 	}
+	c.written.Add(int64(len(b)))
 	return c.Conn.Write(b)
 }
 
--- a/pkg/keeper/logloop.go
+++ b/pkg/keeper/logloop.go
@@ -305,14 +305,13 @@
 	l.keeper.opts.Log.Info().Int("members", len(membership.GetMembers())).Msg("region_log_formed")
 }
 
-// compact removes the log entries covered by a written snapshot, except the last
-// keptEntries.
+// compact removes the log entries covered by a written snapshot, except the last ones.
 func (l *logLoop) compact(index uint64) {
 	first := l.machine.BaseIndex()
 	if index < first {
 		return
 	}
-	newBase := max(first, index-min(index, keptEntries))
+	newBase := keptFrom(first, l.machine.EntriesAfter(first), index)
 	entries := l.machine.EntriesAfter(newBase)
 	if err := l.keeper.store.Compact(index, l.machine.BaseAt(newBase), l.hardState, entries); err != nil {
 		l.fail(err)
