--- a/pkg/keeper/keeper_test.go
+++ b/pkg/keeper/keeper_test.go
@@ -645,6 +645,56 @@
 	}
 }
 
+// Guards against a successor that is lost itself before it counts: the next one must get the
+// vote in time, and the first must not leave one behind.
+func TestSuccessorOfLostSuccessorGetsVote(t *testing.T) {
+	for _, after := range []time.Duration{100 * time.Millisecond, testCatchUp / 8, testCatchUp / 2, 3 * testCatchUp / 4} {
+		t.Run(after.String(), func(t *testing.T) {
+			inClusterOf(t, 3, func(c *cluster) {
+				c.propose(c.leader(), 1, 120)
+				c.lose(c.voterThatFollows())
+				<-time.After(time.Second)
+				c.lose(c.startAfter("k4", after))
+				<-time.After(time.Second)
+				c.start("k5")
+				<-time.After(testCatchUp)
+				again := c.voterThatFollows()
+				c.lose(again)
+				c.start(again.keeper.opts.NodeID)
+				c.propose(c.leader(), 121, 125)
+				c.waitRevision(125)
+			})
+		})
+	}
+}
+
+// startAfter starts a keeper and returns it after a time.
+func (c *cluster) startAfter(id string, after time.Duration) *member {
+	m := c.start(id)
+	<-time.After(after)
+	return m
+}
+
+// Guards against disks lost in turn where operators decide on voters, as in masticmountd: a
+// keeper that comes back empty at its address has its vote again before the next is lost.
+func TestQuorumSurvivesDisksLostInTurnAtTheirAddresses(t *testing.T) {
+	inCluster(t, func(c *cluster) {
+		c.propose(c.leader(), 1, 120)
+		for round, choose := range []func(c *cluster) *member{(*cluster).leader, (*cluster).follower, (*cluster).leader, (*cluster).follower} {
+			lost := choose(c)
+			c.lose(lost)
+			<-time.After(time.Second)
+			c.start(lost.keeper.opts.NodeID)
+			<-time.After(testCatchUp)
+			c.propose(c.leader(), 121+round, 121+round)
+			voters, learners, removed := c.membership()
+			require.Equal(t, nodeIDs, voters)
+			require.Empty(t, learners)
+			require.Equal(t, round+1, removed)
+		}
+	})
+}
+
 // Guards against absence that is counted anew from each election, as busy keepers hold them:
 // the successor would get no vote as long as leaders change.
 func TestSuccessorGetsVoteBesideElections(t *testing.T) {
