keeper: a connection between keepers that is only slow is kept

Cause: the check of a connection gave up its question after 150 ms before it tried another connection, so that on a busy keeper a connection that answers could be replaced, and calls on it failed with an unknown outcome.

Change: the question stays open while the other connection is tried; the first is replaced only if it has still not answered when the other does. Both limits together are 1 s, as before for a keeper that looks for its region.

--- a/pkg/keeper/connectioncheck.go
+++ b/pkg/keeper/connectioncheck.go
@@ -1,11 +1,11 @@
 package keeper
 
 import (
+	"context"
+	"errors"
 	"time"
 
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/status"
 
 	"github.com/masticmount/masticmount/pkg/peerpb"
 )
@@ -21,7 +21,7 @@
 	// whose connections went silent can still lead on.
 	checkTimeout = 150 * time.Millisecond
 	// renewTimeout limits the try of another connection.
-	renewTimeout = 500 * time.Millisecond
+	renewTimeout = 850 * time.Millisecond
 )
 
 // checkSchedule limits how often connections are checked: it holds the tick of the last check
@@ -61,19 +61,7 @@
 		}
 		defer l.checking.Unlock()
 		request := &peerpb.IntroduceRequest{NodeId: t.keeper.opts.NodeID, Identity: t.keeper.store.Identity(), Unheard: unheard}
-		conn, err := t.keeper.opts.Dialer.Dial(address)
-		if err != nil {
-			return
-		}
-		if _, err = introduceOn(t.ctx, conn, checkTimeout, request); status.Code(err) != codes.DeadlineExceeded {
-			return
-		}
-		err = t.keeper.renew(address, func(conn *grpc.ClientConn) error {
-			_, err := introduceOn(t.ctx, conn, renewTimeout, request)
-			return err
-		})
-		if err != nil {
-			// The keeper does not answer on a new connection, either.
+		if _, renewed, _ := t.keeper.ask(t.ctx, address, request); !renewed {
 			return
 		}
 		select {
@@ -83,14 +71,52 @@
 	})
 }
 
-// renew replaces the connection to an address if another one works.
-func (k *Keeper) renew(address string, check func(*grpc.ClientConn) error) error {
-	if err := k.opts.Dialer.Renew(address, check); err != nil {
-		return err
+// errConnectionAnswers keeps a connection that was only slow.
+var errConnectionAnswers = errors.New("the connection answers")
+
+// introduction is the outcome of one Introduce call.
+type introduction struct {
+	answer *peerpb.IntroduceResponse
+	err    error
+}
+
+// ask asks the keeper at an address who it is. Without an answer after checkTimeout it asks on
+// another connection too, and replaces the present one if only the other one answers.
+func (k *Keeper) ask(ctx context.Context, address string, request *peerpb.IntroduceRequest) (answer *peerpb.IntroduceResponse, renewed bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, checkTimeout+renewTimeout)
+	defer cancel()
+	conn, err := k.opts.Dialer.Dial(address)
+	if err != nil {
+		return nil, false, err
+	}
+	present := make(chan introduction, 1)
+	go func() {
+		answer, err := peerpb.NewRegionLogClient(conn).Introduce(ctx, request)
+		present <- introduction{answer, err}
+	}()
+	timer := time.NewTimer(checkTimeout)
+	defer timer.Stop()
+	select {
+	case p := <-present:
+		return p.answer, false, p.err
+	case <-timer.C:
+	}
+	err = k.opts.Dialer.Renew(address, func(conn *grpc.ClientConn) (err error) {
+		if answer, err = peerpb.NewRegionLogClient(conn).Introduce(ctx, request); err != nil {
+			return err
+		}
+		if len(present) > 0 {
+			return errConnectionAnswers
+		}
+		return nil
+	})
+	if err != nil {
+		p := <-present
+		return p.answer, false, p.err
 	}
 	k.opts.Log.Warn().Str("address", address).Dur("unanswered_for", checkTimeout).Msg("silent_connection_replaced")
 	if k.opts.Metrics != nil {
 		k.opts.Metrics.Add("regionlog.silent_connections", 1)
 	}
-	return nil
+	return answer, true, nil
 }
--- a/pkg/keeper/forcequorum.go
+++ b/pkg/keeper/forcequorum.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/masticmount/masticmount/pkg/peerpb"
 	"github.com/masticmount/masticmount/pkg/regionlog/storage"
 )
 
+// askTimeout limits the wait for the answer of a voter before a quorum is forced.
+const askTimeout = 3 * time.Second
+
 // ForcedQuorum asks for a new quorum of a single keeper after a majority of the voters' disks
 // was lost. The keeper must not be running.
 type ForcedQuorum struct {
@@ -45,7 +49,9 @@
 	if err != nil {
 		return nil
 	}
-	answer, err := introduceOn(ctx, conn, introduceTimeout, &peerpb.IntroduceRequest{NodeId: f.NodeID})
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	answer, err := peerpb.NewRegionLogClient(conn).Introduce(ctx, &peerpb.IntroduceRequest{NodeId: f.NodeID})
 	if err != nil {
 		return nil
 	}
--- a/pkg/keeper/formation.go
+++ b/pkg/keeper/formation.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/samber/lo"
-	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
@@ -19,8 +18,8 @@
 const (
 	// formationInterval is the interval at which the other keepers are queried.
 	formationInterval = 200 * time.Millisecond
-	// introduceTimeout is the timeout of one Introduce call.
-	introduceTimeout = time.Second
+	// joinTimeout limits a request to be added.
+	joinTimeout = time.Second
 )
 
 // runFormation forms the region log or joins an existing one while the keeper has
@@ -133,7 +132,7 @@
 	if err != nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, introduceTimeout)
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
 	_, err = peerpb.NewRegionLogClient(conn).ChangeMembership(ctx, &peerpb.MembershipChange{
 		Action: peerpb.MembershipChange_ACTION_ADD_LEARNER, NodeId: k.opts.NodeID,
@@ -145,38 +144,23 @@
 	}
 }
 
-// introduce asks the keeper at an address who it is, on another connection if there is no
-// answer on the present one.
+// introduce asks the keeper at an address who it is.
 func (k *Keeper) introduce(ctx context.Context, address string) (*peerpb.IntroduceResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, introduceTimeout)
-	defer cancel()
 	conn, err := k.opts.Dialer.Dial(address)
 	if err != nil {
 		return nil, err
 	}
 	conn.ResetConnectBackoff()
 	request := &peerpb.IntroduceRequest{NodeId: k.opts.NodeID, Identity: k.store.Identity()}
-	answer, err := introduceOn(ctx, conn, checkTimeout, request)
-	switch status.Code(err) {
-	case codes.Unavailable:
+	answer, _, err := k.ask(ctx, address, request)
+	if status.Code(err) == codes.Unavailable {
 		// A connection to a process that was restarted fails at its first use. The
 		// call has no side effects and is retried on a new connection.
-		return introduceOn(ctx, conn, introduceTimeout, request)
-	case codes.DeadlineExceeded:
-		err = k.renew(address, func(conn *grpc.ClientConn) (err error) {
-			answer, err = introduceOn(ctx, conn, introduceTimeout, request)
-			return err
-		})
+		answer, _, err = k.ask(ctx, address, request)
 	}
 	return answer, err
 }
 
-func introduceOn(ctx context.Context, conn *grpc.ClientConn, timeout time.Duration, request *peerpb.IntroduceRequest) (*peerpb.IntroduceResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	return peerpb.NewRegionLogClient(conn).Introduce(ctx, request)
-}
-
 // Introduce returns the identity and the membership of this keeper.
 func (k *Keeper) Introduce(_ context.Context, req *peerpb.IntroduceRequest) (*peerpb.IntroduceResponse, error) {
 	if k.store == nil {
