--- a/cmd/mastic-soak/callers.go
+++ b/cmd/mastic-soak/callers.go
@@ -150,9 +150,15 @@
 
 // waitServed reports whether requiredSuccesses requests in a row succeed before the start timeout.
 func (c *callers) waitServed() bool {
+	return waitSuccesses(startTimeout, func(successes int) answer { return c.call(successes%2 == 0) })
+}
+
+// waitSuccesses reports whether requiredSuccesses calls in a row succeed within a time. Each is
+// given the number of successes before it.
+func waitSuccesses(within time.Duration, call func(successes int) answer) bool {
 	successes := 0
-	for end := time.Now().Add(startTimeout); time.Now().Before(end); {
-		if c.call(successes%2 == 0).status != http.StatusOK {
+	for end := time.Now().Add(within); time.Now().Before(end); {
+		if call(successes).status != http.StatusOK {
 			successes = 0
 			time.Sleep(callInterval)
 			continue
--- a/cmd/mastic-soak/replacements.go
+++ b/cmd/mastic-soak/replacements.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"net/http"
 	"os"
 	"path/filepath"
 	"regexp"
@@ -401,16 +400,5 @@
 
 // waitKeyedServed reports whether requiredSuccesses requests with a key in a row succeed within a time.
 func (c *callers) waitKeyedServed(within time.Duration) bool {
-	successes := 0
-	for end := time.Now().Add(within); time.Now().Before(end); {
-		if c.sendKeyed().status != http.StatusOK {
-			successes = 0
-			time.Sleep(callInterval)
-			continue
-		}
-		if successes++; successes == requiredSuccesses {
-			return true
-		}
-	}
-	return false
+	return waitSuccesses(within, func(int) answer { return c.sendKeyed() })
 }
