--- a/cmd/mastic-soak/plannedstops.go
+++ b/cmd/mastic-soak/plannedstops.go
@@ -205,7 +205,7 @@
 	if err != nil {
 		return nil, err
 	}
-	t := timing{grace: longGrace, slots: fewSlots, step: longStep, plainAttempts: usualAttempts, slowness: drawSlowness(seed)}
+	t := timing{grace: longGrace, keepers: keeperCount, slots: fewSlots, step: longStep, plainAttempts: usualAttempts, slowness: drawSlowness(seed)}
 	r, err := startRegion(binary, folder, args.Subnet, args.Entries, t)
 	if err != nil {
 		return nil, err
