--- a/pkg/attach/attach.go
+++ b/pkg/attach/attach.go
@@ -156,7 +156,7 @@
 	for {
 		for _, address := range a.missingLinks(boottime.Now()) {
 			linkCtx, stop := context.WithCancel(ctx)
-			l := &link{attachment: a, address: address, stop: stop, urgent: make(chan struct{}, 1)}
+			l := &link{attachment: a, address: address, attachedAt: boottime.Now(), stop: stop, urgent: make(chan struct{}, 1)}
 			a.mu.Lock()
 			a.links[address] = l
 			a.mu.Unlock()
@@ -165,7 +165,7 @@
 				a.removeLink(l)
 			})
 		}
-		a.closeSurplusLinks()
+		a.closeSurplusLinks(boottime.Now())
 		a.logConfirmation(boottime.Now())
 		select {
 		case <-tick.C:
@@ -197,10 +197,10 @@
 
 // closeSurplusLinks closes the links to other keepers than the best maxLinks once those
 // are all attached.
-func (a *Attachment) closeSurplusLinks() {
+func (a *Attachment) closeSurplusLinks(now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	preferred := a.rankedKeepers(boottime.Now())
+	preferred := a.rankedKeepers(now)
 	best := preferred[:min(maxLinks, len(preferred))]
 	if len(best) == 0 || !lo.EveryBy(best, func(address string) bool { l := a.links[address]; return l != nil && l.attached.Load() }) {
 		return
--- a/pkg/attach/link.go
+++ b/pkg/attach/link.go
@@ -34,6 +34,8 @@
 	address    string
 	// attached is true once the keeper has sent an update.
 	attached atomic.Bool
+	// attachedAt is when the link was opened, by boot time.
+	attachedAt time.Time
 	// version is the document version that the keeper last reported, freshness what the link has confirmed.
 	version   atomic.Uint64
 	freshness freshness
--- a/pkg/attach/view_test.go
+++ b/pkg/attach/view_test.go
@@ -139,7 +139,7 @@
 	assert.Equal(t, rankKeepers("n", "fd-a", keepers, nil, start), rankKeepers("n", "fd-a", keepers, failed, start.Add(failureBackoff)))
 }
 
-// Links to other keepers than the best must stay open until the best are all attached.
+// Links to other keepers than the best must stay open until the best are all attached and one of them confirms.
 func TestSurplusLinksCloseOnceBestAreAttached(t *testing.T) {
 	a := New(Options{NodeID: "n", FailureDomain: "fd-a", Seeds: func() []string { return nil }})
 	a.keepers = []keeperAddress{{"a1", "fd-a"}, {"a2", "fd-a"}, {"b1", "fd-b"}, {"old", "fd-a"}}
@@ -150,10 +150,11 @@
 	best := a.rankedKeepers(start)[:maxLinks]
 	a.links[best[0]].attached.Store(true)
 	a.links[best[1]].attached.Store(true)
-	a.closeSurplusLinks()
+	a.links[best[0]].freshness.confirm(a.freshness.token(start))
+	a.closeSurplusLinks(start)
 	assert.Empty(t, ended)
 	a.links[best[2]].attached.Store(true)
-	a.closeSurplusLinks()
+	a.closeSurplusLinks(start)
 	assert.Len(t, ended, 1)
 	assert.NotContains(t, best, lo.Keys(ended)[0])
 }
--- a/pkg/control/propagation_test.go
+++ b/pkg/control/propagation_test.go
@@ -207,6 +207,27 @@
 	})
 }
 
+// Guards against a configuration that ages at the entries although the keeper can confirm it again: a quorum read that failed
+// must be repeated for the tokens that wait, not only for the next one.
+func TestFailedConfirmationIsRepeated(t *testing.T) {
+	withLeader(t, func(t *testing.T, c *Control, _ string) {
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		defer c.opts.Keeper.Close()
+		go c.serveConfirmations(ctx)
+		decode := c.opts.Decode
+		c.opts.Decode = func([]byte) (*document.Document, error) { return nil, assert.AnError }
+		require.NoError(t, c.Replace(ctx, 8, []byte{8}))
+		s := &subscriber{wake: make(chan struct{}, 1)}
+		c.confirmations.request(s, 5)
+		<-time.After(300 * time.Millisecond)
+		assert.Zero(t, c.confirmations.confirmed(s))
+		c.opts.Decode = decode
+		<-time.After(minConfirmInterval + confirmTimeout)
+		assert.EqualValues(t, 5, c.confirmations.confirmed(s))
+	})
+}
+
 // An entry that has just started can't serve requests without a document, and no link of
 // it is primary before the first update. It must be sent the document on any link.
 func TestEntryWithoutDocumentGetsItOnAnyLink(t *testing.T) {
--- a/pkg/forward/entry_test.go
+++ b/pkg/forward/entry_test.go
@@ -179,6 +179,14 @@
 	return h.receive(conn)
 }
 
+// callWithoutKey is call without the key of the test account.
+func (h *harness) callWithoutKey(method, target, body string, headers ...string) (reply, string, error) {
+	conn := h.open()
+	defer func() { _ = conn.Close() }()
+	h.sendHeaders(conn, method, target, body, headers...)
+	return h.receive(conn)
+}
+
 // receive reads one answer and its body.
 func (h *harness) receive(conn net.Conn) (reply, string, error) {
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
@@ -198,7 +206,11 @@
 }
 
 func (h *harness) send(conn net.Conn, method, target, body string, headers ...string) {
-	text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: h\r\nTest-Id: %s\r\nTest-Key: secret\r\nConnection: close\r\nContent-Length: %d\r\n", method, target, h.requestID, len(body))
+	h.sendHeaders(conn, method, target, body, append([]string{"Test-Key: secret"}, headers...)...)
+}
+
+func (h *harness) sendHeaders(conn net.Conn, method, target, body string, headers ...string) {
+	text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: h\r\nTest-Id: %s\r\nConnection: close\r\nContent-Length: %d\r\n", method, target, h.requestID, len(body))
 	for _, header := range headers {
 		text += header + "\r\n"
 	}
