Entries: while no keeper confirms the configuration, further ones are tried

Cause: a link ended for silence only. A keeper that is in a minority, removed or behind goes on sending updates. Class: a sign of life taken for one of usefulness. The first ones are kept, as upstreams may reach only them; the further ones are given up once a first choice confirms again.

--- a/pkg/attach/attach.go
+++ b/pkg/attach/attach.go
@@ -187,22 +187,38 @@
 	return rankKeepers(a.opts.NodeID, a.opts.FailureDomain, known, a.failedAt, now)
 }
 
-// missingLinks returns those of the best maxLinks keepers that have no link.
+// missingLinks returns the keepers to open a link to: those of the best maxLinks that have none and, while no link
+// confirms the configuration, the best other one without a link.
 func (a *Attachment) missingLinks(now time.Time) []string {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	preferred := a.rankedKeepers(now)
-	return lo.Filter(preferred[:min(maxLinks, len(preferred))], func(address string, _ int) bool { return a.links[address] == nil })
+	withoutLink := func(address string, _ int) bool { return a.links[address] == nil }
+	missing := lo.Filter(preferred[:min(maxLinks, len(preferred))], withoutLink)
+	if len(missing) > 0 || len(a.links) >= maxUnconfirmedLinks || !a.unconfirmed(now) {
+		return missing
+	}
+	further := lo.Filter(preferred, withoutLink)
+	return further[:min(1, len(further))]
+}
+
+// unconfirmed reports whether no link has confirmed the configuration within unconfirmedTimeout although one had that long.
+// The caller holds the lock.
+func (a *Attachment) unconfirmed(now time.Time) bool {
+	links := lo.Values(a.links)
+	return lo.NoneBy(links, func(l *link) bool { return l.confirms(now) }) &&
+		lo.SomeBy(links, func(l *link) bool { return now.Sub(l.attachedAt) >= unconfirmedTimeout })
 }
 
 // closeSurplusLinks closes the links to other keepers than the best maxLinks once those
-// are all attached.
+// are all attached and one of them confirms the configuration.
 func (a *Attachment) closeSurplusLinks(now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	preferred := a.rankedKeepers(now)
 	best := preferred[:min(maxLinks, len(preferred))]
-	if len(best) == 0 || !lo.EveryBy(best, func(address string) bool { l := a.links[address]; return l != nil && l.attached.Load() }) {
+	attached := lo.EveryBy(best, func(address string) bool { l := a.links[address]; return l != nil && l.attached.Load() })
+	if !attached || !lo.SomeBy(best, func(address string) bool { return a.links[address].confirms(now) }) {
 		return
 	}
 	for address, l := range a.links {
--- a/pkg/attach/choose.go
+++ b/pkg/attach/choose.go
@@ -12,6 +12,9 @@
 	// maxLinks is the number of keepers that an entry is attached to: one may fail and
 	// another one be partitioned.
 	maxLinks = 3
+	// maxUnconfirmedLinks is the number of keepers that an entry is attached to while none of them confirms its
+	// configuration. The first ones are kept, as they may be the only ones that local upstreams reach.
+	maxUnconfirmedLinks = 2 * maxLinks
 	// localLinks is how many of them go to keepers in the entry's failure domain, if it has
 	// that many, as traffic between failure domains is charged. One link to another
 	// failure domain covers the loss of both.
--- a/pkg/attach/link.go
+++ b/pkg/attach/link.go
@@ -21,6 +21,9 @@
 	// silenceTimeout is the timeout of a link without updates: three update intervals and a
 	// margin.
 	silenceTimeout = 1400 * time.Millisecond
+	// unconfirmedTimeout is the time without a confirmation after which a link counts as one that confirms nothing: the
+	// answer to one request for it is missing.
+	unconfirmedTimeout = 2 * confirmInterval
 	// reconnectDelay is the delay after a link failed before a new one is opened.
 	reconnectDelay = 250 * time.Millisecond
 	// queueRetryDelay is the time between two attempts to queue the loss of a link while the
@@ -44,6 +47,9 @@
 	urgent chan struct{}
 }
 
+// confirms reports whether the link has confirmed the configuration within unconfirmedTimeout.
+func (l *link) confirms(now time.Time) bool { return l.freshness.age(now) < unconfirmedTimeout }
+
 // run serves the stream until it fails or the link's context ends. It then queues the loss
 // of the link, unless ctx, the context of the whole attachment, has ended.
 func (l *link) run(ctx, linkCtx context.Context) {
--- a/pkg/attach/view_test.go
+++ b/pkg/attach/view_test.go
@@ -112,7 +112,7 @@
 	assert.Len(t, missing, maxLinks)
 	assert.Equal(t, "k1", missing[0], "the keeper in the entry's failure domain")
 	for _, address := range missing {
-		a.links[address] = &link{}
+		a.links[address] = &link{attachedAt: start}
 	}
 	assert.Empty(t, a.missingLinks(start))
 }
