Keepers: a quorum read that failed is repeated for the entries that wait

Cause: the loop woke for requests only, so that the tokens of a read that failed (0.8 s, as after a lost leader) waited for the next request of an entry, up to 0.8 s more. Class: a wake-up taken for the state that it announces.

--- a/pkg/control/confirm.go
+++ b/pkg/control/confirm.go
@@ -35,6 +35,11 @@
 	c.mu.Lock()
 	c.requested[s] = max(c.requested[s], token)
 	c.mu.Unlock()
+	c.wakeReader()
+}
+
+// wakeReader has the tokens that wait confirmed by the next quorum read.
+func (c *confirmations) wakeReader() {
 	select {
 	case c.wake <- struct{}{}:
 	default:
@@ -123,6 +128,7 @@
 		}
 		if err := c.confirmDocument(ctx); err != nil {
 			c.reportUnconfirmed(err, len(tokens))
+			c.confirmations.wakeReader()
 		} else {
 			c.confirmations.failing = false
 			c.confirmations.complete(tokens)
