masticmountd: an entry that hears nothing from the keepers refuses nothing by its configuration

Seen by callers: 401 and 404 at an entry that is cut off from the keepers, for tokens and routes that an accepted change had added. Change: beyond 6 s without contact with a keeper that has a leader, directly or through relays (the time within which a change is in force, docs/CAPACITY.md), such refusals are 503 not-ready with Retry-After. What the configuration allows is served as before. Evidence: TestEntryWithoutKeepersRefusesNothingByItsConfiguration fails with the refusals of the commit before (401).

--- a/pkg/fault/fault.go
+++ b/pkg/fault/fault.go
@@ -35,7 +35,7 @@
 	InProgress      Kind = "in-progress"
 	Stopping        Kind = "stopping"
 	Internal        Kind = "internal"
-	// NotReady means that this node holds no configuration yet.
+	// NotReady means that this node holds no configuration yet, or one that may lack a change.
 	NotReady Kind = "not-ready"
 	// SlowRequest means that the request was not received within the read timeout.
 	SlowRequest Kind = "slow-request"
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -39,6 +39,9 @@
 	maxHeaderBytes = 16 << 10
 	// defaultReadTimeout limits the time to read a request.
 	defaultReadTimeout = 10 * time.Second
+	// maxRefusalAge is the age of the last contact with the keepers up to which the configuration refuses requests. Within
+	// this time a change is in force on every node that the keepers reach.
+	maxRefusalAge = 6 * time.Second
 	// idleTimeout limits how long a client connection may stay idle.
 	idleTimeout = 75 * time.Second
 )
@@ -52,7 +55,10 @@
 
 // Options configure a gateway.
 type Options struct {
-	Config    func() *state.Config
+	Config func() *state.Config
+	// KeeperAge returns the time since this node heard from a keeper that has a leader, directly or through a relay; nil
+	// means always.
+	KeeperAge func() time.Duration
 	View      func() *domain.View
 	Limiter   *limits.Limiter
 	Scheduler scheduling.Scheduler
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -448,6 +449,28 @@
 	require.Empty(t, service.Runs())
 }
 
+// Guards against an entry that is cut off from the keepers and refuses what a change allows that it has not heard of.
+func TestEntryWithoutKeepersRefusesNothingByItsConfiguration(t *testing.T) {
+	var age atomic.Int64
+	h := newHarness(t, func(o *Options) { o.KeeperAge = func() time.Duration { return time.Duration(age.Load()) } })
+	h.addEngine("g1", fakes.Faults{}, nil)
+	send := func(body string, headers ...string) answer {
+		return h.send(http.MethodPost, chatPath, body, headers...)
+	}
+	for _, test := range []struct {
+		age                     time.Duration
+		unknownToken, unknownTo int
+	}{{0, 401, 404}, {6 * time.Second, 401, 404}, {6*time.Second + 1, 503, 503}, {time.Minute, 503, 503}} {
+		age.Store(int64(test.age))
+		refused := send(chatRequest(false, 1), "Authorization", "Bearer guess-guess")
+		require.Equal(t, test.unknownToken, refused.status, test.age)
+		require.Equal(t, test.unknownToken == 503, refused.header.Get("Retry-After") != "")
+		require.Equal(t, test.unknownTo, send(`{"model":"other","messages":[]}`).status, test.age)
+		require.Equal(t, 401, send("{}", "Authorization", "").status, "no configuration allows it")
+		require.Equal(t, 200, send(chatRequest(false, 1)).status, "what the configuration allows is served")
+	}
+}
+
 func FuzzChatBody(f *testing.F) {
 	f.Add([]byte(chatRequest(true, 3)))
 	f.Add([]byte(`{"model":"m","messages":[{"content":[{"type":"text"}]}],"n":-1}`))
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -81,7 +81,11 @@
 	}
 	account, ok := g.authenticate(c.Get(fiber.HeaderAuthorization))
 	if !ok {
-		return nil, fault.New(fault.Unauthenticated, "send 'Authorization: Bearer <token>' of a client account", "no valid token")
+		refusal := fault.New(fault.Unauthenticated, "send 'Authorization: Bearer <token>' of a client account", "no valid token")
+		if c.Get(fiber.HeaderAuthorization) == "" {
+			return nil, refusal
+		}
+		return nil, g.denied(refusal)
 	}
 	c.Locals(accountKey, account)
 	class := c.Get(HeaderClass)
@@ -129,11 +133,21 @@
 	return name, ok
 }
 
+// denied returns a refusal that depends on the configuration. If that may lack a change which allows the request, the caller
+// is asked to retry instead.
+func (g *Gateway) denied(refusal *fault.Error) error {
+	if g.opts.KeeperAge == nil || g.opts.KeeperAge() <= maxRefusalAge {
+		return refusal
+	}
+	return fault.New(fault.NotReady, "retry soon, or use another entry", "this entry has not heard from the keepers recently; %s", refusal.Detail).
+		WithRetryAfter(notReadyRetryAfter)
+}
+
 func (g *Gateway) matchRoute(req *request) error {
 	route, ok := routing.MatchRoute(g.opts.Config(), req.routing)
 	if !ok {
-		return fault.New(fault.NoRoute, "check the path and the model; operators: see 'masticmount get route'",
-			"no route admits %s for model %q", req.call.Path, req.routing.Service)
+		return g.denied(fault.New(fault.NoRoute, "check the path and the model; operators: see 'masticmount get route'",
+			"no route admits %s for model %q", req.call.Path, req.routing.Service))
 	}
 	req.route = route
 	req.deadline = req.arrived.Add(g.opts.DefaultDeadline)
--- a/pkg/node/gateway.go
+++ b/pkg/node/gateway.go
@@ -29,6 +29,7 @@
 func (n *Node) provideGateway(i do.Injector) (*gateway.Gateway, error) {
 	return gateway.New(gateway.Options{
 		Config:    do.MustInvoke[*configwatch.Watcher](i).Config,
+		KeeperAge: do.MustInvoke[*configwatch.Watcher](i).KeeperAge,
 		View:      do.MustInvoke[*domain.Domain](i).View,
 		Metrics:   do.MustInvoke[*telemetry.Registry](i),
 		Limiter:   do.MustInvoke[*limits.Limiter](i),
