Soak: each entry is watched for the configuration by which it decides; wrong documents, storms of changes

Cause: the soak read the configuration back from keepers only, so that what entries decide by was not looked at. Change: in every mode each entry is probed all the time, through restarts, freezes, replaced keepers and the loss of power: a route or key that was acknowledged 2 s before must not be refused with 404 or 401, a key that was taken away 5 s before and a route of an invalid document must not be served, added routes are served at least a quarter as often as others, and at the end each entry serves by the newest version. Changes come in storms, documents that are not valid must not be acknowledged, other content under the acknowledged version must not be read back. The set-up of the modes is shared.

--- a/cmd/mastic-soak/callers.go
+++ b/cmd/mastic-soak/callers.go
@@ -139,14 +139,19 @@
 	return answer{status: resp.StatusCode, body: strings.TrimSpace(string(body))}
 }
 
-// run sends requests until a time.
-func (c *callers) run(until time.Time) {
+// run sends requests while active returns true.
+func (c *callers) run(active func() bool) {
+	c.sendAll(active, func(i int) { c.call(i%2 == 0) })
+}
+
+// sendAll calls send in each callInterval while active returns true.
+func (c *callers) sendAll(active func() bool, send func(i int)) {
 	var calls sync.WaitGroup
 	tick := time.NewTicker(callInterval)
 	defer tick.Stop()
-	for i := 0; time.Now().Before(until); i++ {
+	for i := 0; active(); i++ {
 		<-tick.C
-		calls.Go(func() { c.call(i%2 == 0) })
+		calls.Go(func() { send(i) })
 	}
 	calls.Wait()
 }
--- a/cmd/mastic-soak/departures.go
+++ b/cmd/mastic-soak/departures.go
@@ -125,7 +125,7 @@
 	d.leave(randomSource(seed, "last departure"), true)
 	calls := make(chan struct{})
 	go func() {
-		c.run(time.Now().Add(departureWait + departureWatch))
+		c.run(before(time.Now().Add(departureWait + departureWatch)))
 		close(calls)
 	}()
 	time.Sleep(departureWait)
--- a/cmd/mastic-soak/losses.go
+++ b/cmd/mastic-soak/losses.go
@@ -276,41 +276,30 @@
 // soakLosses runs one seed in which engines end in groups, some upstreams want no work for a time or send answers without
 // end, and all nodes lose power at the end. In every second seed a part of prompts crashes engines, too.
 func soakLosses(args *arguments, seed uint64) (*result, error) {
-	folder, binary, err := args.paths("mastic-soak-losses", seed)
-	if err != nil {
-		return nil, err
-	}
 	t := usualTiming
 	t.slots = lossSlots
-	r, err := startRegion(binary, folder, args.Subnet, args.Entries, t)
+	sys, err := args.startSystem("-losses", seed, t)
 	if err != nil {
 		return nil, err
 	}
-	defer r.stop()
-	service := newPlainService(r, deskService, deskCount, nil)
-	defer service.stop()
-	engines, err := newEngineSet(r, seed, args.Engines, args.Grouped)
+	defer sys.close()
+	r := sys.region
+	service := sys.startPlain(deskService, deskCount, nil)
+	engines, err := sys.startEngines(args, seed, args.Grouped)
 	if err != nil {
 		return nil, err
 	}
-	defer engines.stop()
-	links, err := newEntryLinks(r, seed, new(atomic.Bool))
-	defer func() {
-		for _, l := range links {
-			l.stop()
-		}
-	}()
+	links, err := sys.startLinks(seed, new(atomic.Bool))
 	if err != nil {
 		return nil, err
 	}
-	op := &operator{region: r}
-	if err := op.publishInitial(); err != nil {
+	if err := sys.op.publishInitial(); err != nil {
 		return nil, err
 	}
 	c := &callers{region: r}
 	streams := &streamCallers{engines: engines, entryAddresses: addresses(links), entryLinks: links, entries: r.entries, kinds: streamKinds(true)}
 	if !c.waitServed() || !streams.waitServed("start", streamKinds(true)) {
-		return &result{folder: folder, violations: []string{"the region does not serve at the start"}}, nil
+		return sys.notServing(), nil
 	}
 	until := time.Now().Add(args.Faults)
 	end := until.Add(afterPowerLoss)
@@ -319,7 +308,9 @@
 	disturbed := &faultSequence{faults: faults{region: r, random: randomSource(seed, "entries")}}
 	crashes := seed%2 == 0
 	var all sync.WaitGroup
-	all.Go(func() { c.run(end) })
+	all.Go(func() { sys.op.run(before(until)) })
+	all.Go(func() { sys.checks.run(before(end)) })
+	all.Go(func() { c.run(before(end)) })
 	all.Go(func() { streams.run(args.Callers, end) })
 	all.Go(func() { l.run(until) })
 	all.Go(func() { l.runEndless(randomSource(seed, "endless"), until) })
@@ -346,11 +337,6 @@
 	handed, counts := r.handed.check()
 	violations = append(append(append(violations, plainDenied...), repeated...), handed...)
 	fmt.Printf("seed %d: %d engines ended; %d MiB at most; %s, %s; %d requests with a crashing part reached engines, %d of them late; %s; %s; %s\n", seed, l.ended.Load(), peak, denied, deniedPlain, arrived, late, counts, margins, &streams.counts)
-	logged, err := r.logViolations()
-	if err != nil {
-		return nil, err
-	}
-	violations = append(append(append(violations, service.violations(c.answers())...), streams.violations()...), streams.executedDespiteRefusal()...)
-	violations = append(append(append(violations, engines.runs.violations()...), r.violations()...), logged...)
-	return &result{folder: folder, violations: violations}, nil
+	violations = slices.Concat(violations, service.violations(c.answers()), streams.violations(), streams.executedDespiteRefusal(), engines.runs.violations())
+	return sys.finish(seed, violations)
 }
--- a/cmd/mastic-soak/main.go
+++ b/cmd/mastic-soak/main.go
@@ -6,7 +6,6 @@
 import (
 	"fmt"
 	"os"
-	"path/filepath"
 	"sync"
 	"time"
 
@@ -91,61 +90,41 @@
 	fewStreams bool
 }
 
-// paths makes the folder of a seed and returns it with the path of the daemon.
-func (a *arguments) paths(name string, seed uint64) (folder, binary string, err error) {
-	if folder, err = os.MkdirTemp("", fmt.Sprintf("%s-%d-", name, seed)); err != nil {
-		return "", "", err
-	}
-	binary, err = filepath.Abs(a.Binary)
-	return folder, binary, err
-}
-
 // soak runs one seed.
 func soak(args *arguments, seed uint64) (*result, error) {
-	folder, binary, err := args.paths("mastic-soak", seed)
+	sys, err := args.startSystem("", seed, usualTiming)
 	if err != nil {
 		return nil, err
 	}
-	r, err := startRegion(binary, folder, args.Subnet, args.Entries, usualTiming)
+	defer sys.close()
+	r, op := sys.region, sys.op
+	service := sys.startPlain(deskService, deskCount, nil)
+	kiosk := sys.startPlain(kioskService, kioskCount, newCrashLedger())
+	engines, err := sys.startEngines(args, seed, args.Grouped)
 	if err != nil {
 		return nil, err
 	}
-	defer r.stop()
-	service := newPlainService(r, deskService, deskCount, nil)
-	defer service.stop()
-	kiosk := newPlainService(r, kioskService, kioskCount, newCrashLedger())
-	defer kiosk.stop()
-	engines, err := newEngineSet(r, seed, args.Engines, args.Grouped)
+	entryLinks, err := sys.startLinks(seed, &engines.faultsActive)
 	if err != nil {
 		return nil, err
 	}
-	defer engines.stop()
-	entryLinks, err := newEntryLinks(r, seed, &engines.faultsActive)
-	if err != nil {
-		return nil, err
-	}
-	defer func() {
-		for _, l := range entryLinks {
-			l.stop()
-		}
-	}()
-	op := &operator{region: r}
 	if err := op.publishInitial(); err != nil {
 		return nil, err
 	}
 	c := &callers{region: r}
 	streams := &streamCallers{engines: engines, entryAddresses: addresses(entryLinks), entryLinks: entryLinks, entries: r.entries, kinds: streamKinds(args.Grouped > 0)}
 	if !c.waitServed() || !streams.waitServed("start", streamKinds(false)) {
-		return &result{folder: folder, violations: []string{"the region does not serve at the start"}}, nil
+		return sys.notServing(), nil
 	}
 	groupsServed := args.Grouped == 0 || streams.waitServed("start-groups", groupKinds())
 	service.faultsActive.Store(!args.OnlySilences)
 	engines.faultsActive.Store(!args.OnlySilences)
-	before := streams.counts.finished.Load()
+	finished := streams.counts.finished.Load()
 	until := time.Now().Add(args.Faults)
 	var all sync.WaitGroup
-	all.Go(func() { op.run(until) })
-	all.Go(func() { c.run(until) })
+	all.Go(func() { op.run(before(until)) })
+	all.Go(func() { sys.checks.run(before(until)) })
+	all.Go(func() { c.run(before(until)) })
 	all.Go(func() { streams.run(args.Callers, until) })
 	if args.Grouped > 0 && seed%crashSeedStep == 0 {
 		all.Go(func() { streams.runCrashing(until) })
@@ -167,7 +146,7 @@
 		injected.run(seed, until)
 	}
 	all.Wait()
-	served := streams.counts.finished.Load() - before
+	served := streams.counts.finished.Load() - finished
 	service.faultsActive.Store(false)
 	engines.faultsActive.Store(false)
 	changed := op.changesAcknowledged()
@@ -196,7 +175,6 @@
 			violations = append(violations, "streams of groups are not served at the start or the end")
 		}
 	}
-	violations = append(violations, op.violations()...)
 	violations = append(violations, streams.violations()...)
 	violations = append(violations, streams.executedDespiteRefusal()...)
 	given, knownRed, err := streams.givenUp(args.KnownRed)
@@ -206,15 +184,15 @@
 	violations = append(violations, given...)
 	violations = append(violations, engines.runs.violations()...)
 	fmt.Printf("seed %d: %s; failures: %s; crashes by a prompt: %d; %s\n", seed, &streams.counts, engines.runs.failureCounts(), engines.crashes.arrivals.Load(), kiosk.crashing.counts())
-	logged, err := r.logViolations()
-	if err != nil {
-		return nil, err
-	}
-	violations = append(append(violations, r.violations()...), logged...)
 	repeated, margins := r.repeats.check()
 	violations = append(violations, repeated...)
 	fmt.Printf("seed %d: %s\n", seed, margins)
-	return &result{folder: folder, violations: violations, knownRed: knownRed, fewStreams: !groupsServed || served < int64(args.Callers)}, nil
+	done, err := sys.finish(seed, violations)
+	if err != nil {
+		return nil, err
+	}
+	done.knownRed, done.fewStreams = knownRed, !groupsServed || served < int64(args.Callers)
+	return done, nil
 }
 
 const (
--- a/cmd/mastic-soak/operator.go
+++ b/cmd/mastic-soak/operator.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 )
 
@@ -19,17 +20,22 @@
 	// The max_attempts of the routes of plain services, unless a mode has another one, and of streams.
 	usualAttempts  = 2
 	streamAttempts = 3
+	// Of stormEach changes stormLength follow each other at once; after wrongEach changes a wrong document is sent.
+	stormEach, stormLength, wrongEach = 20, 6, 3
 	// controlTimeout bounds a call to a keeper.
 	controlTimeout = 2 * time.Second
 )
 
 // operator changes the configuration and checks that acknowledged changes stay visible.
 type operator struct {
-	region  *region
+	region *region
+	// mu guards version and acknowledgements.
+	mu      sync.Mutex
 	version uint64
-	// acknowledged is the highest version that a keeper acknowledged.
-	acknowledged uint64
-	sent         map[uint64][]byte
+	// acknowledged is the highest version that a keeper acknowledged, acknowledgements when each was.
+	acknowledged     uint64
+	acknowledgements []acknowledgement
+	sent             map[uint64][]byte
 	// found describes the reads that were stale or wrong.
 	found []string
 	// acknowledgedBy receives the keeper of each acknowledgement that is waited for; nil if none ever is.
@@ -38,14 +44,51 @@
 	acknowledgedAfter []time.Duration
 }
 
-// document returns the configuration of a version; versions differ only in the idle timeout.
+// acknowledgement is when a version was acknowledged.
+type acknowledgement struct {
+	version uint64
+	at      time.Time
+}
+
+// acknowledgedBefore returns the highest version that was acknowledged before a time; 0 if none was.
+func (o *operator) acknowledgedBefore(at time.Time) (version uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, a := range o.acknowledgements {
+		if a.at.Before(at) {
+			version = max(version, a.version)
+		}
+	}
+	return version
+}
+
+// newest returns the highest version that was sent, whether it was acknowledged or not.
+func (o *operator) newest() uint64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.version
+}
+
+// document returns the configuration of a version. Each adds a route and a key of its own, and drops those of the version
+// livedVersions before.
 func document(version uint64, t timing) []byte {
+	var keys []string
 	route := func(name, prefix, kind, service string) map[string]any {
 		return map[string]any{
 			"name": name, "host": soakHost, "path_prefix": prefix, "kind": kind, "timeout_ms": callTimeout.Milliseconds(),
 			"slo_ms": 150, "priority": 1, "service": service, "max_attempts": t.plainAttempts, "public": service == deskService,
 		}
 	}
+	routes := []map[string]any{
+		route("grant", "/grant/", "non_idempotent", deskService), route("lookup", "/lookup/", "idempotent", deskService),
+		route("booking", bookingPath, "non_idempotent", kioskService), route("quote", quotePath, "idempotent", kioskService),
+		route("keyed", keyedPath, "idempotent", deskService),
+	}
+	routes[len(routes)-1]["public"] = false
+	for v := version - min(version, livedVersions-1); v <= version; v++ {
+		keys = append(keys, addedKey(v))
+		routes = append(routes, route(fmt.Sprint("added-", v), addedPath(v), "idempotent", deskService))
+	}
 	stream := func(k *streamKind) map[string]any {
 		return map[string]any{
 			"name": k.name, "host": soakHost, "path_prefix": k.path, "kind": "streaming", "timeout_ms": streamTimeout.Milliseconds(),
@@ -60,12 +103,9 @@
 			{"name": engineService, "max_conns": 200},
 			{"name": groupService, "max_conns": 200, "engine": engineConfig(t)},
 		},
-		"routes": []map[string]any{
-			route("grant", "/grant/", "non_idempotent", deskService), route("lookup", "/lookup/", "idempotent", deskService),
-			route("booking", bookingPath, "non_idempotent", kioskService), route("quote", quotePath, "idempotent", kioskService),
-			stream(plainStream), stream(onceStream), stream(pairStream),
-		},
+		"routes": append(routes, stream(plainStream), stream(onceStream), stream(pairStream)),
 		"tenants": []map[string]any{
+			{"name": "changing", "api_keys": keys, "priority": 1},
 			{"name": crashingAccount, "api_keys": []string{accountKey(crashingAccount)}, "priority": 1},
 			{"name": otherAccount, "api_keys": []string{accountKey(otherAccount)}, "priority": 1},
 		},
@@ -91,28 +131,56 @@
 
 // replace sends the next version to a keeper.
 func (o *operator) replace(keeper *node) bool {
+	o.mu.Lock()
+	o.version++
+	version := o.version
+	o.mu.Unlock()
 	if o.sent == nil {
 		o.sent = map[uint64][]byte{}
 	}
-	o.version++
-	o.sent[o.version] = document(o.version, o.region.timing)
-	client, sentAt := &http.Client{Timeout: controlTimeout}, time.Now()
-	resp, err := client.Post(fmt.Sprintf("http://%s:%d/api/config/replace", keeper.ip, controlPort), "application/json", bytes.NewReader(o.sent[o.version]))
+	o.sent[version] = document(version, o.region.timing)
+	sentAt := time.Now()
+	if !post(keeper, o.sent[version]) {
+		return false
+	}
+	o.mu.Lock()
+	o.acknowledged = version
+	o.acknowledgements = append(o.acknowledgements, acknowledgement{version, time.Now()})
+	o.mu.Unlock()
+	o.acknowledgedAfter = append(o.acknowledgedAfter, time.Since(sentAt))
+	select {
+	case o.acknowledgedBy <- keeper:
+	default:
+	}
+	return true
+}
+
+// post sends a document to a keeper and reports whether it was acknowledged.
+func post(keeper *node, document []byte) bool {
+	client := &http.Client{Timeout: controlTimeout}
+	resp, err := client.Post(fmt.Sprintf("http://%s:%d/api/config/replace", keeper.ip, controlPort), "application/json", bytes.NewReader(document))
 	if err != nil {
 		return false
 	}
 	_ = resp.Body.Close()
-	if resp.StatusCode == http.StatusOK {
-		o.acknowledged = o.version
-		o.acknowledgedAfter = append(o.acknowledgedAfter, time.Since(sentAt))
-		select {
-		case o.acknowledgedBy <- keeper:
-		default:
-		}
-	}
 	return resp.StatusCode == http.StatusOK
 }
 
+// replaceWrongly sends a document that is not valid, or has the acknowledged version and other content. Both have a route
+// that must never be served, and the former must not be acknowledged.
+func (o *operator) replaceWrongly(turn int, keeper *node) {
+	wrong := bytes.Replace(document(o.version+1, o.region.timing), []byte("/lookup/"), []byte(wrongPath), 1)
+	kind := wrongKinds[turn%len(wrongKinds)]
+	if kind.from == "" {
+		same := bytes.Replace(document(o.acknowledged, o.region.timing), []byte("/lookup/"), []byte(wrongPath), 1)
+		post(keeper, same)
+		return
+	}
+	if post(keeper, bytes.Replace(wrong, []byte(kind.from), []byte(kind.to), 1)) {
+		o.found = append(o.found, fmt.Sprintf("%s acknowledged a document with %s for %s", keeper.name, kind.to, kind.from))
+	}
+}
+
 func (o *operator) publishInitial() error {
 	for end := time.Now().Add(startTimeout); time.Now().Before(end); {
 		if o.replace(o.region.keepers[0]) {
@@ -123,12 +191,17 @@
 	return fmt.Errorf("no configuration was acknowledged within %s", startTimeout)
 }
 
-// run changes the configuration and reads it back until a time.
-func (o *operator) run(until time.Time) {
-	for i := 0; time.Now().Before(until); i++ {
+// run changes the configuration and reads it back while active returns true; at times many changes follow each other at once.
+func (o *operator) run(active func() bool) {
+	for i := 0; active(); i++ {
 		o.replace(o.region.keeperInTurn(i))
 		o.check(o.region.keeperInTurn(i + 1))
-		time.Sleep(changeInterval)
+		if i%wrongEach == wrongEach-1 {
+			o.replaceWrongly(i/wrongEach, o.region.keeperInTurn(i))
+		}
+		if i%stormEach >= stormLength {
+			time.Sleep(changeInterval)
+		}
 	}
 }
 
--- a/cmd/mastic-soak/plannedstops.go
+++ b/cmd/mastic-soak/plannedstops.go
@@ -182,16 +182,16 @@
 }
 
 // entryAddresses returns where callers reach the entries: directly, or in some seeds over links that delay.
-func entryAddresses(r *region, seed uint64) ([]string, []*link, error) {
+func (s *system) entryAddresses(seed uint64) ([]string, []*link, error) {
 	random := randomSource(seed, "delay of entries")
 	if random.IntN(slowLinksOneIn) != 0 {
 		var direct []string
-		for _, n := range r.entries {
+		for _, n := range s.region.entries {
 			direct = append(direct, net.JoinHostPort(n.ip, fmt.Sprint(callerPort)))
 		}
 		return direct, nil, nil
 	}
-	links, err := newEntryLinks(r, seed, new(atomic.Bool))
+	links, err := s.startLinks(seed, new(atomic.Bool))
 	for _, l := range links {
 		l.delay.Store(random.Int64N(int64(maxEntryDelay)))
 	}
@@ -201,38 +201,27 @@
 // soakStops runs one seed in which nothing happens but planned stops, reloads and changes of the configuration, while
 // sound engines are slower than the configuration says.
 func soakStops(args *arguments, seed uint64) (*result, error) {
-	folder, binary, err := args.paths("mastic-soak-stops", seed)
-	if err != nil {
-		return nil, err
-	}
 	t := timing{grace: longGrace, keepers: keeperCount, slots: fewSlots, step: longStep, plainAttempts: usualAttempts, slowness: drawSlowness(seed)}
-	r, err := startRegion(binary, folder, args.Subnet, args.Entries, t)
+	sys, err := args.startSystem("-stops", seed, t)
 	if err != nil {
 		return nil, err
 	}
-	defer r.stop()
-	service := newPlainService(r, deskService, deskCount, nil)
-	defer service.stop()
-	engines, err := newEngineSet(r, seed, args.Engines, args.Grouped)
+	defer sys.close()
+	r := sys.region
+	service := sys.startPlain(deskService, deskCount, nil)
+	engines, err := sys.startEngines(args, seed, args.Grouped)
 	if err != nil {
 		return nil, err
 	}
-	defer engines.stop()
-	reached, links, err := entryAddresses(r, seed)
+	reached, links, err := sys.entryAddresses(seed)
 	if err != nil {
 		return nil, err
 	}
-	defer func() {
-		for _, l := range links {
-			l.stop()
-		}
-	}()
-	op := &operator{region: r}
-	if err := op.publishInitial(); err != nil {
+	if err := sys.op.publishInitial(); err != nil {
 		return nil, err
 	}
 	if !(&callers{region: r}).waitServed() {
-		return &result{folder: folder, violations: []string{"the region does not serve at the start"}}, nil
+		return sys.notServing(), nil
 	}
 	stops := &stopLog{stops: map[*node][]*processStop{}, reloads: map[*node][]time.Time{}}
 	c := &stopCallers{region: r, engines: engines, service: service, stops: stops, addresses: reached}
@@ -243,7 +232,8 @@
 	all.Go(func() {
 		time.Sleep(calmTime)
 		if seed%3 != 0 {
-			op.run(until)
+			all.Go(func() { sys.checks.run(before(until)) })
+			sys.op.run(before(until))
 		}
 	})
 	all.Go(func() {
@@ -258,15 +248,10 @@
 	if err != nil {
 		return nil, err
 	}
-	logged, err := r.logViolations()
-	if err != nil {
-		return nil, err
-	}
 	repeated, margins := r.repeats.check()
-	violations = append(append(append(append(violations, op.violations()...), r.violations()...), logged...), repeated...)
 	fmt.Printf("seed %d: %s\n", seed, margins)
 	fmt.Printf("seed %d: %s; slowness of engine-0 %g, delay at entries: %v\n", seed, counts, t.slowness("engine-0"), links != nil)
-	return &result{folder: folder, violations: violations}, nil
+	return sys.finish(seed, append(violations, repeated...))
 }
 
 // violations checks all requests: lost, answered falsely, run twice, run though refused.
--- a/cmd/mastic-soak/region.go
+++ b/cmd/mastic-soak/region.go
@@ -142,7 +142,7 @@
 	if n.role == "entry" {
 		listen = map[string]string{"front": fmt.Sprintf("%s:%d", n.ip, callerPort), "ready": fmt.Sprintf("%s:%d", n.ip, readyPort)}
 	}
-	bounds := map[string]float64{"grace_s": r.timing.grace.Seconds(), "revoke_ms": 5000, "stall_ms": 4000}
+	bounds := map[string]float64{"grace_s": r.timing.grace.Seconds(), "config_apply_ms": float64(applyTime.Milliseconds()), "revoke_ms": float64(revokeTime.Milliseconds()), "stall_ms": 4000}
 	if r.timing.catchUp > 0 {
 		bounds["catch_up_s"] = r.timing.catchUp.Seconds()
 	}
--- a/cmd/mastic-soak/repeats.go
+++ b/cmd/mastic-soak/repeats.go
@@ -123,7 +123,7 @@
 		return kind.service
 	}
 	switch "/" + strings.Split(path, "/")[1] + "/" {
-	case "/grant/", "/lookup/":
+	case "/grant/", "/lookup/", keyedPath, "/added/":
 		return deskService
 	case bookingPath, quotePath:
 		return kioskService
--- a/cmd/mastic-soak/replacements.go
+++ b/cmd/mastic-soak/replacements.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -12,6 +11,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -305,50 +305,45 @@
 
 // soakReplacements runs one seed in which keepers are replaced.
 func soakReplacements(args *arguments, seed uint64) (*result, error) {
-	folder, binary, err := args.paths("mastic-soak-replacements", seed)
-	if err != nil {
-		return nil, err
-	}
 	t := usualTiming
 	t.keepers, t.catchUp = args.Keepers, replacementCatchUp
-	r, err := startRegion(binary, folder, args.Subnet, args.Entries, t)
+	sys, err := args.startSystem("-replacements", seed, t)
 	if err != nil {
 		return nil, err
 	}
-	defer r.stop()
-	desk, kiosk := newPlainService(r, deskService, deskCount, nil), newPlainService(r, kioskService, kioskCount, nil)
-	defer desk.stop()
-	defer kiosk.stop()
-	op := &operator{region: r, acknowledgedBy: make(chan *node)}
+	defer sys.close()
+	r, op := sys.region, sys.op
+	desk, kiosk := sys.startPlain(deskService, deskCount, nil), sys.startPlain(kioskService, kioskCount, nil)
+	op.acknowledgedBy = make(chan *node)
 	if err := op.publishInitial(); err != nil {
 		return nil, err
 	}
 	public, keyed := &callers{region: r}, &callers{region: r}
 	if !public.waitServed() || !keyed.waitKeyedServed(startTimeout) {
-		return &result{folder: folder, violations: []string{"the region does not serve at the start"}}, nil
+		return sys.notServing(), nil
 	}
 	p := &replacements{region: r, operator: op, random: randomSource(seed, "replacements")}
-	done := make(chan struct{})
+	var done atomic.Bool
+	active := func() bool { return !done.Load() }
 	var all sync.WaitGroup
-	all.Go(func() { op.runUntil(done) })
-	all.Go(func() { public.runUntil(done, func(i int) { public.call(i%2 == 0) }) })
-	all.Go(func() { keyed.runUntil(done, func(int) { keyed.sendKeyed() }) })
+	all.Go(func() { op.run(active) })
+	all.Go(func() { sys.checks.run(active) })
+	all.Go(func() { public.run(active) })
+	all.Go(func() { keyed.sendAll(active, func(int) { keyed.sendKeyed() }) })
 	violations := p.run(time.Now().Add(args.Faults))
-	close(done)
+	done.Store(true)
 	all.Wait()
 	violations = append(violations, op.changesAcknowledged()...)
 	if !public.waitServed() || !keyed.waitKeyedServed(recoveryTime) {
 		violations = append(violations, "requests are not served again after the faults")
 	}
-	violations = append(violations, op.violations()...)
-	violations = append(append(violations, desk.violations(public.answers())...), kiosk.violations(keyed.answers())...)
-	logged, logErr := r.logViolations()
-	removed, removedErr := r.removedVoters()
-	if err := errors.Join(logErr, removedErr); err != nil {
+	violations = slices.Concat(violations, desk.violations(public.answers()), kiosk.violations(keyed.answers()))
+	removed, err := r.removedVoters()
+	if err != nil {
 		return nil, err
 	}
 	fmt.Printf("seed %d: %d rounds: %q; %d keepers or disks lost, %d identities removed; acknowledged after %s\n", seed, len(p.rounds), p.rounds, p.losses, removed, describeTimes(op.acknowledgedAfter))
-	return &result{folder: folder, violations: append(append(violations, r.violations()...), logged...)}, nil
+	return sys.finish(seed, violations)
 }
 
 // describeTimes returns the number, the median, the 99th percentile and the maximum of times.
@@ -363,35 +358,6 @@
 	return fmt.Sprintf("p50 %s, p99 %s, maximum %s of %d", at(50), at(99), at(100), len(sorted))
 }
 
-// runUntil changes the configuration and reads it back until done is closed.
-func (o *operator) runUntil(done <-chan struct{}) {
-	for i := 0; ; i++ {
-		select {
-		case <-done:
-			return
-		case <-time.After(changeInterval):
-		}
-		o.replace(o.region.keeperInTurn(i))
-		o.check(o.region.keeperInTurn(i + 1))
-	}
-}
-
-// runUntil sends requests until done is closed.
-func (c *callers) runUntil(done <-chan struct{}, send func(i int)) {
-	var calls sync.WaitGroup
-	defer calls.Wait()
-	tick := time.NewTicker(callInterval)
-	defer tick.Stop()
-	for i := 0; ; i++ {
-		select {
-		case <-done:
-			return
-		case <-tick.C:
-		}
-		calls.Go(func() { send(i) })
-	}
-}
-
 // sendKeyed sends a request that needs a key.
 func (c *callers) sendKeyed() answer {
 	number := c.nextNumber()
--- a/cmd/mastic-soak/retrypress.go
+++ b/cmd/mastic-soak/retrypress.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -131,44 +132,32 @@
 
 // soakRetries runs one seed in which most requests fail while entries restart.
 func soakRetries(args *arguments, seed uint64) (*result, error) {
-	folder, binary, err := args.paths("mastic-soak-retries", seed)
-	if err != nil {
-		return nil, err
-	}
 	t := usualTiming
 	t.plainAttempts = pressedAttempts
-	r, err := startRegion(binary, folder, args.Subnet, args.Entries, t)
+	sys, err := args.startSystem("-retries", seed, t)
 	if err != nil {
 		return nil, err
 	}
-	defer r.stop()
-	desk, kiosk := newPlainService(r, deskService, pressedUpstreams, nil), newPlainService(r, kioskService, pressedUpstreams, nil)
-	defer desk.stop()
-	defer kiosk.stop()
+	defer sys.close()
+	r := sys.region
+	desk, kiosk := sys.startPlain(deskService, pressedUpstreams, nil), sys.startPlain(kioskService, pressedUpstreams, nil)
 	press := newRetryPress(seed)
 	desk.press, kiosk.press = press, press
-	engines, err := newEngineSet(r, seed, args.Engines, 0)
+	engines, err := sys.startEngines(args, seed, 0)
 	if err != nil {
 		return nil, err
 	}
-	defer engines.stop()
-	links, err := newEntryLinks(r, seed, new(atomic.Bool))
-	defer func() {
-		for _, l := range links {
-			l.stop()
-		}
-	}()
+	links, err := sys.startLinks(seed, new(atomic.Bool))
 	if err != nil {
 		return nil, err
 	}
-	op := &operator{region: r}
-	if err := op.publishInitial(); err != nil {
+	if err := sys.op.publishInitial(); err != nil {
 		return nil, err
 	}
 	deskCalls, kioskCalls := &callers{region: r}, &callers{region: r}
 	streams := &streamCallers{engines: engines, entryAddresses: addresses(links), entryLinks: links, entries: r.entries, kinds: streamKinds(false)}
 	if !deskCalls.waitServed() || !streams.waitServed("start", streamKinds(false)) {
-		return &result{folder: folder, violations: []string{"the region does not serve at the start"}}, nil
+		return sys.notServing(), nil
 	}
 	from := time.Now().Add(pressCalm)
 	until := from.Add(args.Faults)
@@ -192,11 +181,6 @@
 	all.Wait()
 	violations, margins := r.repeats.check()
 	fmt.Printf("seed %d: %s; %d%% dropped, %d%% refused; %s; %s\n", seed, scenario.name, press.droppedPart, press.refusedPart, margins, &streams.counts)
-	logged, err := r.logViolations()
-	if err != nil {
-		return nil, err
-	}
-	violations = append(append(append(violations, desk.violations(deskCalls.answers())...), kiosk.violations(kioskCalls.answers())...), streams.violations()...)
-	violations = append(append(append(violations, engines.runs.violations()...), r.violations()...), logged...)
-	return &result{folder: folder, violations: violations}, nil
+	violations = slices.Concat(violations, desk.violations(deskCalls.answers()), kiosk.violations(kioskCalls.answers()), streams.violations(), engines.runs.violations())
+	return sys.finish(seed, violations)
 }
--- /dev/null
+++ b/cmd/mastic-soak/system.go
@@ -0,0 +1,87 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync/atomic"
+	"time"
+)
+
+// system is the region of one seed with everything around it.
+type system struct {
+	region *region
+	folder string
+	op     *operator
+	checks *configChecks
+	// closers end the parts, the last one started first.
+	closers []func()
+}
+
+// startSystem starts a region for a seed of a mode.
+func (a *arguments) startSystem(mode string, seed uint64, t timing) (*system, error) {
+	folder, err := os.MkdirTemp("", fmt.Sprintf("mastic-soak%s-%d-", mode, seed))
+	if err != nil {
+		return nil, err
+	}
+	binary, err := filepath.Abs(a.Binary)
+	if err != nil {
+		return nil, err
+	}
+	r, err := startRegion(binary, folder, a.Subnet, a.Entries, t)
+	if err != nil {
+		return nil, err
+	}
+	op := &operator{region: r}
+	return &system{region: r, folder: folder, op: op, checks: &configChecks{region: r, operator: op}, closers: []func(){r.stop}}, nil
+}
+
+func (s *system) close() {
+	for _, end := range slices.Backward(s.closers) {
+		end()
+	}
+}
+
+func (s *system) startPlain(name string, count int, crashing *crashLedger) *plainService {
+	service := newPlainService(s.region, name, count, crashing)
+	s.closers = append(s.closers, service.stop)
+	return service
+}
+
+func (s *system) startEngines(args *arguments, seed uint64, grouped int) (*engineSet, error) {
+	engines, err := newEngineSet(s.region, seed, args.Engines, grouped)
+	if err == nil {
+		s.closers = append(s.closers, engines.stop)
+	}
+	return engines, err
+}
+
+// startLinks starts a link in front of each entry; they break connections while active is true.
+func (s *system) startLinks(seed uint64, active *atomic.Bool) ([]*link, error) {
+	links, err := newEntryLinks(s.region, seed, active)
+	for _, l := range links {
+		s.closers = append(s.closers, l.stop)
+	}
+	return links, err
+}
+
+// notServing is the result of a seed whose region does not serve at the start.
+func (s *system) notServing() *result {
+	return &result{folder: s.folder, violations: []string{"the region does not serve at the start"}}
+}
+
+// finish returns the result of a seed: the given violations and those that every mode looks for.
+func (s *system) finish(seed uint64, violations []string) (*result, error) {
+	violations = append(violations, s.checks.finish()...)
+	violations = append(violations, s.op.violations()...)
+	fmt.Printf("seed %d: configuration: %s\n", seed, s.checks)
+	logged, err := s.region.logViolations()
+	if err != nil {
+		return nil, err
+	}
+	return &result{folder: s.folder, violations: slices.Concat(violations, s.region.violations(), logged)}, nil
+}
+
+// before returns a function that reports whether a time has not come.
+func before(until time.Time) func() bool { return func() bool { return time.Now().Before(until) } }
