HTTP: an answer whose status line is none is no answer, for every reader of heads

Seen by callers: an upstream's HTTP/1.1 000 reached them as 200 with its body; 600, 999, 101 and HTTP/9.9 were passed on. Cause: in the HTTP library a status of 0 means that none is set, and its accessor says 200 for it; status codes and versions are not checked. Class: a default that stands for a value which was read. Change: pkg/httphead looks at the status line itself before a library reads the response, skips interim responses and accepts final ones of 200 to 599 in HTTP/1.0 and 1.1. Used by dispatch (entries of both daemons, orders and probes of engines), the tunnel's handshake, the command line, the demo and the benches. Such an answer counts as malformed: a request that may be repeated is, another one gets 502. Bytes that are no status line at all stay cut-off, as an upstream that crashes may leave them. Statuses that the code sets itself come from fault.Status, which has 500 for an unknown kind, or from checked answers.

--- a/internal/demo/caller.go
+++ b/internal/demo/caller.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/masticmount/masticmount/pkg/fault"
+	"github.com/masticmount/masticmount/pkg/httphead"
 )
 
 // requestTimeout bounds one request of the demo.
@@ -24,6 +25,7 @@
 func newCaller(token string) *caller {
 	return &caller{token: token, http: &fasthttp.Client{
 		StreamResponseBody: true,
+		Dial:               httphead.Dial(nil),
 		MaxConnsPerHost:    1024,
 		RetryIfErr:         func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 	}}
--- a/pkg/bench/harness.go
+++ b/pkg/bench/harness.go
@@ -24,6 +24,7 @@
 	"github.com/masticmount/masticmount/pkg/disconnect"
 	"github.com/masticmount/masticmount/pkg/domain"
 	"github.com/masticmount/masticmount/pkg/fakes"
+	"github.com/masticmount/masticmount/pkg/httphead"
 	"github.com/masticmount/masticmount/pkg/loadgen"
 	"github.com/masticmount/masticmount/pkg/node"
 	"github.com/masticmount/masticmount/pkg/settings"
@@ -68,7 +69,7 @@
 // requests.
 func newHarness(opts harnessOptions) (*harness, error) {
 	h := &harness{opts: opts, stopped: make(chan struct{}), client: &fasthttp.Client{
-		MaxConnsPerHost: maxHarnessConns, StreamResponseBody: true,
+		MaxConnsPerHost: maxHarnessConns, StreamResponseBody: true, Dial: httphead.Dial(nil),
 		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 	}}
 	var err error
--- a/pkg/cli/client.go
+++ b/pkg/cli/client.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net/http"
 	"net/url"
+	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -14,6 +15,7 @@
 	"github.com/masticmount/masticmount/pkg/admin"
 	"github.com/masticmount/masticmount/pkg/api"
 	"github.com/masticmount/masticmount/pkg/fault"
+	"github.com/masticmount/masticmount/pkg/httphead"
 )
 
 const (
@@ -38,6 +40,12 @@
 		MaxResponseBodySize: maxResponseBytes,
 		RetryIfErr:          func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 	}}
+	if !strings.HasPrefix(server, "https://") {
+		c.http.Dial = httphead.Dial(nil)
+		return c, nil
+	}
+	config := &tls.Config{MinVersion: tls.VersionTLS12}
+	c.http.Dial = httphead.Dial(config)
 	if caFile == "" {
 		return c, nil
 	}
@@ -49,7 +57,7 @@
 	if !roots.AppendCertsFromPEM(pem) {
 		return nil, fault.New(fault.InvalidRequest, "give a file with PEM certificates", "%s contains no certificate", caFile)
 	}
-	c.http.TLSConfig = &tls.Config{RootCAs: roots, MinVersion: tls.VersionTLS12}
+	config.RootCAs = roots
 	return c, nil
 }
 
--- a/pkg/cli/endless_response_test.go
+++ b/pkg/cli/endless_response_test.go
@@ -55,3 +55,30 @@
 		})
 	}
 }
+
+// Guards against a change that counts as accepted because of an answer whose status is none.
+func TestInvalidStatusIsNoSuccess(t *testing.T) {
+	for _, line := range []string{"HTTP/1.1 000 OK", "HTTP/1.1 101 X", "HTTP/1.1 999 X", "HTTP/9.9 200 OK", "HTTP/1.1 200 OK"} {
+		t.Run(line, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer func() { _ = listener.Close() }()
+			go func() {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(conn, line+"\r\nContent-Length: 2\r\n\r\n{}")
+				_, _ = io.Copy(io.Discard, conn)
+			}()
+			client, err := NewClient("http://"+listener.Addr().String(), "token", "")
+			require.NoError(t, err)
+			_, err = client.Status()
+			if line == "HTTP/1.1 200 OK" {
+				require.NoError(t, err)
+				return
+			}
+			assert.Equal(t, fault.NoQuorum, fault.From(err).Kind, "%v", err)
+		})
+	}
+}
--- a/pkg/dispatch/exchange.go
+++ b/pkg/dispatch/exchange.go
@@ -13,6 +13,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/masticmount/masticmount/pkg/httphead"
 	"github.com/masticmount/masticmount/pkg/statement"
 )
 
@@ -56,6 +57,9 @@
 	}
 	// The answer may last long, and the body is not needed for it.
 	x.call.Body = nil
+	if err := httphead.AwaitFinal(conn.reader); err != nil {
+		return nil, x.abort(headReason(ctx, err), err)
+	}
 	x.resp = fasthttp.AcquireResponse()
 	x.resp.StreamBody = true
 	x.resp.SkipBody = skipBody
@@ -68,6 +72,16 @@
 	return x, nil
 }
 
+// headReason returns the reason of a response whose head could not be read. Bytes that are no status line at all count as
+// a truncated response, as an upstream that crashes may leave them.
+func headReason(ctx context.Context, err error) Reason {
+	var invalid *httphead.InvalidError
+	if errors.As(err, &invalid) && strings.HasPrefix(invalid.Line, "HTTP/") {
+		return Malformed
+	}
+	return reasonOf(ctx, err, Truncated)
+}
+
 func (x *exchange) send() error {
 	_ = x.conn.SetDeadline(x.call.Deadline)
 	before := x.conn.raw.written.Load()
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -13,6 +15,7 @@
 
 	"github.com/gofiber/fiber/v3"
 	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp/fasthttputil"
 
 	"github.com/masticmount/masticmount/pkg/api"
 	"github.com/masticmount/masticmount/pkg/claims"
@@ -471,6 +474,31 @@
 	}
 }
 
+// Guards against an upstream in trouble whose status line is none: its bytes must not reach a client as an answer.
+func TestInvalidStatusIsNoAnswer(t *testing.T) {
+	for _, line := range []string{"HTTP/1.1 000 OK", "HTTP/1.1 101 X", "HTTP/1.1 600 X", "HTTP/1.1 999 X", "HTTP/9.9 200 OK"} {
+		h := newHarness(t)
+		listener := fasthttputil.NewInmemoryListener()
+		t.Cleanup(func() { _ = listener.Close() })
+		h.net.listeners["broken"] = listener
+		h.addGroup("broken", "licence-desk", "desk", api.UpstreamService, nil)
+		go func() {
+			for conn, err := listener.Accept(); err == nil; conn, err = listener.Accept() {
+				_, _ = http.ReadRequest(bufio.NewReader(conn))
+				_, _ = io.WriteString(conn, line+"\r\nContent-Length: 7\r\n\r\nspoiled")
+				_ = conn.Close()
+			}
+		}()
+		a := h.send(http.MethodGet, "/lookup/1", "")
+		require.Equal(t, 503, a.status, line)
+		require.Equal(t, "unknown", a.outcome, line)
+		require.NotContains(t, a.body, "spoiled")
+		require.Contains(t, h.logs.String(), "malformed")
+		h.addService("sound", fakes.Faults{})
+		require.Equal(t, 200, h.send(http.MethodGet, "/lookup/2", "").status, line)
+	}
+}
+
 func FuzzChatBody(f *testing.F) {
 	f.Add([]byte(chatRequest(true, 3)))
 	f.Add([]byte(`{"model":"m","messages":[{"content":[{"type":"text"}]}],"n":-1}`))
--- a/pkg/tunnel/dialer.go
+++ b/pkg/tunnel/dialer.go
@@ -20,6 +20,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/masticmount/masticmount/pkg/boottime"
+	"github.com/masticmount/masticmount/pkg/httphead"
 	"github.com/masticmount/masticmount/pkg/telemetry"
 )
 
@@ -475,6 +476,9 @@
 		return err
 	}
 	reader := bufio.NewReaderSize(io.LimitReader(conn, maxHandshakeBytes), maxHandshakeBytes)
+	if err := httphead.AwaitFinal(reader); err != nil {
+		return err
+	}
 	resp, err := http.ReadResponse(reader, &http.Request{Method: http.MethodConnect})
 	if err != nil {
 		return err
--- a/pkg/tunnel/endless_answer_test.go
+++ b/pkg/tunnel/endless_answer_test.go
@@ -41,3 +41,19 @@
 		})
 	}
 }
+
+// Guards against a tunnel that is taken for open because of an answer whose status line is none.
+func TestHandshakeNeedsValidStatusLine(t *testing.T) {
+	for line, opened := range map[string]bool{
+		"HTTP/1.1 200 OK": true, "HTTP/1.1 100 X\r\n\r\nHTTP/1.1 200 OK": true, "HTTP/9.9 200 OK": false, "HTTP/1.1 000 OK": false, "HTTP/1.1 101 X": false,
+	} {
+		near, far := net.Pipe()
+		go func() {
+			go func() { _, _ = io.Copy(io.Discard, far) }()
+			_, _ = io.WriteString(far, line+"\r\n\r\n")
+		}()
+		assert.NoError(t, near.SetDeadline(time.Now().Add(time.Minute)))
+		assert.Equal(t, opened, (&Dialer{}).handshake(near, Peer{}, "a:1") == nil, line)
+		_ = near.Close()
+	}
+}
