Keepers: of a batch of log entries only the newest configuration is decoded

Cause: the state machine's observer was called after each command. Class: work for each state that was passed through, in place of the state reached. Change: it is called once for a batch, before the batch's proposals return.

--- a/pkg/control/control.go
+++ b/pkg/control/control.go
@@ -189,7 +189,7 @@
 }
 
 // Applied puts in force what the state machine has applied: the document, and departures of
-// upstreams. It is called after each command, only by the goroutine that applies commands, and
+// upstreams. It is called after each batch of commands, only by the goroutine that applies commands, and
 // does not block.
 func (c *Control) Applied() {
 	c.putInForce(c.opts.Machine.Document())
--- a/pkg/control/propagation_test.go
+++ b/pkg/control/propagation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,22 +20,30 @@
 	"github.com/masticmount/masticmount/pkg/state"
 )
 
-// openSingleKeeper opens the only keeper of a region on a data folder.
+// openSingleKeeper opens the only keeper of a region on a data folder. It takes a snapshot after each entry.
 func openSingleKeeper(t *testing.T, folder string) *Control {
+	c, _ := openKeeper(t, folder, 1)
+	return c
+}
+
+// openKeeper opens the only keeper of a region, which takes a snapshot after the given number of entries. It returns a count of
+// the documents that were decoded.
+func openKeeper(t *testing.T, folder string, snapshotEntries uint64) (c *Control, decoded *atomic.Int64) {
 	machine := state.New()
-	var c *Control
+	decoded = &atomic.Int64{}
 	k := keeper.New(keeper.Options{
 		Machine: machine, NodeID: "k", Address: "k", Folder: folder, Keepers: []keeper.Peer{{NodeID: "k", Address: "k"}},
-		OnApplied: func(uint64) { c.Applied() }, SnapshotEntries: 1, Log: zerolog.Nop(),
+		OnApplied: func(uint64) { c.Applied() }, SnapshotEntries: snapshotEntries, Log: zerolog.Nop(),
 	})
 	c = New(Options{
 		Keeper: k, Machine: machine, Address: "k", AnnounceInterval: time.Second, StallTimeout: 4 * time.Second, OrderSender: rejectOrders{}, Log: zerolog.Nop(),
 		Decode: func(content []byte) (*document.Document, error) {
+			decoded.Add(1)
 			return &document.Document{Version: uint64(content[0])}, nil
 		},
 	})
 	require.NoError(t, k.Open())
-	return c
+	return c, decoded
 }
 
 // withLeader runs a test with the only keeper of a region after it became leader.
@@ -207,6 +216,25 @@
 	})
 }
 
+// Guards against a keeper that is busy for seconds after a restart, and late for the entries that wait, as it decodes each document of its log.
+func TestRestartedKeeperDecodesOnlyNewestDocument(t *testing.T) {
+	folder := t.TempDir()
+	synctest.Test(t, func(t *testing.T) {
+		const versions = 60
+		c, _ := openKeeper(t, folder, 1000)
+		<-time.After(5 * time.Second)
+		for version := range byte(versions) {
+			require.NoError(t, c.Replace(t.Context(), uint64(version)+1, []byte{version + 1}))
+		}
+		c.opts.Keeper.Close()
+		again, decoded := openKeeper(t, folder, 1000)
+		defer again.opts.Keeper.Close()
+		<-time.After(5 * time.Second)
+		assert.EqualValues(t, versions, again.documentVersion())
+		assert.LessOrEqual(t, decoded.Load(), int64(3), "one for each batch of the log")
+	})
+}
+
 // Guards against a configuration that ages at the entries although the keeper can confirm it again: a quorum read that failed
 // must be repeated for the tokens that wait, not only for the next one.
 func TestFailedConfirmationIsRepeated(t *testing.T) {
--- a/pkg/keeper/apply.go
+++ b/pkg/keeper/apply.go
@@ -27,11 +27,8 @@
 		if b.snapshot != nil {
 			k.install(b.snapshot)
 		}
-		for _, e := range b.entries {
-			k.applyEntry(e)
-		}
 		if len(b.entries) > 0 {
-			k.applied.set(k.appliedBase.Index)
+			k.applyEntries(b.entries)
 		}
 		if k.sinceSnapshot.due(k.opts.SnapshotEntries) {
 			k.takeSnapshot()
@@ -54,7 +51,27 @@
 	k.opts.Log.Info().Uint64("index", snapshot.GetIndex()).Msg("snapshot_installed")
 }
 
-func (k *Keeper) applyEntry(e *peerpb.LogEntry) {
+// applyEntries applies the entries of one batch and then completes their proposals.
+func (k *Keeper) applyEntries(entries []*peerpb.LogEntry) {
+	results := make([]*peerpb.Result, len(entries))
+	lastCommand := uint64(0)
+	for i, e := range entries {
+		results[i] = k.applyEntry(e)
+		if e.GetKind() == peerpb.EntryKind_ENTRY_KIND_COMMAND {
+			lastCommand = e.GetIndex()
+		}
+	}
+	if lastCommand > 0 {
+		k.opts.OnApplied(lastCommand)
+	}
+	for i, e := range entries {
+		k.waiters.complete(e.GetIndex(), e.GetTerm(), results[i])
+	}
+	k.applied.set(k.appliedBase.Index)
+}
+
+// applyEntry applies one entry and returns the result of a command.
+func (k *Keeper) applyEntry(e *peerpb.LogEntry) *peerpb.Result {
 	membership := k.appliedBase.Membership
 	var result *peerpb.Result
 	switch e.GetKind() {
@@ -70,7 +87,7 @@
 		Index: e.GetIndex(), Term: e.GetTerm(), LeaderTimeMs: e.GetLeaderTimeMs(), Membership: membership,
 	}
 	k.sinceSnapshot.add(e)
-	k.waiters.complete(e.GetIndex(), e.GetTerm(), result)
+	return result
 }
 
 func (k *Keeper) applyCommand(e *peerpb.LogEntry) *peerpb.Result {
@@ -82,7 +99,6 @@
 	k.mu.Lock()
 	result := k.opts.Machine.Apply(e.GetIndex(), command)
 	k.mu.Unlock()
-	k.opts.OnApplied(e.GetIndex())
 	return result
 }
 
--- a/pkg/keeper/keeper.go
+++ b/pkg/keeper/keeper.go
@@ -99,7 +99,8 @@
 // Options configure a Keeper.
 type Options struct {
 	Machine StateMachine
-	// OnApplied is called after each applied command, in order; it must not block.
+	// OnApplied is called after the commands of each batch were applied, with the index of the last one, and before their
+	// proposals return; it must not block.
 	OnApplied func(index uint64)
 	// NodeID and Address identify this node.
 	NodeID  string
