--- a/cmd/mastic-soak/callers.go
+++ b/cmd/mastic-soak/callers.go
@@ -141,13 +141,13 @@
 
 // run sends requests while active returns true.
 func (c *callers) run(active func() bool) {
-	c.sendAll(active, func(i int) { c.call(i%2 == 0) })
+	c.sendAll(callInterval, active, func(i int) { c.call(i%2 == 0) })
 }
 
-// sendAll calls send in each callInterval while active returns true.
-func (c *callers) sendAll(active func() bool, send func(i int)) {
+// sendAll calls send in each interval while active returns true.
+func (c *callers) sendAll(interval time.Duration, active func() bool, send func(i int)) {
 	var calls sync.WaitGroup
-	tick := time.NewTicker(callInterval)
+	tick := time.NewTicker(interval)
 	defer tick.Stop()
 	for i := 0; active(); i++ {
 		<-tick.C
--- a/cmd/mastic-soak/concurrentfaults.go
+++ b/cmd/mastic-soak/concurrentfaults.go
@@ -75,22 +75,10 @@
 	return f.concurrent.engines.all[f.random.IntN(len(f.concurrent.engines.all))]
 }
 
-func (f *faultSequence) silence() {
-	e := f.engine()
-	e.silent.Store(true)
-	time.Sleep(f.randomTime(500*time.Millisecond, 3*time.Second))
-	e.silent.Store(false)
-}
-
+func (f *faultSequence) silence() { f.during(&f.engine().silent, 500*time.Millisecond, 3*time.Second) }
 func (f *faultSequence) restart() { f.engine().restart() }
 
-func (f *faultSequence) drain() {
-	e := f.engine()
-	e.draining.Store(true)
-	time.Sleep(f.randomTime(500*time.Millisecond, 2*time.Second))
-	e.draining.Store(false)
-}
-
+func (f *faultSequence) drain()           { f.during(&f.engine().draining, 500*time.Millisecond, 2*time.Second) }
 func (f *faultSequence) resetEngineLink() { f.engine().link.resetAll() }
 
 func (f *faultSequence) resetEntryLink() {
--- a/cmd/mastic-soak/departures.go
+++ b/cmd/mastic-soak/departures.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -110,13 +109,7 @@
 		}
 	}
 	u.mu.Unlock()
-	client := &http.Client{Timeout: time.Second}
-	resp, err := client.Post(fmt.Sprintf("http://%s:%d/api/instances/%s/%s", keeper.ip, controlPort, id, call), "application/json", bytes.NewReader(body))
-	if err != nil {
-		return false
-	}
-	_ = resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
+	return post(&http.Client{Timeout: time.Second}, keeper, "instances/"+id+"/"+call, body)
 }
 
 // check has one more upstream leave in calm, its keeper killed, and returns the upstreams that got requests although
--- a/cmd/mastic-soak/engines.go
+++ b/cmd/mastic-soak/engines.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -362,10 +361,7 @@
 	if err != nil {
 		panic(err)
 	}
-	resp, err := client.Post(fmt.Sprintf("http://%s:%d/api/instances/%s/heartbeat", keeper.ip, controlPort, e.id), "application/json", bytes.NewReader(body))
-	if err == nil {
-		_ = resp.Body.Close()
-	}
+	post(client, keeper, "instances/"+e.id+"/heartbeat", body)
 }
 
 func (e *engine) announcement() map[string]any {
--- a/cmd/mastic-soak/faults.go
+++ b/cmd/mastic-soak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -68,30 +69,23 @@
 	}
 }
 
-func (f *faults) kill() {
-	n := f.keeper()
-	inject(n, func() {
-		n.stopWith(syscall.SIGKILL)
-		time.Sleep(f.randomTime(100*time.Millisecond, 1500*time.Millisecond))
-		f.restart(n)
-	})
-}
-
-func (f *faults) term() {
-	f.terminateNode(f.node())
-}
-
-func (f *faults) terminateNode(n *node) {
+// restartNode ends a node's process with a signal and starts it again after a pause.
+func (f *faults) restartNode(n *node, s syscall.Signal, pause time.Duration) {
 	inject(n, func() {
-		n.stopWith(syscall.SIGTERM)
+		n.stopWith(s)
+		time.Sleep(pause)
 		f.restart(n)
 	})
 }
 
-func (f *faults) freeze() {
-	f.freezeNode(f.node())
+func (f *faults) kill() {
+	f.restartNode(f.keeper(), syscall.SIGKILL, f.randomTime(100*time.Millisecond, 1500*time.Millisecond))
 }
-
+func (f *faults) term()                 { f.terminateNode(f.node()) }
+func (f *faults) terminateNode(n *node) { f.restartNode(n, syscall.SIGTERM, 0) }
+func (f *faults) killEntry()            { f.killNode(f.entry()) }
+func (f *faults) killNode(n *node)      { f.restartNode(n, syscall.SIGKILL, 0) }
+func (f *faults) freeze()               { f.freezeNode(f.node()) }
 func (f *faults) freezeNode(n *node) {
 	inject(n, func() {
 		n.signal(syscall.SIGSTOP)
@@ -100,9 +94,14 @@
 	})
 }
 
+// mayLoseQuorum reports whether a fault of the quorum is far enough from the one before.
+func (f *faults) mayLoseQuorum() bool {
+	return time.Since(f.wipedAt) >= minWipeInterval && time.Since(f.stoppedAt) >= minWipeInterval
+}
+
 // wipe restarts a keeper with an empty disk and with bootstrap off in its settings.
 func (f *faults) wipe() {
-	if time.Since(f.wipedAt) < minWipeInterval || time.Since(f.stoppedAt) < minWipeInterval {
+	if !f.mayLoseQuorum() {
 		return
 	}
 	i := f.random.IntN(keeperCount)
@@ -123,7 +122,7 @@
 
 // stopKeepers kills all keepers at about the same time and restarts them with their disks.
 func (f *faults) stopKeepers() {
-	if time.Since(f.wipedAt) < minWipeInterval || time.Since(f.stoppedAt) < minWipeInterval {
+	if !f.mayLoseQuorum() {
 		return
 	}
 	// A keeper with another fault is left out.
@@ -142,34 +141,17 @@
 	f.stoppedAt = time.Now()
 }
 
-func (f *faults) killEntry() { f.killNode(f.entry()) }
-
-func (f *faults) killNode(n *node) {
-	inject(n, func() {
-		n.stopWith(syscall.SIGKILL)
-		f.restart(n)
-	})
-}
-
 func (f *faults) upstream() *upstream { return f.service.upstreams[f.random.IntN(deskCount)] }
 
-func (f *faults) dropAnswers() {
-	u := f.upstream()
-	u.dropsAnswers.Store(true)
-	time.Sleep(f.randomTime(100*time.Millisecond, time.Second))
-	u.dropsAnswers.Store(false)
-}
-
-func (f *faults) refuse() {
-	u := f.upstream()
-	u.refuses.Store(true)
-	time.Sleep(f.randomTime(100*time.Millisecond, time.Second))
-	u.refuses.Store(false)
+// during sets a flag for a random time.
+func (f *faults) during(flag *atomic.Bool, from, to time.Duration) {
+	flag.Store(true)
+	time.Sleep(f.randomTime(from, to))
+	flag.Store(false)
 }
 
-func (f *faults) silence() {
-	u := f.upstream()
-	u.silent.Store(true)
-	time.Sleep(f.randomTime(500*time.Millisecond, 3*time.Second))
-	u.silent.Store(false)
+func (f *faults) dropAnswers() {
+	f.during(&f.upstream().dropsAnswers, 100*time.Millisecond, time.Second)
 }
+func (f *faults) refuse()  { f.during(&f.upstream().refuses, 100*time.Millisecond, time.Second) }
+func (f *faults) silence() { f.during(&f.upstream().silent, 500*time.Millisecond, 3*time.Second) }
--- a/cmd/mastic-soak/knownred.go
+++ b/cmd/mastic-soak/knownred.go
@@ -1,8 +1,6 @@
 package main
 
 import (
-	"bufio"
-	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -50,20 +48,12 @@
 }
 
 // logsExhaustedBudget reports whether a log tells that the budget for retries of a request was exhausted.
-func logsExhaustedBudget(log io.Reader, request string) (bool, error) {
-	reader := bufio.NewReader(log)
-	for {
-		line, err := reader.ReadString('\n')
-		if strings.Contains(line, " request_id="+request+" ") && strings.Contains(line, " budget_exhausted=true ") {
-			return true, nil
-		}
-		if errors.Is(err, io.EOF) {
-			return false, nil
-		}
-		if err != nil {
-			return false, err
-		}
-	}
+func logsExhaustedBudget(log io.Reader, request string) (exhausted bool, err error) {
+	err = eachLine(log, func(line string) bool {
+		exhausted = exhausted || strings.Contains(line, " request_id="+request+" ") && strings.Contains(line, " budget_exhausted=true ")
+		return !exhausted
+	})
+	return exhausted, err
 }
 
 // withoutRetries reports whether a stream was given up because its entry was young and had no retry left.
--- a/cmd/mastic-soak/logs.go
+++ b/cmd/mastic-soak/logs.go
@@ -8,6 +8,8 @@
 	"os"
 	"path/filepath"
 	"strings"
+
+	"github.com/samber/lo"
 )
 
 // crashPatterns are texts that a correct process never logs. A panic that the HTTP library
@@ -35,22 +37,26 @@
 }
 
 // crashLines returns the lines that contain a crash pattern.
-func crashLines(log io.Reader) ([]string, error) {
-	var found []string
+func crashLines(log io.Reader) (found []string, err error) {
+	err = eachLine(log, func(line string) bool {
+		if lo.SomeBy(crashPatterns, func(pattern string) bool { return strings.Contains(line, pattern) }) {
+			found = append(found, strings.TrimSpace(line))
+		}
+		return true
+	})
+	return found, err
+}
+
+// eachLine passes the lines of a log, of any length, until it ends or more returns false.
+func eachLine(log io.Reader, more func(line string) bool) error {
 	reader := bufio.NewReader(log)
 	for {
 		line, err := reader.ReadString('\n')
-		for _, pattern := range crashPatterns {
-			if strings.Contains(line, pattern) {
-				found = append(found, strings.TrimSpace(line))
-				break
-			}
-		}
-		if errors.Is(err, io.EOF) {
-			return found, nil
+		if !more(line) || errors.Is(err, io.EOF) {
+			return nil
 		}
 		if err != nil {
-			return found, err
+			return err
 		}
 	}
 }
--- a/cmd/mastic-soak/losses.go
+++ b/cmd/mastic-soak/losses.go
@@ -284,20 +284,11 @@
 	}
 	defer sys.close()
 	r := sys.region
-	service := sys.startPlain(deskService, deskCount, nil)
-	engines, err := sys.startEngines(args, seed, args.Grouped)
-	if err != nil {
-		return nil, err
-	}
-	links, err := sys.startLinks(seed, new(atomic.Bool))
-	if err != nil {
-		return nil, err
-	}
-	if err := sys.op.publishInitial(); err != nil {
+	if err := sys.startParts(args, seed, deskCount, args.Grouped, false); err != nil {
 		return nil, err
 	}
+	service, engines, streams := sys.desk, sys.engines, sys.streams
 	c := &callers{region: r}
-	streams := &streamCallers{engines: engines, entryAddresses: addresses(links), entryLinks: links, entries: r.entries, kinds: streamKinds(true)}
 	if !c.waitServed() || !streams.waitServed("start", streamKinds(true)) {
 		return sys.notServing(), nil
 	}
--- a/cmd/mastic-soak/main.go
+++ b/cmd/mastic-soak/main.go
@@ -98,21 +98,12 @@
 	}
 	defer sys.close()
 	r, op := sys.region, sys.op
-	service := sys.startPlain(deskService, deskCount, nil)
 	kiosk := sys.startPlain(kioskService, kioskCount, newCrashLedger())
-	engines, err := sys.startEngines(args, seed, args.Grouped)
-	if err != nil {
-		return nil, err
-	}
-	entryLinks, err := sys.startLinks(seed, &engines.faultsActive)
-	if err != nil {
-		return nil, err
-	}
-	if err := op.publishInitial(); err != nil {
+	if err := sys.startParts(args, seed, deskCount, args.Grouped, true); err != nil {
 		return nil, err
 	}
+	service, engines, entryLinks, streams := sys.desk, sys.engines, sys.links, sys.streams
 	c := &callers{region: r}
-	streams := &streamCallers{engines: engines, entryAddresses: addresses(entryLinks), entryLinks: entryLinks, entries: r.entries, kinds: streamKinds(args.Grouped > 0)}
 	if !c.waitServed() || !streams.waitServed("start", streamKinds(false)) {
 		return sys.notServing(), nil
 	}
--- a/cmd/mastic-soak/oddwriter.go
+++ b/cmd/mastic-soak/oddwriter.go
@@ -30,12 +30,8 @@
 			id = fmt.Sprintf("odd-%d", i)
 		}
 		keeper := w.region.keepers[random.IntN(keeperCount)]
-		resp, err := client.Post(fmt.Sprintf("http://%s:%d/api/instances/%s/heartbeat", keeper.ip, controlPort, id), "application/json", strings.NewReader(body))
-		if err == nil {
-			if resp.StatusCode == http.StatusOK {
-				w.accepted = append(w.accepted, fmt.Sprintf("%s acknowledged an odd announcement: %.200s", keeper.name, body))
-			}
-			_ = resp.Body.Close()
+		if post(client, keeper, "instances/"+id+"/heartbeat", []byte(body)) {
+			w.accepted = append(w.accepted, fmt.Sprintf("%s acknowledged an odd announcement: %.200s", keeper.name, body))
 		}
 		time.Sleep(oddInterval)
 	}
--- a/cmd/mastic-soak/operator.go
+++ b/cmd/mastic-soak/operator.go
@@ -140,7 +140,7 @@
 	}
 	o.sent[version] = document(version, o.region.timing)
 	sentAt := time.Now()
-	if !post(keeper, o.sent[version]) {
+	if !postDocument(keeper, o.sent[version]) {
 		return false
 	}
 	o.mu.Lock()
@@ -155,10 +155,14 @@
 	return true
 }
 
-// post sends a document to a keeper and reports whether it was acknowledged.
-func post(keeper *node, document []byte) bool {
-	client := &http.Client{Timeout: controlTimeout}
-	resp, err := client.Post(fmt.Sprintf("http://%s:%d/api/config/replace", keeper.ip, controlPort), "application/json", bytes.NewReader(document))
+// postDocument sends a document to a keeper and reports whether it was acknowledged.
+func postDocument(keeper *node, document []byte) bool {
+	return post(&http.Client{Timeout: controlTimeout}, keeper, "config/replace", document)
+}
+
+// post sends a call to a keeper and reports whether it was acknowledged.
+func post(client *http.Client, keeper *node, call string, body []byte) bool {
+	resp, err := client.Post(fmt.Sprintf("http://%s:%d/api/%s", keeper.ip, controlPort, call), "application/json", bytes.NewReader(body))
 	if err != nil {
 		return false
 	}
@@ -173,10 +177,10 @@
 	kind := wrongKinds[turn%len(wrongKinds)]
 	if kind.from == "" {
 		same := bytes.Replace(document(o.acknowledged, o.region.timing), []byte("/lookup/"), []byte(wrongPath), 1)
-		post(keeper, same)
+		postDocument(keeper, same)
 		return
 	}
-	if post(keeper, bytes.Replace(wrong, []byte(kind.from), []byte(kind.to), 1)) {
+	if postDocument(keeper, bytes.Replace(wrong, []byte(kind.from), []byte(kind.to), 1)) {
 		o.found = append(o.found, fmt.Sprintf("%s acknowledged a document with %s for %s", keeper.name, kind.to, kind.from))
 	}
 }
--- a/cmd/mastic-soak/plainservice.go
+++ b/cmd/mastic-soak/plainservice.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -206,11 +205,7 @@
 		if err != nil {
 			panic(err)
 		}
-		keeper := u.service.region.keeperInTurn(seq)
-		resp, err := client.Post(fmt.Sprintf("http://%s:%d/api/instances/%s/heartbeat", keeper.ip, controlPort, id), "application/json", bytes.NewReader(body))
-		if err == nil {
-			_ = resp.Body.Close()
-		}
+		post(client, u.service.region.keeperInTurn(seq), "instances/"+id+"/heartbeat", body)
 	}
 }
 
--- a/cmd/mastic-soak/plannedstops.go
+++ b/cmd/mastic-soak/plannedstops.go
@@ -181,21 +181,19 @@
 	p.log.restarted(s)
 }
 
-// entryAddresses returns where callers reach the entries: directly, or in some seeds over links that delay.
-func (s *system) entryAddresses(seed uint64) ([]string, []*link, error) {
+// entryAddresses returns where callers reach the entries, and whether that is over links that delay, as in some seeds.
+func (s *system) entryAddresses(seed uint64) (reached []string, delayed bool) {
 	random := randomSource(seed, "delay of entries")
 	if random.IntN(slowLinksOneIn) != 0 {
-		var direct []string
 		for _, n := range s.region.entries {
-			direct = append(direct, net.JoinHostPort(n.ip, fmt.Sprint(callerPort)))
+			reached = append(reached, net.JoinHostPort(n.ip, fmt.Sprint(callerPort)))
 		}
-		return direct, nil, nil
+		return reached, false
 	}
-	links, err := s.startLinks(seed, new(atomic.Bool))
-	for _, l := range links {
+	for _, l := range s.links {
 		l.delay.Store(random.Int64N(int64(maxEntryDelay)))
 	}
-	return addresses(links), links, err
+	return addresses(s.links), true
 }
 
 // soakStops runs one seed in which nothing happens but planned stops, reloads and changes of the configuration, while
@@ -208,18 +206,11 @@
 	}
 	defer sys.close()
 	r := sys.region
-	service := sys.startPlain(deskService, deskCount, nil)
-	engines, err := sys.startEngines(args, seed, args.Grouped)
-	if err != nil {
-		return nil, err
-	}
-	reached, links, err := sys.entryAddresses(seed)
-	if err != nil {
-		return nil, err
-	}
-	if err := sys.op.publishInitial(); err != nil {
+	if err := sys.startParts(args, seed, deskCount, args.Grouped, false); err != nil {
 		return nil, err
 	}
+	service, engines := sys.desk, sys.engines
+	reached, delayed := sys.entryAddresses(seed)
 	if !(&callers{region: r}).waitServed() {
 		return sys.notServing(), nil
 	}
@@ -250,7 +241,7 @@
 	}
 	repeated, margins := r.repeats.check()
 	fmt.Printf("seed %d: %s\n", seed, margins)
-	fmt.Printf("seed %d: %s; slowness of engine-0 %g, delay at entries: %v\n", seed, counts, t.slowness("engine-0"), links != nil)
+	fmt.Printf("seed %d: %s; slowness of engine-0 %g, delay at entries: %v\n", seed, counts, t.slowness("engine-0"), delayed)
 	return sys.finish(seed, append(violations, repeated...))
 }
 
--- a/cmd/mastic-soak/replacements.go
+++ b/cmd/mastic-soak/replacements.go
@@ -329,7 +329,7 @@
 	all.Go(func() { op.run(active) })
 	all.Go(func() { sys.checks.run(active) })
 	all.Go(func() { public.run(active) })
-	all.Go(func() { keyed.sendAll(active, func(int) { keyed.sendKeyed() }) })
+	all.Go(func() { keyed.sendAll(callInterval, active, func(int) { keyed.sendKeyed() }) })
 	violations := p.run(time.Now().Add(args.Faults))
 	done.Store(true)
 	all.Wait()
--- a/cmd/mastic-soak/retrypress.go
+++ b/cmd/mastic-soak/retrypress.go
@@ -117,17 +117,11 @@
 
 // sendRepeatable sends one request that may run again after another, to the entries in rotation, until a time.
 func (c *callers) sendRepeatable(path, key string, interval time.Duration, until time.Time) {
-	var calls sync.WaitGroup
-	tick := time.NewTicker(interval)
-	defer tick.Stop()
-	for time.Now().Before(until) {
-		<-tick.C
+	c.sendAll(interval, before(until), func(int) {
 		number := c.nextNumber()
 		// Contents differ, so that none is suspected to crash upstreams.
-		r := plainRequest{method: "POST", path: fmt.Sprintf("%s%d", path, number), key: key, body: fmt.Sprintf("content %d", number)}
-		calls.Go(func() { c.send(r, number, number) })
-	}
-	calls.Wait()
+		c.send(plainRequest{method: "POST", path: fmt.Sprintf("%s%d", path, number), key: key, body: fmt.Sprintf("content %d", number)}, number, number)
+	})
 }
 
 // soakRetries runs one seed in which most requests fail while entries restart.
@@ -140,22 +134,13 @@
 	}
 	defer sys.close()
 	r := sys.region
-	desk, kiosk := sys.startPlain(deskService, pressedUpstreams, nil), sys.startPlain(kioskService, pressedUpstreams, nil)
-	press := newRetryPress(seed)
-	desk.press, kiosk.press = press, press
-	engines, err := sys.startEngines(args, seed, 0)
-	if err != nil {
-		return nil, err
-	}
-	links, err := sys.startLinks(seed, new(atomic.Bool))
-	if err != nil {
-		return nil, err
-	}
-	if err := sys.op.publishInitial(); err != nil {
+	kiosk, press := sys.startPlain(kioskService, pressedUpstreams, nil), newRetryPress(seed)
+	if err := sys.startParts(args, seed, pressedUpstreams, 0, false); err != nil {
 		return nil, err
 	}
+	desk, engines, streams := sys.desk, sys.engines, sys.streams
+	desk.press, kiosk.press = press, press
 	deskCalls, kioskCalls := &callers{region: r}, &callers{region: r}
-	streams := &streamCallers{engines: engines, entryAddresses: addresses(links), entryLinks: links, entries: r.entries, kinds: streamKinds(false)}
 	if !deskCalls.waitServed() || !streams.waitServed("start", streamKinds(false)) {
 		return sys.notServing(), nil
 	}
--- a/cmd/mastic-soak/system.go
+++ b/cmd/mastic-soak/system.go
@@ -15,6 +15,11 @@
 	folder string
 	op     *operator
 	checks *configChecks
+	// The parts of startParts.
+	desk    *plainService
+	engines *engineSet
+	links   []*link
+	streams *streamCallers
 	// closers end the parts, the last one started first.
 	closers []func()
 }
@@ -49,21 +54,27 @@
 	return service
 }
 
-func (s *system) startEngines(args *arguments, seed uint64, grouped int) (*engineSet, error) {
-	engines, err := newEngineSet(s.region, seed, args.Engines, grouped)
-	if err == nil {
-		s.closers = append(s.closers, engines.stop)
+// startParts starts the desk, engines and a link in front of each entry, which breaks connections while the engines' faults
+// are active if linkFaults is true, and publishes the first configuration.
+func (s *system) startParts(args *arguments, seed uint64, desks, grouped int, linkFaults bool) (err error) {
+	s.desk = s.startPlain(deskService, desks, nil)
+	if s.engines, err = newEngineSet(s.region, seed, args.Engines, grouped); err != nil {
+		return err
 	}
-	return engines, err
-}
-
-// startLinks starts a link in front of each entry; they break connections while active is true.
-func (s *system) startLinks(seed uint64, active *atomic.Bool) ([]*link, error) {
-	links, err := newEntryLinks(s.region, seed, active)
-	for _, l := range links {
+	s.closers = append(s.closers, s.engines.stop)
+	active := new(atomic.Bool)
+	if linkFaults {
+		active = &s.engines.faultsActive
+	}
+	s.links, err = newEntryLinks(s.region, seed, active)
+	for _, l := range s.links {
 		s.closers = append(s.closers, l.stop)
 	}
-	return links, err
+	if err != nil {
+		return err
+	}
+	s.streams = &streamCallers{engines: s.engines, entryAddresses: addresses(s.links), entryLinks: s.links, entries: s.region.entries, kinds: streamKinds(grouped > 0)}
+	return s.op.publishInitial()
 }
 
 // notServing is the result of a seed whose region does not serve at the start.
