--- a/pkg/attach/unconfirmed_test.go
+++ b/pkg/attach/unconfirmed_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
 )
 
@@ -74,3 +76,41 @@
 		assert.False(t, stopped[address])
 	}
 }
+
+// Operators must be able to tell from the log which keepers failed to confirm an entry's configuration, and for how long.
+func TestUnconfirmedConfigurationIsLogged(t *testing.T) {
+	var log strings.Builder
+	now := start.Add(time.Hour)
+	a := attachedTo(6, now, 500*time.Millisecond, 900*time.Millisecond, 0)
+	a.opts.Log, a.opts.MaxChangeAge = zerolog.New(&log), 2*time.Second
+	addresses := a.rankedKeepers(now)
+	a.links[addresses[1]].attached.Store(false)
+	a.newest.Store(7)
+	a.logConfirmation(now)
+	assert.Empty(t, log.String())
+	for range 3 {
+		now = now.Add(time.Second)
+		a.logConfirmation(now)
+	}
+	assert.Equal(t, 1, strings.Count(log.String(), "configuration_unconfirmed"), "once for each period")
+	for _, text := range []string{
+		`"newest_reported":7`, `"age_ms":2500`, addresses[0] + " version 0 confirmed 2500 ms ago", addresses[1] + " not attached", addresses[2] + " version 0 never confirmed",
+	} {
+		assert.Contains(t, log.String(), text)
+	}
+	a.freshness.confirm(a.freshness.token(now))
+	a.logConfirmation(now)
+	a.logConfirmation(now)
+	assert.Equal(t, 1, strings.Count(log.String(), "configuration_confirmed"))
+	assert.Contains(t, log.String(), `"unconfirmed_for_ms":1500`)
+	assert.NotContains(t, describeNever(now), "unconfirmed", "an entry that starts has nothing to confirm yet")
+}
+
+// describeNever returns what an entry logs that has no configuration yet.
+func describeNever(now time.Time) string {
+	var log strings.Builder
+	a := attachedTo(3, now, 0, 0, 0)
+	a.opts.Log, a.opts.MaxChangeAge = zerolog.New(&log), 2*time.Second
+	a.logConfirmation(now)
+	return log.String()
+}
