--- a/cmd/mastic-soak/callers.go
+++ b/cmd/mastic-soak/callers.go
@@ -112,9 +112,7 @@
 
 func sendPlain(transport *http.Transport, entry *node, id string, r plainRequest) answer {
 	req, err := http.NewRequest(r.method, fmt.Sprintf("http://%s:%d%s", entry.ip, callerPort, r.path), strings.NewReader(r.body))
-	if err != nil {
-		panic(err)
-	}
+	must(err)
 	if r.method == http.MethodGet {
 		// The transport sends a GET again by itself if a persistent connection ends, unless it
 		// cannot get its body again.
--- a/cmd/mastic-soak/configchecks.go
+++ b/cmd/mastic-soak/configchecks.go
@@ -3,8 +3,8 @@
 import (
 	"fmt"
 	"net/http"
-	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -36,11 +36,11 @@
 type configChecks struct {
 	region   *region
 	operator *operator
+	sent     atomic.Int64
 	mu       sync.Mutex
-	sent     int
-	// probes and served count the probes of routes by their kind, unconfirmed the refusals with 503.
+	// probes and served count the probes of routes by their kind, refused the refusals with 503.
 	probes, served map[string]int
-	unconfirmed    int
+	refused        int
 	found          []string
 }
 
@@ -91,25 +91,19 @@
 	if p.version == 0 && p.kind != "other routes" && p.kind != "wrong documents" {
 		return 0
 	}
-	c.mu.Lock()
-	c.sent++
-	id := fmt.Sprintf("config-%d", c.sent)
-	c.mu.Unlock()
+	id := fmt.Sprintf("config-%d", c.sent.Add(1))
 	c.region.repeats.send(deskService, id)
 	c.region.handed.send(deskService, id, entry, callTimeout)
 	sentAt := time.Now()
 	a := sendPlain(&http.Transport{DisableKeepAlives: true}, entry, id, plainRequest{method: http.MethodGet, path: p.path, key: p.key})
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.probes == nil {
-		c.probes, c.served = map[string]int{}, map[string]int{}
-	}
 	c.probes[p.kind]++
-	if a.status == http.StatusOK {
+	switch a.status {
+	case http.StatusOK:
 		c.served[p.kind]++
-	}
-	if a.status == http.StatusServiceUnavailable {
-		c.unconfirmed++
+	case http.StatusServiceUnavailable:
+		c.refused++
 	}
 	// A version that was sent meanwhile may have dropped what was added.
 	lives := c.operator.newest() < p.version+livedVersions
@@ -144,9 +138,5 @@
 
 // String returns the counts.
 func (c *configChecks) String() string {
-	var kinds []string
-	for _, kind := range []string{"other routes", "added routes", "added keys", "revoked keys"} {
-		kinds = append(kinds, fmt.Sprintf("%s %d/%d", kind, c.served[kind], c.probes[kind]))
-	}
-	return fmt.Sprintf("served: %s; %d refused with 503; %d changes acknowledged of %d", strings.Join(kinds, ", "), c.unconfirmed, len(c.operator.acknowledgements), c.operator.version)
+	return fmt.Sprintf("probes %v, served %v, %d refused with 503; %d changes acknowledged of %d", c.probes, c.served, c.refused, len(c.operator.acknowledgements), c.operator.version)
 }
--- a/cmd/mastic-soak/departures.go
+++ b/cmd/mastic-soak/departures.go
@@ -104,9 +104,7 @@
 		body, err = json.Marshal(map[string]any{
 			"service": u.service.name, "address": u.addr, "zone": "zone-0", "slots": 50, "state": "draining", "seq": 1 << 20, "born": u.startTime,
 		})
-		if err != nil {
-			panic(err)
-		}
+		must(err)
 	}
 	u.mu.Unlock()
 	return post(&http.Client{Timeout: time.Second}, keeper, "instances/"+id+"/"+call, body)
--- a/cmd/mastic-soak/engines.go
+++ b/cmd/mastic-soak/engines.go
@@ -358,9 +358,7 @@
 
 func (e *engine) heartbeat(client *http.Client, keeper *node) {
 	body, err := json.Marshal(e.announcement())
-	if err != nil {
-		panic(err)
-	}
+	must(err)
 	post(client, keeper, "instances/"+e.id+"/heartbeat", body)
 }
 
--- a/cmd/mastic-soak/faults.go
+++ b/cmd/mastic-soak/faults.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"sync/atomic"
 	"syscall"
@@ -26,7 +25,7 @@
 
 // randomTime returns a random duration of at least from and less than to.
 func (f *faults) randomTime(from, to time.Duration) time.Duration {
-	return from + time.Duration(f.random.Int64N(int64(to-from)))
+	return between(f.random, from, to)
 }
 
 // run injects faults until a time and leaves all nodes running.
@@ -61,25 +60,18 @@
 	fault()
 }
 
-func (f *faults) keeper() *node { return f.region.keepers[f.random.IntN(keeperCount)] }
-
-func (f *faults) restart(n *node) {
-	if err := f.region.start(n); err != nil {
-		panic(fmt.Sprintf("%s did not restart: %v", n.name, err))
-	}
-}
-
 // restartNode ends a node's process with a signal and starts it again after a pause.
 func (f *faults) restartNode(n *node, s syscall.Signal, pause time.Duration) {
 	inject(n, func() {
 		n.stopWith(s)
 		time.Sleep(pause)
-		f.restart(n)
+		must(f.region.start(n))
 	})
 }
 
 func (f *faults) kill() {
-	f.restartNode(f.keeper(), syscall.SIGKILL, f.randomTime(100*time.Millisecond, 1500*time.Millisecond))
+	n := f.region.keepers[f.random.IntN(keeperCount)]
+	f.restartNode(n, syscall.SIGKILL, f.randomTime(100*time.Millisecond, 1500*time.Millisecond))
 }
 func (f *faults) term()                 { f.terminateNode(f.node()) }
 func (f *faults) terminateNode(n *node) { f.restartNode(n, syscall.SIGTERM, 0) }
@@ -108,13 +100,9 @@
 	n := f.region.keepers[i]
 	inject(n, func() {
 		n.stopWith(syscall.SIGKILL)
-		if err := n.wipe(); err != nil {
-			panic(err)
-		}
-		if err := f.region.writeSettings(n, i, false); err != nil {
-			panic(err)
-		}
-		f.restart(n)
+		must(n.wipe())
+		must(f.region.writeSettings(n, i, false))
+		must(f.region.start(n))
 	})
 	f.wipedAt = time.Now()
 	time.Sleep(minWipeInterval / 2)
@@ -135,7 +123,7 @@
 	}
 	for _, n := range stopped {
 		time.Sleep(f.randomTime(0, 150*time.Millisecond))
-		f.restart(n)
+		must(f.region.start(n))
 		n.faultMu.Unlock()
 	}
 	f.stoppedAt = time.Now()
--- a/cmd/mastic-soak/fulldisks.go
+++ b/cmd/mastic-soak/fulldisks.go
@@ -45,11 +45,8 @@
 // changesAcknowledged returns a violation unless a change is acknowledged within recoveryTime.
 func (o *operator) changesAcknowledged() []string {
 	before := o.acknowledged
-	for i, end := 0, time.Now().Add(recoveryTime); time.Now().Before(end); i++ {
-		if o.replace(o.region.keeperInTurn(i)) {
-			return nil
-		}
-		time.Sleep(changeInterval)
+	if o.replaceWithin(recoveryTime) {
+		return nil
 	}
 	return []string{fmt.Sprintf("no change was acknowledged within %s after the last fault; the last acknowledged one is %d of %d", recoveryTime, before, o.version)}
 }
--- a/cmd/mastic-soak/knownred.go
+++ b/cmd/mastic-soak/knownred.go
@@ -1,10 +1,8 @@
 package main
 
 import (
-	"fmt"
 	"io"
 	"os"
-	"path/filepath"
 	"strings"
 	"time"
 )
@@ -57,18 +55,13 @@
 }
 
 // withoutRetries reports whether a stream was given up because its entry was young and had no retry left.
-func (a *attempt) withoutRetries() (bool, error) {
+func (a *attempt) withoutRetries() (exhausted bool, err error) {
 	if !a.entry.isYoung(a.endedAt) {
 		return false, nil
 	}
-	log, err := os.Open(filepath.Join(a.entry.folder, "log"))
-	if err != nil {
-		return false, err
-	}
-	defer func() { _ = log.Close() }()
-	exhausted, err := logsExhaustedBudget(log, a.request)
-	if err != nil {
-		return false, fmt.Errorf("log of %s: %w", a.entry.name, err)
-	}
-	return exhausted, nil
+	err = a.entry.readLog(func(log io.Reader) (err error) {
+		exhausted, err = logsExhaustedBudget(log, a.request)
+		return err
+	})
+	return exhausted, err
 }
--- a/cmd/mastic-soak/logs.go
+++ b/cmd/mastic-soak/logs.go
@@ -17,25 +17,33 @@
 var crashPatterns = []string{"panic", "fatal error:", "DATA RACE"}
 
 // logViolations returns the lines of all nodes' logs that contain a crash pattern.
-func (r *region) logViolations() ([]string, error) {
-	var found []string
+func (r *region) logViolations() (found []string, err error) {
 	for _, n := range r.allNodes() {
-		log, err := os.Open(filepath.Join(n.folder, "log"))
+		err = n.readLog(func(log io.Reader) error {
+			lines, err := crashLines(log)
+			found = append(found, lo.Map(lines, func(line string, _ int) string { return n.name + " logged: " + line })...)
+			return err
+		})
 		if err != nil {
 			return found, err
 		}
-		lines, err := crashLines(log)
-		_ = log.Close()
-		if err != nil {
-			return found, fmt.Errorf("log of %s: %w", n.name, err)
-		}
-		for _, line := range lines {
-			found = append(found, n.name+" logged: "+line)
-		}
 	}
 	return found, nil
 }
 
+// readLog passes the node's log to a function.
+func (n *node) readLog(read func(log io.Reader) error) error {
+	log, err := os.Open(filepath.Join(n.folder, "log"))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = log.Close() }()
+	if err := read(log); err != nil {
+		return fmt.Errorf("log of %s: %w", n.name, err)
+	}
+	return nil
+}
+
 // crashLines returns the lines that contain a crash pattern.
 func crashLines(log io.Reader) (found []string, err error) {
 	err = eachLine(log, func(line string) bool {
--- a/cmd/mastic-soak/operator.go
+++ b/cmd/mastic-soak/operator.go
@@ -111,9 +111,7 @@
 		},
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "idle_timeout_ms": 10000 + version},
 	})
-	if err != nil {
-		panic(err)
-	}
+	must(err)
 	return data
 }
 
@@ -155,7 +153,7 @@
 	return true
 }
 
-// postDocument sends a document to a keeper and reports whether it was acknowledged.
+// postDocument is post for a document.
 func postDocument(keeper *node, document []byte) bool {
 	return post(&http.Client{Timeout: controlTimeout}, keeper, "config/replace", document)
 }
@@ -186,13 +184,21 @@
 }
 
 func (o *operator) publishInitial() error {
-	for end := time.Now().Add(startTimeout); time.Now().Before(end); {
-		if o.replace(o.region.keepers[0]) {
-			return nil
+	if !o.replaceWithin(startTimeout) {
+		return fmt.Errorf("no configuration was acknowledged within %s", startTimeout)
+	}
+	return nil
+}
+
+// replaceWithin changes the configuration until a keeper acknowledges it, and reports whether one does within a time.
+func (o *operator) replaceWithin(limit time.Duration) bool {
+	for i, end := 0, time.Now().Add(limit); time.Now().Before(end); i++ {
+		if o.replace(o.region.keeperInTurn(i)) {
+			return true
 		}
 		time.Sleep(changeInterval)
 	}
-	return fmt.Errorf("no configuration was acknowledged within %s", startTimeout)
+	return false
 }
 
 // run changes the configuration and reads it back while active returns true; at times many changes follow each other at once.
--- a/cmd/mastic-soak/plainservice.go
+++ b/cmd/mastic-soak/plainservice.go
@@ -90,9 +90,7 @@
 		return
 	}
 	listener, err := net.Listen("tcp", u.addr)
-	if err != nil {
-		panic(err)
-	}
+	must(err)
 	u.addr = listener.Addr().String()
 	u.incarnation++
 	u.isDown, u.startTime = false, time.Now().UnixMilli()
@@ -202,9 +200,7 @@
 			continue
 		}
 		body, err := json.Marshal(fields)
-		if err != nil {
-			panic(err)
-		}
+		must(err)
 		post(client, u.service.region.keeperInTurn(seq), "instances/"+id+"/heartbeat", body)
 	}
 }
--- a/cmd/mastic-soak/plannedstops.go
+++ b/cmd/mastic-soak/plannedstops.go
@@ -85,12 +85,12 @@
 			random := rand.New(rand.NewPCG(p.random.Uint64(), 0))
 			all.Go(func() {
 				one := &plannedStops{region: p.region, log: p.log, random: random}
-				one.sleep(0, maxStopGap)
+				time.Sleep(between(one.random, 0, maxStopGap))
 				inject(n, func() { one.stop(n) })
 			})
 		}
 		all.Wait()
-		p.sleep(0, maxStopGap)
+		time.Sleep(between(p.random, 0, maxStopGap))
 	}
 }
 
@@ -103,10 +103,6 @@
 	return drawn
 }
 
-func (p *plannedStops) sleep(from, to time.Duration) {
-	time.Sleep(from + time.Duration(p.random.Int64N(int64(to-from))))
-}
-
 // oneIn reports true once in n draws.
 func (p *plannedStops) oneIn(n int) bool { return p.random.IntN(n) == 0 }
 
@@ -127,16 +123,16 @@
 func (p *plannedStops) stop(n *node) {
 	if n.role == "entry" && p.oneIn(3) {
 		p.reload(n)
-		p.sleep(0, maxStartTime)
+		time.Sleep(between(p.random, 0, maxStartTime))
 	}
 	for again := true; again; {
 		p.stopOnce(n)
 		if again = p.oneIn(5); again {
-			p.sleep(minStartTime, maxStartTime)
+			time.Sleep(between(p.random, minStartTime, maxStartTime))
 		}
 	}
 	if n.role == "entry" && p.oneIn(3) {
-		p.sleep(maxStartTime, 2*maxStartTime)
+		time.Sleep(between(p.random, maxStartTime, 2*maxStartTime))
 		p.reload(n)
 	}
 }
@@ -174,7 +170,7 @@
 		}
 	}
 	p.log.tell(s, "exit")
-	p.sleep(0, maxRestartPause)
+	time.Sleep(between(p.random, 0, maxRestartPause))
 	if err := p.region.start(n); err != nil {
 		panic(fmt.Sprintf("%s did not restart: %v", n.name, err))
 	}
--- a/cmd/mastic-soak/region.go
+++ b/cmd/mastic-soak/region.go
@@ -210,9 +210,7 @@
 	if handled {
 		return
 	}
-	if err := r.start(n); err != nil {
-		panic(fmt.Sprintf("%s did not restart: %v", n.name, err))
-	}
+	must(r.start(n))
 }
 
 // violations returns the processes that exited unexpectedly.
--- a/cmd/mastic-soak/replacements.go
+++ b/cmd/mastic-soak/replacements.go
@@ -1,15 +1,15 @@
 package main
 
 import (
-	"bufio"
-	"bytes"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"regexp"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -95,7 +95,7 @@
 	var counts time.Time
 	for i, kind := range round.kinds {
 		if i > 0 {
-			time.Sleep(p.randomTime(maxSecondLossGap))
+			time.Sleep(between(p.random, 0, maxSecondLossGap))
 		}
 		old := p.choose(round.roles[i], successors)
 		successor, at := p.replace(old, kind)
@@ -104,7 +104,7 @@
 			counts = at
 		}
 	}
-	time.Sleep(time.Until(counts) + p.randomTime(maxDiskLossDelay))
+	time.Sleep(time.Until(counts) + between(p.random, 0, maxDiskLossDelay))
 	acknowledging := p.awaitAcknowledgement()
 	if acknowledging == nil {
 		return fmt.Sprintf("no change was acknowledged within %s after the successors counted", recoveryTime)
@@ -138,7 +138,7 @@
 	switch kind {
 	case "planned":
 		successor, counts = p.startSuccessor(old)
-		time.Sleep(p.randomTime(maxReplacementGap))
+		time.Sleep(between(p.random, 0, maxReplacementGap))
 		p.region.removeKeeper(old)
 		old.stopWith(syscall.SIGTERM)
 		if now := time.Now(); now.After(counts) {
@@ -164,7 +164,7 @@
 	p.started++
 	n := &node{name: fmt.Sprintf("successor-%d", number), role: "keeper", ip: fmt.Sprintf("127.0.%d.%d", p.region.subnet, successorHost+number)}
 	n.folder = filepath.Join(filepath.Dir(old.folder), n.name)
-	p.must(p.region.startNew(n, number, false))
+	must(p.region.startNew(n, number, false))
 	p.region.addKeeper(n)
 	return n, time.Now().Add(replacementCatchUp)
 }
@@ -176,9 +176,9 @@
 		p.losses++
 		all.Go(func() {
 			n.stopWith(syscall.SIGKILL)
-			p.must(n.wipe())
+			must(n.wipe())
 			time.Sleep(diskDelay)
-			p.must(p.region.startNew(n, i, false))
+			must(p.region.startNew(n, i, false))
 		})
 	}
 	all.Wait()
@@ -221,16 +221,6 @@
 	}
 }
 
-func (p *replacements) randomTime(to time.Duration) time.Duration {
-	return time.Duration(p.random.Int64N(int64(to)))
-}
-
-func (p *replacements) must(err error) {
-	if err != nil {
-		panic(err)
-	}
-}
-
 // removeKeeper takes a keeper from the platform's list, addKeeper adds one.
 func (r *region) removeKeeper(n *node) {
 	r.mu.Lock()
@@ -290,15 +280,17 @@
 func (r *region) removedVoters() (int, error) {
 	removed := map[string]bool{}
 	for _, n := range r.allNodes() {
-		log, err := os.ReadFile(filepath.Join(n.folder, "log"))
+		err := n.readLog(func(log io.Reader) error {
+			return eachLine(log, func(line string) bool {
+				if m := removedPattern.FindStringSubmatch(line); m != nil && !strings.Contains(line, "refused=") {
+					removed[m[1]] = true
+				}
+				return true
+			})
+		})
 		if err != nil {
 			return 0, err
 		}
-		for lines := bufio.NewScanner(bytes.NewReader(log)); lines.Scan(); {
-			if m := removedPattern.FindSubmatch(lines.Bytes()); m != nil && !bytes.Contains(lines.Bytes(), []byte("refused=")) {
-				removed[string(m[1])] = true
-			}
-		}
 	}
 	return len(removed), nil
 }
--- a/cmd/mastic-soak/streamcallers.go
+++ b/cmd/mastic-soak/streamcallers.go
@@ -108,7 +108,7 @@
 			defer c.closeConn()
 			for time.Now().Before(until) {
 				c.stream(until)
-				c.pause(maxStreamPause)
+				time.Sleep(between(c.random, 0, maxStreamPause))
 			}
 		})
 	}
@@ -125,7 +125,7 @@
 	for end := time.Now().Add(streamWaitLimit); time.Now().Before(end); {
 		if !c.stream(end) {
 			completed = 0
-			c.pause(maxRetryPause)
+			time.Sleep(between(c.random, 0, maxRetryPause))
 			continue
 		}
 		if completed++; completed == requiredStreams {
@@ -135,10 +135,6 @@
 	return false
 }
 
-func (c *streamCaller) pause(longest time.Duration) {
-	time.Sleep(time.Duration(c.random.Int64N(int64(longest))))
-}
-
 func (c *streamCaller) closeConn() {
 	if c.conn != nil {
 		c.conn.close()
@@ -176,7 +172,7 @@
 			// Such a stream is not resumed: the next request starts at the first event.
 			after = 0
 		}
-		c.pause(maxRetryPause)
+		time.Sleep(between(c.random, 0, maxRetryPause))
 	}
 	c.callers.counts.abandoned.Add(1)
 	return false
@@ -279,7 +275,7 @@
 			return errClientDisconnect
 		}
 		if c.slow {
-			c.pause(maxSlowPause)
+			time.Sleep(between(c.random, 0, maxSlowPause))
 		}
 		return nil
 	})
--- a/cmd/mastic-soak/system.go
+++ b/cmd/mastic-soak/system.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"slices"
@@ -39,7 +40,7 @@
 		return nil, err
 	}
 	op := &operator{region: r}
-	return &system{region: r, folder: folder, op: op, checks: &configChecks{region: r, operator: op}, closers: []func(){r.stop}}, nil
+	return &system{region: r, folder: folder, op: op, checks: &configChecks{region: r, operator: op, probes: map[string]int{}, served: map[string]int{}}, closers: []func(){r.stop}}, nil
 }
 
 func (s *system) close() {
@@ -94,5 +95,17 @@
 	return &result{folder: s.folder, violations: slices.Concat(violations, s.region.violations(), logged)}, nil
 }
 
+// must ends the soak on an error of the machine that it runs on.
+func must(err error) {
+	if err != nil {
+		panic(err)
+	}
+}
+
+// between returns a random duration of at least from and less than to.
+func between(random *rand.Rand, from, to time.Duration) time.Duration {
+	return from + time.Duration(random.Int64N(int64(to-from)))
+}
+
 // before returns a function that reports whether a time has not come.
 func before(until time.Time) func() bool { return func() bool { return time.Now().Before(until) } }
--- a/pkg/control/propagation_test.go
+++ b/pkg/control/propagation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -242,6 +243,8 @@
 		ctx, stop := context.WithCancel(t.Context())
 		defer stop()
 		defer c.opts.Keeper.Close()
+		var log strings.Builder
+		c.opts.Log = zerolog.New(&log)
 		go c.serveConfirmations(ctx)
 		decode := c.opts.Decode
 		c.opts.Decode = func([]byte) (*document.Document, error) { return nil, assert.AnError }
@@ -253,6 +256,10 @@
 		c.opts.Decode = decode
 		<-time.After(minConfirmInterval + confirmTimeout)
 		assert.EqualValues(t, 5, c.confirmations.confirmed(s))
+		stop()
+		synctest.Wait()
+		assert.Equal(t, 1, strings.Count(log.String(), "configuration_not_confirmed"), "once while reads fail")
+		assert.Contains(t, log.String(), "committed version 8 can't be decoded by this keeper, version 0 is in force")
 	})
 }
 
--- a/pkg/fleetnode/entry_path_test.go
+++ b/pkg/fleetnode/entry_path_test.go
@@ -190,6 +190,8 @@
 	addresses []string
 	uplinks   []*uplink
 	requests  atomic.Int64
+	// stopKeeper ends the keeper.
+	stopKeeper func()
 }
 
 func startPathRegion(t *testing.T, entries int) *pathRegion {
@@ -207,7 +209,9 @@
 		Address: keeperAddress, FailureDomain: "fd", Seeds: []string{keeperAddress}, DataFolder: folder, Bootstrap: true,
 		AnnounceInterval: time.Second, StallTimeout: 4 * time.Second, Decode: testDecode, OrderSender: noOrders{}, Log: zerolog.Nop(),
 	})
-	nodes.Go(func() { assert.NoError(t, keeper.Run(ctx)) })
+	keeperCtx, stopKeeper := context.WithCancel(ctx)
+	r.stopKeeper = stopKeeper
+	nodes.Go(func() { assert.NoError(t, keeper.Run(keeperCtx)) })
 	names := forward.HeaderNames{
 		RequestID: "Test-Id", TimeLeft: "Test-Left", Key: "Test-Key", Account: "Test-Account", ExpectedUpstream: "Test-Expect", Signature: "Test-Signature",
 		LastEvent: "Last-Event-Id", Model: "Test-Model", Priority: "Test-Priority", Tokens: func(func(string) []byte) (int, int) { return 0, 0 },
@@ -219,7 +223,7 @@
 		entry := NewEntry(EntryOptions{
 			NodeID: fmt.Sprintf("entry-%d", i), FailureDomain: "fd", ListenAddress: address, PeerAddress: freeAddress(), DialUpstream: link.dial,
 			Seeds: func() []string { return []string{keeperAddress} }, Decode: testDecode, HeaderNames: names,
-			Protocol: dispatch.Protocol{RequestID: "Test-Id"}, MaxConfigAge: time.Minute, StopTimeout: time.Second, Log: zerolog.Nop(),
+			Protocol: dispatch.Protocol{RequestID: "Test-Id"}, MaxConfigAge: time.Minute, MaxChangeAge: 2 * time.Second, StopTimeout: time.Second, Log: zerolog.Nop(),
 		})
 		nodesUnderTest = append(nodesUnderTest, entry)
 		nodes.Go(func() { assert.NoError(t, entry.Run(ctx)) })
@@ -238,7 +242,11 @@
 	nodes.Go(func() {
 		for sequence := uint64(1); ctx.Err() == nil; sequence++ {
 			for i, address := range servers {
-				_ = keeper.Control().Announce(fleet.Upstream{
+				control := keeper.Control()
+				if control == nil {
+					continue
+				}
+				_ = control.Announce(fleet.Upstream{
 					ID: fmt.Sprintf("desk-%d", i), StartTime: born, Sequence: sequence, Service: "desk", Address: address, FailureDomain: "fd", Slots: 6,
 				})
 			}
