Entries: two confirmations of the configuration fit into the bound on changes

Cause: at a bound under a second, a configuration that is confirmed each 0.8 s would refuse nothing most of the time; found by reading the diff. A refused head that could not be read logs the age of the configuration again. Evidence: TestConfirmationsFollowTheBoundOnChanges.

--- a/pkg/attach/link.go
+++ b/pkg/attach/link.go
@@ -16,7 +16,7 @@
 	// reportInterval is the time between two reports over the primary link, and so the age
 	// of this entry's load at other entries.
 	reportInterval = 200 * time.Millisecond
-	// confirmInterval is the time between two requests for a confirmation.
+	// confirmInterval is the longest time between two requests for a confirmation.
 	confirmInterval = 800 * time.Millisecond
 	// silenceTimeout is the timeout of a link without updates: three update intervals and a
 	// margin.
@@ -115,6 +115,14 @@
 	}
 }
 
+// confirmInterval returns the time between two requests for a confirmation over one link. Two of them fit into MaxChangeAge.
+func (a *Attachment) confirmInterval() time.Duration {
+	if a.opts.MaxChangeAge == 0 {
+		return confirmInterval
+	}
+	return min(confirmInterval, a.opts.MaxChangeAge/2)
+}
+
 // sendReports sends the entry's reports to the keeper until ctx ends.
 func (l *link) sendReports(ctx context.Context, stream grpc.BidiStreamingClient[peerpb.EntryReport, peerpb.FleetUpdate], cancel context.CancelCauseFunc) {
 	tick := time.NewTicker(reportInterval)
@@ -127,7 +135,7 @@
 		if first {
 			r.NodeId, r.FailureDomain = l.attachment.opts.NodeID, l.attachment.opts.FailureDomain
 		}
-		if now.Sub(confirmAt) >= confirmInterval {
+		if now.Sub(confirmAt) >= l.attachment.confirmInterval() {
 			confirmAt, r.ConfirmToken = now, l.attachment.freshness.token(now)
 		}
 		l.attachment.handlers.Report(now, r.GetPrimary(), &sent, r)
--- a/pkg/attach/link_test.go
+++ b/pkg/attach/link_test.go
@@ -52,3 +52,13 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against an entry that refuses nothing although its keepers confirm all the time, as the time within which a change has
+// to be in force is shorter than the usual time between two confirmations.
+func TestConfirmationsFollowTheBoundOnChanges(t *testing.T) {
+	for bound, want := range map[time.Duration]time.Duration{
+		0: confirmInterval, 2250 * time.Millisecond: confirmInterval, 1800 * time.Millisecond: confirmInterval, 900 * time.Millisecond: 450 * time.Millisecond,
+	} {
+		assert.Equal(t, want, New(Options{MaxChangeAge: bound}).confirmInterval(), bound)
+	}
+}
--- a/pkg/forward/unread.go
+++ b/pkg/forward/unread.go
@@ -12,7 +12,7 @@
 
 // refuseUnread answers a request whose head could not be read. The library calls it, and closes the connection then.
 func (e *Entry) refuseUnread(ctx *fasthttp.RequestCtx, err error) {
-	e.refuse(ctx, &request{arrivedAt: time.Now()}, nil, unreadFault(err))
+	e.refuse(ctx, &request{arrivedAt: time.Now(), configAge: e.opts.ConfigAge()}, nil, unreadFault(err))
 }
 
 // unreadFault returns the refusal of a request whose head could not be read.
