--- a/cmd/mastic-soak/configchecks.go
+++ b/cmd/mastic-soak/configchecks.go
@@ -28,8 +28,13 @@
 // wrongKinds are the ways in which documents are wrong, as a text and its replacement. An empty text stands for a document
 // with the acknowledged version and other content.
 var wrongKinds = []struct{ from, to string }{
-	{"", ""}, {`"service":"desk"`, `"service":"nobody"`}, {`"timeout_ms":1500`, `"timeout_ms":0`}, {wrongPath, "/grant/"},
-	{`"limits":{`, `"limits":`}, {accountKey(crashingAccount), accountKey(otherAccount)}, {`"kind":"idempotent"`, `"kind":""`},
+	{"", ""},
+	{`"service":"desk"`, `"service":"nobody"`},
+	{`"timeout_ms":1500`, `"timeout_ms":0`},
+	{wrongPath, "/grant/"},
+	{`"limits":{`, `"limits":`},
+	{accountKey(crashingAccount), accountKey(otherAccount)},
+	{`"kind":"idempotent"`, `"kind":""`},
 }
 
 // configChecks probe at each entry which version of the configuration is in force there.
--- a/cmd/mastic-soak/operator.go
+++ b/cmd/mastic-soak/operator.go
@@ -138,7 +138,7 @@
 	}
 	o.sent[version] = document(version, o.region.timing)
 	sentAt := time.Now()
-	if !postDocument(keeper, o.sent[version]) {
+	if !post(&http.Client{Timeout: controlTimeout}, keeper, "config/replace", o.sent[version]) {
 		return false
 	}
 	o.mu.Lock()
@@ -153,11 +153,6 @@
 	return true
 }
 
-// postDocument is post for a document.
-func postDocument(keeper *node, document []byte) bool {
-	return post(&http.Client{Timeout: controlTimeout}, keeper, "config/replace", document)
-}
-
 // post sends a call to a keeper and reports whether it was acknowledged.
 func post(client *http.Client, keeper *node, call string, body []byte) bool {
 	resp, err := client.Post(fmt.Sprintf("http://%s:%d/api/%s", keeper.ip, controlPort, call), "application/json", bytes.NewReader(body))
@@ -171,14 +166,13 @@
 // replaceWrongly sends a document that is not valid, or has the acknowledged version and other content. Both have a route
 // that must never be served, and the former must not be acknowledged.
 func (o *operator) replaceWrongly(turn int, keeper *node) {
-	wrong := bytes.Replace(document(o.version+1, o.region.timing), []byte("/lookup/"), []byte(wrongPath), 1)
-	kind := wrongKinds[turn%len(wrongKinds)]
+	kind, version := wrongKinds[turn%len(wrongKinds)], o.version+1
 	if kind.from == "" {
-		same := bytes.Replace(document(o.acknowledged, o.region.timing), []byte("/lookup/"), []byte(wrongPath), 1)
-		postDocument(keeper, same)
-		return
+		version = o.acknowledged
 	}
-	if postDocument(keeper, bytes.Replace(wrong, []byte(kind.from), []byte(kind.to), 1)) {
+	text := bytes.Replace(document(version, o.region.timing), []byte("/lookup/"), []byte(wrongPath), 1)
+	acknowledged := post(&http.Client{Timeout: controlTimeout}, keeper, "config/replace", bytes.Replace(text, []byte(kind.from), []byte(kind.to), 1))
+	if acknowledged && kind.from != "" {
 		o.found = append(o.found, fmt.Sprintf("%s acknowledged a document with %s for %s", keeper.name, kind.to, kind.from))
 	}
 }
--- a/pkg/explain/explain.go
+++ b/pkg/explain/explain.go
@@ -59,7 +59,7 @@
 func Request(id string, lines []Line) []Line {
 	var own []Line
 	related, nodes := map[string]bool{}, map[string]bool{}
-	quarantined, refusedAt, exhausted := "", "", false
+	quarantined, exhausted := "", false
 	for _, l := range lines {
 		if l.Fields["request_id"] != id {
 			continue
@@ -76,9 +76,6 @@
 			upstream, _, _ := strings.Cut(limit, " ")
 			related[upstream] = true
 		}
-		if l.Event == "request_refused" {
-			refusedAt = l.Node
-		}
 		nodes[l.Node] = true
 	}
 	delete(related, "")
@@ -92,7 +89,7 @@
 		if l.Fields["request_id"] != "" || !l.Time.Before(last) {
 			continue
 		}
-		if l.Time.After(first) && (isRelated(l, related) || nodes[l.Node] && (isPathChange(l) || l.Node == refusedAt && isConfirmation(l) || exhausted && l.Event == "retry_budget_exhausted")) || isEvidence(l, quarantined) {
+		if l.Time.After(first) && (isRelated(l, related) || nodes[l.Node] && (isNodeChange(l) || exhausted && l.Event == "retry_budget_exhausted")) || isEvidence(l, quarantined) {
 			found = append(found, l)
 		}
 	}
@@ -115,14 +112,15 @@
 	}
 }
 
-// isPathChange reports whether a line says that a node lost its path to the upstreams, or has it again.
-func isPathChange(l Line) bool {
-	return l.Event == "upstream_path_lost" || l.Event == "upstream_path_back"
-}
-
-// isConfirmation reports whether a line says that a node's configuration is no longer confirmed, or is again.
-func isConfirmation(l Line) bool {
-	return l.Event == "configuration_unconfirmed" || l.Event == "configuration_confirmed"
+// isNodeChange reports whether a line says that a node lost its path to the upstreams or the confirmation of its configuration,
+// or has it again.
+func isNodeChange(l Line) bool {
+	switch l.Event {
+	case "upstream_path_lost", "upstream_path_back", "configuration_unconfirmed", "configuration_confirmed":
+		return true
+	default:
+		return false
+	}
 }
 
 // isEvidence reports whether a line describes evidence against a content of a request, however old.
