--- a/pkg/control/propagation_test.go
+++ b/pkg/control/propagation_test.go
@@ -244,16 +244,22 @@
 		defer stop()
 		defer c.opts.Keeper.Close()
 		var log strings.Builder
-		c.opts.Log = zerolog.New(&log)
-		go c.serveConfirmations(ctx)
+		var unreadable atomic.Bool
+		unreadable.Store(true)
 		decode := c.opts.Decode
-		c.opts.Decode = func([]byte) (*document.Document, error) { return nil, assert.AnError }
+		c.opts.Log, c.opts.Decode = zerolog.New(&log), func(content []byte) (*document.Document, error) {
+			if unreadable.Load() {
+				return nil, assert.AnError
+			}
+			return decode(content)
+		}
+		go c.serveConfirmations(ctx)
 		require.NoError(t, c.Replace(ctx, 8, []byte{8}))
 		s := &subscriber{wake: make(chan struct{}, 1)}
 		c.confirmations.request(s, 5)
 		<-time.After(300 * time.Millisecond)
 		assert.Zero(t, c.confirmations.confirmed(s))
-		c.opts.Decode = decode
+		unreadable.Store(false)
 		<-time.After(minConfirmInterval + confirmTimeout)
 		assert.EqualValues(t, 5, c.confirmations.confirmed(s))
 		stop()
