HTTP: a response in which the name of a field is no token is none, for every reader of heads

Callers got the answer of an upstream in trouble whose head had a blank in the name of a field: with that line passed on, with 2 bytes of 7 (blank before the colon of a length), or with the framing of the chunks as its body (a transfer encoding with a blank in its name). A 503 with such a field counted as a refusal. Interim heads were not looked at, and trailers let blanks through.

Cause: pkg/httphead looked at the status line only, and the library accepts blanks in names of fields and removes those before the colon. It passes on what it so reads; the framing that a broken name states is lost.

Change: AwaitFinal waits for the whole head and checks that each name is a token (RFC 9110, 5.6.2), also in the interim responses that it discards, and TrailerReader follows the chunks of a body up to its trailer. Such a response is malformed as a whole: nothing that it states is used, its connection is closed, and the request is repeated or answered 502 as its kind allows. Folded values are valid as before. A head had to fit into the buffer of its reader before, too; one without end is still given up there. Names with control bytes were refused already, but as truncated (cut-off), which counts as a possible crash.

The tests of the status line are as strict as before and share their stand-ins.

--- a/pkg/cli/endless_response_test.go
+++ b/pkg/cli/endless_response_test.go
@@ -58,27 +58,42 @@
 
 // Guards against a change that counts as accepted because of an answer whose status is none.
 func TestInvalidStatusIsNoSuccess(t *testing.T) {
-	for _, line := range []string{"HTTP/1.1 000 OK", "HTTP/1.1 101 X", "HTTP/1.1 999 X", "HTTP/9.9 200 OK", "HTTP/1.1 200 OK"} {
+	for _, line := range []string{"HTTP/1.1 000 OK", "HTTP/1.1 101 X", "HTTP/1.1 999 X", "HTTP/9.9 200 OK"} {
 		t.Run(line, func(t *testing.T) {
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			require.NoError(t, err)
-			defer func() { _ = listener.Close() }()
-			go func() {
-				conn, err := listener.Accept()
-				if err != nil {
-					return
-				}
-				_, _ = io.WriteString(conn, line+"\r\nContent-Length: 2\r\n\r\n{}")
-				_, _ = io.Copy(io.Discard, conn)
-			}()
-			client, err := NewClient("http://"+listener.Addr().String(), "token", "")
-			require.NoError(t, err)
-			_, err = client.Status()
-			if line == "HTTP/1.1 200 OK" {
-				require.NoError(t, err)
-				return
-			}
-			assert.Equal(t, fault.NoQuorum, fault.From(err).Kind, "%v", err)
+			assert.Equal(t, fault.NoQuorum, fault.From(statusFrom(t, line+"\r\nContent-Length: 2\r\n\r\n{}")).Kind)
 		})
 	}
+	require.NoError(t, statusFrom(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"))
+}
+
+// Guards against a change that counts as accepted because of an answer in which the name of a field is no token.
+func TestInvalidFieldNameIsNoSuccess(t *testing.T) {
+	const sized, chunked = "Content-Length: 2\r\n\r\n{}", "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n"
+	for _, response := range []string{
+		"HTTP/1.1 200 OK\r\nBad Name: v\r\n" + sized, "HTTP/1.1 200 OK\r\nBad : v\r\n" + sized, "HTTP/1.1 200 OK\r\nBad\x00: v\r\n" + sized,
+		"HTTP/1.1 103 X\r\nBad Name: v\r\n\r\nHTTP/1.1 200 OK\r\n" + sized,
+		"HTTP/1.1 200 OK\r\n" + chunked + "Bad Name: v\r\n\r\n", "HTTP/1.1 200 OK\r\n" + chunked + "Good: v\r\nBad : v\r\n\r\n",
+	} {
+		assert.Equal(t, fault.NoQuorum, fault.From(statusFrom(t, response)).Kind, "%q", response)
+	}
+	require.NoError(t, statusFrom(t, "HTTP/1.1 200 OK\r\n"+chunked+"Good: v\r\n\r\n"))
+}
+
+// statusFrom returns the error of a call to a node that sends the response.
+func statusFrom(t *testing.T, response string) error {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, response)
+		_, _ = io.Copy(io.Discard, conn)
+	}()
+	client, err := NewClient("http://"+listener.Addr().String(), "token", "")
+	require.NoError(t, err)
+	_, err = client.Status()
+	return err
 }
--- a/pkg/dispatch/conn.go
+++ b/pkg/dispatch/conn.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/masticmount/masticmount/pkg/httphead"
 )
 
 const (
@@ -122,6 +124,8 @@
 	net.Conn
 	raw     *countingConn
 	address string
+	// trailer checks the trailers of what reader reads.
+	trailer *httphead.TrailerReader
 	reader  *bufio.Reader
 	writer  *bufio.Writer
 	// idleSince is when the connection was returned to the pool.
@@ -135,9 +139,10 @@
 }
 
 func newConn(address string, raw *countingConn, secured net.Conn) *conn {
+	trailer := httphead.NewTrailerReader(secured)
 	return &conn{
 		Conn: secured, raw: raw, address: address,
-		reader: bufio.NewReaderSize(secured, readBufferBytes),
+		trailer: trailer, reader: bufio.NewReaderSize(trailer, readBufferBytes),
 		writer: bufio.NewWriterSize(secured, writeBufferBytes),
 	}
 }
--- a/pkg/dispatch/errors.go
+++ b/pkg/dispatch/errors.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"syscall"
 	"time"
+
+	"github.com/masticmount/masticmount/pkg/httphead"
 )
 
 // Reason is the way in which a call failed.
@@ -77,8 +79,8 @@
 	return callErr, ok
 }
 
-// reasonOf returns Canceled if ctx has ended, TimedOut if err is a timeout, and
-// otherwise the given reason.
+// reasonOf returns Canceled if ctx has ended, TimedOut if err is a timeout, Malformed for an invalid field, and otherwise the
+// given reason.
 func reasonOf(ctx context.Context, err error, otherwise Reason) Reason {
 	if ctx.Err() != nil {
 		return Canceled
@@ -86,6 +88,10 @@
 	if isTimeout(err) {
 		return TimedOut
 	}
+	var invalid *httphead.FieldError
+	if errors.As(err, &invalid) {
+		return Malformed
+	}
 	return otherwise
 }
 
--- a/pkg/dispatch/exchange.go
+++ b/pkg/dispatch/exchange.go
@@ -25,6 +25,9 @@
 // with its connection.
 const identityContentLength = -2
 
+// chunkedContentLength is the content length that fasthttp reports for a body in chunks.
+const chunkedContentLength = -1
+
 // exchange is one request and its response on one connection.
 type exchange struct {
 	client *Client
@@ -32,6 +35,10 @@
 	ctx    context.Context
 	conn   *conn
 	resp   *fasthttp.Response
+	// bodyStream reads the body; nil if there is none.
+	bodyStream io.Reader
+	// chunked is bodyStream for a body in chunks.
+	chunked chunkedBody
 	// stopCancel cancels the callback that closes the connection when ctx ends. It returns
 	// false if the callback has already been started.
 	stopCancel func() bool
@@ -66,12 +73,39 @@
 	if err := x.resp.ReadLimitBody(conn.reader, maxBufferedBodyBytes); err != nil {
 		return nil, x.abort(reasonOf(ctx, err, Truncated), err)
 	}
+	x.openBody()
 	if err := x.checkHeader(); err != nil {
 		return nil, err
 	}
 	return x, nil
 }
 
+// openBody makes the body readable, if the response has one.
+func (x *exchange) openBody() {
+	x.bodyStream = x.resp.BodyStream()
+	if x.bodyStream != nil && x.resp.Header.ContentLength() == chunkedContentLength {
+		buffered, _ := x.conn.reader.Peek(x.conn.reader.Buffered())
+		x.conn.trailer.Follow(buffered)
+		x.chunked = chunkedBody{x.bodyStream, x.conn.trailer}
+		x.bodyStream = &x.chunked
+	}
+}
+
+// chunkedBody reads a body in chunks. In place of its end it returns an error if one of its trailer fields is invalid.
+type chunkedBody struct {
+	io.Reader
+	trailer *httphead.TrailerReader
+}
+
+// Read implements io.Reader.
+func (b *chunkedBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if err != nil {
+		err = cmp.Or(b.trailer.Err(), err)
+	}
+	return n, err
+}
+
 // headReason returns the reason of a response whose head could not be read. Bytes that are no status line at all count as
 // a truncated response, as an upstream that crashes may leave them.
 func headReason(ctx context.Context, err error) Reason {
@@ -154,8 +188,8 @@
 func (x *exchange) discardBody() {
 	_ = x.conn.SetReadDeadline(time.Now().Add(lastChunkTimeout))
 	if x.framed() {
-		if stream := x.resp.BodyStream(); stream != nil {
-			if _, err := io.CopyN(io.Discard, stream, maxRefusalBytes); !errors.Is(err, io.EOF) {
+		if x.bodyStream != nil {
+			if _, err := io.CopyN(io.Discard, x.bodyStream, maxRefusalBytes); !errors.Is(err, io.EOF) {
 				x.echoed = false
 			}
 		}
@@ -189,11 +223,10 @@
 	if !x.framed() && x.client.opts.fault != acceptTruncated {
 		return nil, x.abort(Truncated, errNoLength)
 	}
-	stream := x.resp.BodyStream()
-	if stream == nil {
+	if x.bodyStream == nil {
 		return nil, nil
 	}
-	body, err := x.client.readAll(stream, x.resp.Header.ContentLength())
+	body, err := x.client.readAll(x.bodyStream, x.resp.Header.ContentLength())
 	if err != nil && x.client.opts.fault != acceptTruncated {
 		return nil, x.abort(bodyErrorReason(x.ctx, err), err)
 	}
--- a/pkg/dispatch/response.go
+++ b/pkg/dispatch/response.go
@@ -29,7 +29,7 @@
 	if !x.framed() && !c.opts.Protocol.AllowUnframed {
 		return nil, x.abort(Truncated, errNoLength)
 	}
-	return &Response{exchange: x, body: x.resp.BodyStream()}, nil
+	return &Response{exchange: x, body: x.bodyStream}, nil
 }
 
 // Status returns the status code.
--- a/pkg/dispatch/stream.go
+++ b/pkg/dispatch/stream.go
@@ -64,7 +64,7 @@
 		response, err := x.readResponse()
 		return nil, response, err
 	}
-	return &Stream{exchange: x, events: newEventReader(x.resp.BodyStream()), nextPosition: from}, nil, nil
+	return &Stream{exchange: x, events: newEventReader(x.bodyStream), nextPosition: from}, nil, nil
 }
 
 // Next returns the next event, or io.EOF after the complete response. Tokens that the
--- a/pkg/forward/invalid_status_test.go
+++ b/pkg/forward/invalid_status_test.go
@@ -15,43 +15,54 @@
 // and passes on others that no caller can read.
 func TestInvalidStatusIsNoAnswer(t *testing.T) {
 	for _, line := range []string{"HTTP/1.1 000", "HTTP/1.1 000 OK", "HTTP/1.1 099 X", "HTTP/1.1 101 X", "HTTP/1.1 600 X", "HTTP/1.1 999 X", "HTTP/9.9 200 OK", "HTTP/1.1 100 X\r\n\r\nHTTP/1.1 000 X"} {
-		for target, want := range map[string]struct {
-			status, runs int
-			body         string
-		}{
-			"/repeat/x": {http.StatusOK, 2, "from the other upstream"},
-			"/once/x":   {http.StatusBadGateway, 1, ""},
-			"/stream/x": {http.StatusOK, 2, event(1) + event(2) + event(3)},
-		} {
-			runs := 0
-			upstream := func(req *http.Request, _ string, _ net.Conn) (string, bool) {
-				stream := strings.HasPrefix(target, "/stream/")
-				if runs++; runs == 1 && stream {
-					return strings.Replace(fmt.Sprintf(streamHead, "p"), "HTTP/1.1 200 X", line, 1) + chunk(event(1)) + "0\r\n\r\n", true
-				}
-				switch {
-				case runs == 1:
-					return strings.Replace(answer(200, "spoiled"), "HTTP/1.1 200 X", line, 1), true
-				case stream:
-					return resumedStreamAnswer(req, 3), true
-				default:
-					return answer(200, want.body), true
+		assertNoAnswer(t, func(response string) string { return strings.Replace(response, "HTTP/1.1 200 X", line, 1) })
+	}
+}
+
+// assertNoAnswer lets the first upstream of a request answer with a spoiled response. No caller may get any of it: the request
+// is repeated, or answered 502 as its route allows.
+func assertNoAnswer(t *testing.T, spoil func(response string) string) {
+	t.Helper()
+	for target, want := range map[string]struct {
+		status, runs int
+		body         string
+	}{
+		"/repeat/x": {http.StatusOK, 2, "from the other upstream"},
+		"/once/x":   {http.StatusBadGateway, 1, ""},
+		"/stream/x": {http.StatusOK, 2, event(1) + event(2) + event(3)},
+	} {
+		runs := 0
+		upstream := func(req *http.Request, _ string, _ net.Conn) (string, bool) {
+			stream := strings.HasPrefix(target, "/stream/")
+			runs++
+			switch {
+			case runs == 1:
+				response := answer(200, "spoiled")
+				if stream {
+					response = fmt.Sprintf(streamHead, "p") + chunk(event(1)) + "0\r\n\r\n"
 				}
+				response = spoil(response)
+				framed := strings.Contains(response, "Content-Length") || strings.Contains(response, "Transfer-Encoding")
+				return response, framed
+			case stream:
+				return resumedStreamAnswer(req, 3), true
+			default:
+				return answer(200, want.body), true
 			}
-			inBubble(t, map[string]script{"a:1": upstream, "b:1": upstream}, func(h *harness) {
-				resp, body, err := h.call("POST", target, "body")
-				require.NoError(t, err)
-				assert.Equal(t, want.status, resp.StatusCode, "%s %s", line, target)
-				assert.Equal(t, want.runs, runs, "%s %s", line, target)
-				assert.NotContains(t, body, "spoiled")
-				if want.body != "" {
-					assert.Equal(t, want.body, body, line)
-				}
-				if want.status != http.StatusOK {
-					assert.Empty(t, resp.Header.Get("Test-Signature"), "the answer is the entry's own")
-					assert.Contains(t, h.log.String(), "reason=malformed")
-				}
-			})
 		}
+		inBubble(t, map[string]script{"a:1": upstream, "b:1": upstream}, func(h *harness) {
+			resp, body, err := h.call("POST", target, "body")
+			require.NoError(t, err)
+			assert.Equal(t, want.status, resp.StatusCode, target)
+			assert.Equal(t, want.runs, runs, target)
+			assert.NotContains(t, body, "spoiled")
+			if want.body != "" {
+				assert.Equal(t, want.body, body, target)
+			}
+			if want.status != http.StatusOK {
+				assert.Empty(t, resp.Header.Get("Test-Signature"), "the answer is the entry's own")
+				assert.Contains(t, h.log.String(), "reason=malformed")
+			}
+		})
 	}
 }
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -477,25 +477,68 @@
 // Guards against an upstream in trouble whose status line is none: its bytes must not reach a client as an answer.
 func TestInvalidStatusIsNoAnswer(t *testing.T) {
 	for _, line := range []string{"HTTP/1.1 000 OK", "HTTP/1.1 101 X", "HTTP/1.1 600 X", "HTTP/1.1 999 X", "HTTP/9.9 200 OK"} {
+		assertNoAnswer(t, line+"\r\nContent-Length: 7\r\n\r\nspoiled")
+	}
+}
+
+// Guards against an upstream in trouble in whose head the name of a field is no token: no client may get its answer, and a
+// request that may have run is not run again.
+func TestInvalidFieldNameIsNoAnswer(t *testing.T) {
+	const sized, chunked = "Content-Length: 7\r\n\r\nspoiled", "Transfer-Encoding: chunked\r\n\r\n7\r\nspoiled\r\n0\r\n"
+	for _, response := range []string{
+		"HTTP/1.1 200 X\r\nBad Name: v\r\n" + sized, "HTTP/1.1 200 X\r\nBad : v\r\n" + sized, "HTTP/1.1 200 X\r\nBad\x00: v\r\n" + sized,
+		"HTTP/1.1 200 X\r\nContent-Length : 2\r\n" + sized, "HTTP/1.1 200 X\r\nTransfer Encoding: chunked\r\n" + sized,
+		"HTTP/1.1 503 X\r\nMasticmount-Outcome: not-run\r\nBad Name: v\r\n" + sized,
+		"HTTP/1.1 103 X\r\nBad Name: v\r\n\r\nHTTP/1.1 200 X\r\n" + sized,
+		"HTTP/1.1 200 X\r\n" + chunked + "Bad Name: v\r\n\r\n",
+	} {
+		assertNoAnswer(t, response)
+	}
+}
+
+// assertNoAnswer lets an upstream answer requests of each kind with a broken response.
+func assertNoAnswer(t *testing.T, response string) {
+	t.Helper()
+	for _, test := range []struct {
+		method, path, body, key string
+		kind                    api.UpstreamKind
+		status                  int
+	}{
+		{http.MethodGet, "/lookup/1", "", "", api.UpstreamService, 503},
+		{http.MethodPost, "/grants", "{}", "k", api.UpstreamService, 502},
+		{http.MethodPost, chatPath, chatRequest(false, 3), "", api.UpstreamEngine, 503},
+		{http.MethodPost, chatPath, chatRequest(true, 3), "", api.UpstreamEngine, 503},
+	} {
 		h := newHarness(t)
 		listener := fasthttputil.NewInmemoryListener()
 		t.Cleanup(func() { _ = listener.Close() })
 		h.net.listeners["broken"] = listener
-		h.addGroup("broken", "licence-desk", "desk", api.UpstreamService, nil)
+		service, use := "licence-desk", "desk"
+		if test.kind == api.UpstreamEngine {
+			service, use = "captioner", "captions"
+		}
+		h.addGroup("broken", service, use, test.kind, nil)
+		runs := atomic.Int64{}
 		go func() {
 			for conn, err := listener.Accept(); err == nil; conn, err = listener.Accept() {
 				_, _ = http.ReadRequest(bufio.NewReader(conn))
-				_, _ = io.WriteString(conn, line+"\r\nContent-Length: 7\r\n\r\nspoiled")
+				runs.Add(1)
+				_, _ = io.WriteString(conn, response)
 				_ = conn.Close()
 			}
 		}()
-		a := h.send(http.MethodGet, "/lookup/1", "")
-		require.Equal(t, 503, a.status, line)
-		require.Equal(t, "unknown", a.outcome, line)
+		a := h.send(test.method, test.path, test.body, HeaderIdempotencyKey, test.key)
+		require.Equal(t, test.status, a.status, "%q %s", response, test.path)
+		require.Equal(t, "unknown", a.outcome, "%q %s", response, test.path)
 		require.NotContains(t, a.body, "spoiled")
-		require.Contains(t, h.logs.String(), "malformed")
+		require.Contains(t, h.logs.String(), "malformed", "%q %s", response, test.path)
+		if test.key != "" {
+			require.EqualValues(t, 1, runs.Load(), "%q", response)
+			continue
+		}
 		h.addService("sound", fakes.Faults{})
-		require.Equal(t, 200, h.send(http.MethodGet, "/lookup/2", "").status, line)
+		h.addEngine("sound-engine", fakes.Faults{}, nil)
+		require.Equal(t, 200, h.send(test.method, test.path, test.body).status, "%q %s", response, test.path)
 	}
 }
 
--- a/pkg/httphead/httphead.go
+++ b/pkg/httphead/httphead.go
@@ -1,5 +1,5 @@
-// Package httphead checks the status line of an HTTP response before a library reads the response. The libraries accept
-// status codes and versions that are none: one reports the code 000 as 200.
+// Package httphead checks the heads of HTTP responses before a library reads them. The libraries accept status codes, versions
+// and names of fields that are none: one reports the code 000 as 200, and passes on names with blanks.
 package httphead
 
 import (
@@ -33,27 +33,44 @@
 	return fmt.Sprintf("%q begins no HTTP/1.1 response; check what listens at the address", e.Line)
 }
 
-// AwaitFinal returns once the head of a final response, of status 200 to 599, is next in r, of which it reads no byte. It
-// discards interim responses before it. It returns an *InvalidError for other bytes and for 101, as no caller asks for
-// another protocol, and otherwise the error of reading r.
+// AwaitFinal returns once the whole head of a final response, of status 200 to 599, is next in r, of which it reads no byte. It
+// discards interim responses before it. It returns an *InvalidError for other bytes and for 101, as no caller asks for another
+// protocol, a *FieldError for a line of either head that is no field line, bufio.ErrBufferFull for a final head that is longer
+// than the buffer of r, and otherwise the error of reading r.
 func AwaitFinal(r *bufio.Reader) error {
+	_, err := awaitFinal(r)
+	return err
+}
+
+// finalHead describes the head of a final response.
+type finalHead struct {
+	// bytes is its length.
+	bytes int
+	// chunked is true if it states the framing of the body as a transfer encoding, of which only chunks are supported.
+	chunked bool
+}
+
+func awaitFinal(r *bufio.Reader) (finalHead, error) {
 	for range maxInterim + 1 {
 		line, err := peekStatusLine(r)
 		if err != nil {
-			return err
+			return finalHead{}, err
 		}
 		status, valid := parse(line)
 		if !valid || status == http.StatusSwitchingProtocols {
-			return &InvalidError{string(line)}
+			return finalHead{}, &InvalidError{string(line)}
 		}
 		if status >= finalStatus {
-			return nil
+			version10 := line[len("HTTP/1.")] == '0'
+			head, err := peekHead(r)
+			head.chunked = head.chunked && !version10
+			return head, err
 		}
 		if err := discardHead(r); err != nil {
-			return err
+			return finalHead{}, fmt.Errorf("interim response: %w", err)
 		}
 	}
-	return &InvalidError{"a further interim response"}
+	return finalHead{}, &InvalidError{"a further interim response"}
 }
 
 // peekStatusLine returns the first bytes of a status line, behind line breaks.
@@ -71,10 +88,15 @@
 		}
 	}
 	line, err := r.Peek(statusLineBytes)
+	return line, insideHead(err)
+}
+
+// insideHead returns the error of reading r, where the end of r is unexpected.
+func insideHead(err error) error {
 	if errors.Is(err, io.EOF) {
-		err = io.ErrUnexpectedEOF
+		return io.ErrUnexpectedEOF
 	}
-	return line, err
+	return err
 }
 
 // parse returns the status code of a status line in HTTP/1.0 or HTTP/1.1.
@@ -92,15 +114,49 @@
 	return status, bytes.IndexByte([]byte(" \r\n"), rest[5]) >= 0 && status >= http.StatusContinue && status <= maxStatus
 }
 
-// discardHead reads a head to its end. A line that is longer than the buffer of r is an error.
+// peekHead waits for the whole head that is next in r, whose status line was checked, and checks its field lines.
+func peekHead(r *bufio.Reader) (finalHead, error) {
+	var fields fieldLines
+	lineStart, searched, inStatusLine := 0, 0, true
+	for {
+		buffered, _ := r.Peek(r.Buffered())
+		for {
+			n := bytes.IndexByte(buffered[searched:], '\n')
+			if n < 0 {
+				break
+			}
+			line := buffered[lineStart : searched+n]
+			searched += n + 1
+			lineStart = searched
+			if inStatusLine {
+				inStatusLine = false
+				continue
+			}
+			end, err := fields.check(line)
+			if end || err != nil {
+				return finalHead{bytes: lineStart, chunked: fields.transferEncoding}, err
+			}
+		}
+		searched = len(buffered)
+		if _, err := r.Peek(len(buffered) + 1); err != nil {
+			return finalHead{}, insideHead(err)
+		}
+	}
+}
+
+// discardHead reads a head to its end and checks its field lines. A line that is longer than the buffer of r is an error.
 func discardHead(r *bufio.Reader) error {
+	if _, err := r.ReadSlice('\n'); err != nil {
+		return err
+	}
+	var fields fieldLines
 	for {
 		line, err := r.ReadSlice('\n')
 		if err != nil {
-			return fmt.Errorf("interim response: %w", err)
+			return err
 		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
-			return nil
+		if end, err := fields.check(line[:len(line)-1]); end || err != nil {
+			return err
 		}
 	}
 }
--- a/pkg/tunnel/endless_answer_test.go
+++ b/pkg/tunnel/endless_answer_test.go
@@ -44,16 +44,30 @@
 
 // Guards against a tunnel that is taken for open because of an answer whose status line is none.
 func TestHandshakeNeedsValidStatusLine(t *testing.T) {
-	for line, opened := range map[string]bool{
+	assertOpens(t, map[string]bool{
 		"HTTP/1.1 200 OK": true, "HTTP/1.1 100 X\r\n\r\nHTTP/1.1 200 OK": true, "HTTP/9.9 200 OK": false, "HTTP/1.1 000 OK": false, "HTTP/1.1 101 X": false,
-	} {
+	})
+}
+
+// Guards against a tunnel that is taken for open because of an answer in whose head the name of a field is no token.
+func TestHandshakeNeedsValidFieldNames(t *testing.T) {
+	assertOpens(t, map[string]bool{
+		"HTTP/1.1 200 OK\r\nGood-Name: v": true, "HTTP/1.1 200 OK\r\nBad Name: v": false, "HTTP/1.1 200 OK\r\nBad : v": false, "HTTP/1.1 200 OK\r\nBad\x00: v": false,
+		"HTTP/1.1 103 X\r\nBad Name: v\r\n\r\nHTTP/1.1 200 OK": false,
+	})
+}
+
+// assertOpens checks for each head of an answer whether a handshake opens a tunnel.
+func assertOpens(t *testing.T, heads map[string]bool) {
+	t.Helper()
+	for head, opened := range heads {
 		near, far := net.Pipe()
 		go func() {
 			go func() { _, _ = io.Copy(io.Discard, far) }()
-			_, _ = io.WriteString(far, line+"\r\n\r\n")
+			_, _ = io.WriteString(far, head+"\r\n\r\n")
 		}()
 		assert.NoError(t, near.SetDeadline(time.Now().Add(time.Minute)))
-		assert.Equal(t, opened, (&Dialer{}).handshake(near, Peer{}, "a:1") == nil, line)
+		assert.Equal(t, opened, (&Dialer{}).handshake(near, Peer{}, "a:1") == nil, head)
 		_ = near.Close()
 	}
 }
