Entries: a request in which the name of a field is no token is answered 400

Requests with a blank in the name of a field ("Transfer Encoding: chunked", "Content Length: 2") were accepted and passed on to upstreams as they were. An upstream that removes such blanks reads another request than the entry did, and takes the body for one that nobody sent.

Cause: the library refuses blanks before the colon in requests, but lets those inside a name through.

Change: both daemons check the field lines as received, with the check for responses, before anything else of the request is used. They answer 400, whatever the route, and close the connection. The refusal now names the request where its identifier could be read.

--- a/pkg/forward/invalid_field_test.go
+++ b/pkg/forward/invalid_field_test.go
@@ -57,6 +57,21 @@
 	}
 }
 
+// Guards against requests whose names of fields an upstream may read otherwise than the entry did, and take for another request.
+func TestRequestWithInvalidFieldNameIsRefused(t *testing.T) {
+	for _, line := range []string{"Bad Name: v", "Transfer Encoding: chunked", "Content Length: 2", "Bad : v", "Bad\t: v", "B\x00: v", ": v", "Bad"} {
+		for _, path := range []string{"/repeat/x", "/once/x", "/stream/x", "/nowhere/x"} {
+			inBubble(t, map[string]script{"a:1": alwaysAnswer(answer(200, "sound"))}, func(h *harness) {
+				resp, _, err := h.call("POST", path, "body", line)
+				require.NoError(t, err)
+				assert.Equal(t, http.StatusBadRequest, resp.StatusCode, "%q %s", line, path)
+				assert.True(t, resp.Close, "%q %s", line, path)
+				assert.Empty(t, h.received, "%q %s", line, path)
+			})
+		}
+	}
+}
+
 // Guards against a check that refuses what HTTP allows.
 func TestUnusualSoundFieldsPass(t *testing.T) {
 	for name, change := range map[string]func(string) string{
--- a/pkg/forward/session.go
+++ b/pkg/forward/session.go
@@ -15,6 +15,7 @@
 	"github.com/masticmount/masticmount/pkg/dispatch"
 	"github.com/masticmount/masticmount/pkg/document"
 	"github.com/masticmount/masticmount/pkg/fault"
+	"github.com/masticmount/masticmount/pkg/httphead"
 	"github.com/masticmount/masticmount/pkg/quarantine"
 	"github.com/masticmount/masticmount/pkg/tunnel"
 )
@@ -77,6 +78,10 @@
 	// The server holds an answer back while it has read the beginning of the caller's next request, unless the handler sets a
 	// write deadline. The connection sets its own at each write.
 	_ = ctx.SetWriteDeadline(time.Now().Add(readTimeout))
+	if err := httphead.CheckFields(ctx.Request.Header.RawHeaders()); err != nil {
+		e.refuseUnread(ctx, err)
+		return
+	}
 	b, refused := e.readBody(ctx)
 	e.inFlight.Add(1)
 	answer := e.unwritten.add(ctx.Conn())
--- a/pkg/forward/unread.go
+++ b/pkg/forward/unread.go
@@ -10,9 +10,12 @@
 	"github.com/masticmount/masticmount/pkg/fault"
 )
 
-// refuseUnread answers a request whose head could not be read. The library calls it, and closes the connection then.
+// refuseUnread answers a request whose head could not be read, or is invalid, and closes the connection: what follows on it may
+// be no request.
 func (e *Entry) refuseUnread(ctx *fasthttp.RequestCtx, err error) {
-	e.refuse(ctx, &request{arrivedAt: time.Now(), configAge: e.opts.ConfigAge()}, nil, unreadFault(err))
+	ctx.Response.SetConnectionClose()
+	id := string(ctx.Request.Header.Peek(e.opts.HeaderNames.RequestID))
+	e.refuse(ctx, &request{id: id, arrivedAt: time.Now(), configAge: e.opts.ConfigAge()}, nil, unreadFault(err))
 }
 
 // unreadFault returns the refusal of a request whose head could not be read.
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -15,6 +15,8 @@
 	"github.com/masticmount/masticmount/pkg/claims"
 	"github.com/masticmount/masticmount/pkg/dispatch"
 	"github.com/masticmount/masticmount/pkg/domain"
+	"github.com/masticmount/masticmount/pkg/fault"
+	"github.com/masticmount/masticmount/pkg/httphead"
 	"github.com/masticmount/masticmount/pkg/limits"
 	"github.com/masticmount/masticmount/pkg/quarantine/evidence"
 	"github.com/masticmount/masticmount/pkg/scheduling"
@@ -113,11 +115,22 @@
 		ErrorHandler: g.handleError,
 	})
 	g.app.Use(recover.New())
+	g.app.Use(refuseInvalidFields)
 	g.app.Post(chatPath, g.chat)
 	g.app.All("/*", g.forward)
 	return g
 }
 
+// refuseInvalidFields refuses a request in whose head the name of a field is no token, and closes its connection: an upstream may
+// read such a head otherwise, and what follows on the connection may be no request.
+func refuseInvalidFields(c fiber.Ctx) error {
+	if err := httphead.CheckFields(c.Request().Header.RawHeaders()); err != nil {
+		c.RequestCtx().SetConnectionClose()
+		return fault.New(fault.InvalidRequest, "send a request in the syntax of HTTP/1.1", "the request was not read: %v", err)
+	}
+	return c.Next()
+}
+
 // App returns the HTTP application. It must be served on a listener from
 // disconnect.WrapListener, which detects client disconnects.
 func (g *Gateway) App() *fiber.App { return g.app }
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -542,6 +542,23 @@
 	}
 }
 
+// Guards against requests whose names of fields an upstream may read otherwise than the gateway did.
+func TestRequestWithInvalidFieldNameIsRefused(t *testing.T) {
+	h := newHarness(t)
+	service := h.addService("desk", fakes.Faults{})
+	engine := h.addEngine("engine", fakes.Faults{}, nil)
+	for _, line := range []string{"Bad Name: v", "Transfer Encoding: chunked", "Content Length: 2", "Bad : v", "B\x00: v", ": v", "Bad"} {
+		for _, path := range []string{"/grants", "/lookup/1", chatPath, "/nowhere"} {
+			body := chatRequest(false, 1)
+			a := h.sendRaw(fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\nIdempotency-Key: k\r\n%s\r\nContent-Length: %d\r\n\r\n%s", path, testToken, line, len(body), body))
+			require.Equal(t, 400, a.status, "%q %s", line, path)
+			require.True(t, a.closing, "%q %s", line, path)
+		}
+	}
+	require.Empty(t, service.Runs())
+	require.Zero(t, engine.Finished())
+}
+
 func FuzzChatBody(f *testing.F) {
 	f.Add([]byte(chatRequest(true, 3)))
 	f.Add([]byte(`{"model":"m","messages":[{"content":[{"type":"text"}]}],"n":-1}`))
--- a/pkg/gateway/harness_test.go
+++ b/pkg/gateway/harness_test.go
@@ -207,6 +207,8 @@
 	outcome string
 	header  http.Header
 	body    string
+	// closing is true if the connection is closed after the response.
+	closing bool
 }
 
 // kind returns the error kind of a problem body.
@@ -257,7 +259,7 @@
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	require.NoError(h.t, err)
 	defer func() { _ = resp.Body.Close() }()
-	return h.readRemaining(pendingAnswer{answer{status: resp.StatusCode, outcome: resp.Header.Get("Masticmount-Outcome"), header: resp.Header}, resp.Body}, "")
+	return h.readRemaining(pendingAnswer{answer{status: resp.StatusCode, outcome: resp.Header.Get("Masticmount-Outcome"), header: resp.Header, closing: resp.Close}, resp.Body}, "")
 }
 
 func (h *harness) open(ctx context.Context, method, path, body string, headers ...string) pendingAnswer {
--- a/pkg/httphead/fields.go
+++ b/pkg/httphead/fields.go
@@ -17,7 +17,7 @@
 
 // Error implements error.
 func (e *FieldError) Error() string {
-	return fmt.Sprintf("%q has no valid field name; check what sent it", e.Line)
+	return fmt.Sprintf("%q is no field line; its name must be a token (RFC 9110, 5.6.2)", e.Line)
 }
 
 // newFieldError returns the error for the line at the beginning of text.
