Explain: a malformed answer is told from a cut one, with what is wrong with it

"masticmount explain" gave the reason of a failed send, "malformed" or "cut-off", but not what was wrong, and did not undo the quotation of values in which quotation marks stand. It now adds the cause to "malformed".

--- a/pkg/explain/cause.go
+++ b/pkg/explain/cause.go
@@ -128,8 +128,17 @@
 	return ""
 }
 
+// reasonText returns the reason for which a send failed. For an answer that is not valid it tells what is wrong with it, so that
+// it is not taken for one that was lost on its way.
+func reasonText(f map[string]string) string {
+	if f["reason"] == "malformed" && f["cause"] != "" {
+		return "malformed (" + f["cause"] + ")"
+	}
+	return f["reason"]
+}
+
 func sendCause(failed Line, groupEnd string) string {
-	cause := fmt.Sprintf("the send to %s failed: %s", targetText(failed.Fields), failed.Fields["reason"])
+	cause := fmt.Sprintf("the send to %s failed: %s", targetText(failed.Fields), reasonText(failed.Fields))
 	if groupEnd != "" {
 		cause += ", because the upstream's group ended (" + groupEnd + ")"
 	}
--- a/pkg/explain/explain.go
+++ b/pkg/explain/explain.go
@@ -9,6 +9,7 @@
 	"io"
 	"regexp"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -40,7 +41,7 @@
 	for scanner.Scan() {
 		fields := map[string]string{}
 		for _, m := range pairPattern.FindAllStringSubmatch(scanner.Text(), -1) {
-			fields[m[1]] = strings.Trim(m[2], `"`)
+			fields[m[1]] = unquoted(m[2])
 		}
 		at, err := time.Parse(time.RFC3339Nano, fields["time"])
 		if err != nil || fields["event"] == "" {
@@ -54,6 +55,14 @@
 	return lines, nil
 }
 
+// unquoted returns a value without its quotation marks, and with what they escape.
+func unquoted(value string) string {
+	if text, err := strconv.Unquote(value); err == nil {
+		return text
+	}
+	return strings.Trim(value, `"`)
+}
+
 // Request returns the log lines about a request, ordered by time: its own lines, and the
 // lines about the groups and upstreams that it was sent to.
 func Request(id string, lines []Line) []Line {
@@ -184,7 +193,7 @@
 		}
 		return text + "; " + outcomeText(f["outcome"]) + configurationText(f)
 	case "send_failed":
-		text := fmt.Sprintf("a send to %s failed after %s ms: %s", targetText(f), f["after_ms"], f["reason"])
+		text := fmt.Sprintf("a send to %s failed after %s ms: %s", targetText(f), f["after_ms"], reasonText(f))
 		if f["sent"] == "false" {
 			text += ", before any byte was sent"
 		}
--- a/pkg/explain/explain_test.go
+++ b/pkg/explain/explain_test.go
@@ -58,6 +58,13 @@
 	assert.Empty(t, explainRequest(t, "nobody", entryLog, keeperLog))
 }
 
+// The description of an answer that is not valid says what is wrong with it.
+func TestExplainInvalidAnswer(t *testing.T) {
+	const log = `time=2026-08-16T17:18:34.100Z level=info event=send_failed node=edge-1 request_id=r1 after_ms=12 at_fault="" cause="\"Bad Name: v\" is no field line" doubtful=false group="" reason=malformed reused=true send=1 sent=true target=i-1
+`
+	assert.Equal(t, "17:18:34.100 edge-1 a send to i-1 failed after 12 ms: malformed (\"Bad Name: v\" is no field line)\n", explainRequest(t, "r1", log))
+}
+
 // The description of a truncated stream states the last complete event, the bytes
 // received of the next one and whether the caller had received anything.
 func TestExplainTruncatedStream(t *testing.T) {
--- a/pkg/forward/invalid_field_test.go
+++ b/pkg/forward/invalid_field_test.go
@@ -108,3 +108,17 @@
 		}
 	}
 }
+
+// Guards against logs that show an invalid answer as one that was lost on its way.
+func TestLogsTellInvalidFieldFromTruncatedAnswer(t *testing.T) {
+	for response, cause := range map[string]string{
+		afterStatusLine("Bad Name: v")(answer(200, "x")): `the send to a:1 failed: malformed ("Bad Name: v" is no field line; its name must be a token (RFC 9110, 5.6.2)); the request may have run, so it was not retried`,
+		withTrailer("Bad : v")(answer(200, "spoiled")):   `the send to a:1 failed: malformed (trailer: "Bad : v" is no field line; its name must be a token (RFC 9110, 5.6.2)); the request may have run, so it was not retried`,
+		"HTTP/1.1 200 X\r\nBad Na":                       "the send to a:1 failed: cut-off; the request may have run, so it was not retried",
+	} {
+		inBubble(t, map[string]script{"a:1": func(*http.Request, string, net.Conn) (string, bool) { return response, false }}, func(h *harness) {
+			_, _, _ = h.call("POST", "/once/x", "body")
+			assert.Equal(t, cause, causeOf(t, h.log.String(), "r1"))
+		})
+	}
+}
