HTTP: a response whose framing is ambiguous is none

A response that stated both a length and chunks reached callers as 200 with the body of the chunks, and one in HTTP/1.0 in chunks, on streams, with the framing of the chunks as its body ("10\r\nid: 1..."); where such a connection stayed open, the request ended with 504 at its deadline.

Cause: the library prefers chunks to a length, and does not read them in HTTP/1.0. RFC 9112 forbids both in responses (6.1, 6.2) and asks to treat them as faulty framing (6.1, 6.3).

Change: AwaitFinal returns ErrFraming for both, so that all readers of heads treat them like an invalid field.

Weighed and left as they are: a folded value reaches the caller as one line (RFC 9112, 5.2), and a control byte in the reason reaches nobody, as entries write their own reason (tried by hand for 01, CR and NUL).

--- a/pkg/dispatch/errors.go
+++ b/pkg/dispatch/errors.go
@@ -79,7 +79,7 @@
 	return callErr, ok
 }
 
-// reasonOf returns Canceled if ctx has ended, TimedOut if err is a timeout, Malformed for an invalid field, and otherwise the
+// reasonOf returns Canceled if ctx has ended, TimedOut if err is a timeout, Malformed for an invalid head or trailer, and otherwise the
 // given reason.
 func reasonOf(ctx context.Context, err error, otherwise Reason) Reason {
 	if ctx.Err() != nil {
@@ -89,7 +89,7 @@
 		return TimedOut
 	}
 	var invalid *httphead.FieldError
-	if errors.As(err, &invalid) {
+	if errors.As(err, &invalid) || errors.Is(err, httphead.ErrFraming) {
 		return Malformed
 	}
 	return otherwise
--- a/pkg/forward/invalid_field_test.go
+++ b/pkg/forward/invalid_field_test.go
@@ -57,6 +57,17 @@
 	}
 }
 
+// Guards against an answer whose body ends in another place for its caller than for the entry.
+func TestAmbiguousFramingIsNoAnswer(t *testing.T) {
+	inChunks := withTrailer("Sound: v")
+	for name, spoil := range map[string]func(string) string{
+		"chunks beside a length": func(r string) string { return afterStatusLine("Content-Length: 2")(inChunks(r)) },
+		"chunks in HTTP/1.0":     func(r string) string { return strings.Replace(inChunks(r), "HTTP/1.1", "HTTP/1.0", 1) },
+	} {
+		t.Run(name, func(t *testing.T) { assertNoAnswer(t, spoil) })
+	}
+}
+
 // Guards against requests whose names of fields an upstream may read otherwise than the entry did, and take for another request.
 func TestRequestWithInvalidFieldNameIsRefused(t *testing.T) {
 	for _, line := range []string{"Bad Name: v", "Transfer Encoding: chunked", "Content Length: 2", "Bad : v", "Bad\t: v", "B\x00: v", ": v", "Bad"} {
--- a/pkg/httphead/fields.go
+++ b/pkg/httphead/fields.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 )
 
@@ -34,14 +35,18 @@
 	return table
 }()
 
-var transferEncoding = []byte("Transfer-Encoding")
+var transferEncoding, contentLength = []byte("Transfer-Encoding"), []byte("Content-Length")
+
+// ErrFraming means that a response states a transfer encoding beside a length, or in HTTP/1.0: its readers may differ about where
+// the body ends (RFC 9112, 6.1 and 6.3).
+var ErrFraming = errors.New("the response states a transfer encoding beside a length or in HTTP/1.0; check what listens at the address")
 
 // fieldLines checks the field lines of one head in their order.
 type fieldLines struct {
 	// begun is true after the first field line: lines that begin with a blank continue the one before them.
 	begun bool
-	// transferEncoding is true after a field line of that name.
-	transferEncoding bool
+	// transferEncoding and contentLength are true after a field line of that name.
+	transferEncoding, contentLength bool
 }
 
 // check takes the next line, without its line feed. It returns true for the empty line at the end of the head, and a *FieldError
@@ -64,8 +69,11 @@
 		return false, newFieldError(line)
 	}
 	f.begun = true
-	if length == len(transferEncoding) && bytes.EqualFold(line[:length], transferEncoding) {
+	switch {
+	case length == len(transferEncoding) && bytes.EqualFold(line[:length], transferEncoding):
 		f.transferEncoding = true
+	case length == len(contentLength) && bytes.EqualFold(line[:length], contentLength):
+		f.contentLength = true
 	}
 	return false, nil
 }
--- a/pkg/httphead/httphead.go
+++ b/pkg/httphead/httphead.go
@@ -35,7 +35,7 @@
 
 // AwaitFinal returns once the whole head of a final response, of status 200 to 599, is next in r, of which it reads no byte. It
 // discards interim responses before it. It returns an *InvalidError for other bytes and for 101, as no caller asks for another
-// protocol, a *FieldError for a line of either head that is no field line, bufio.ErrBufferFull for a final head that is longer
+// protocol, a *FieldError for a line of either head that is no field line, ErrFraming, bufio.ErrBufferFull for a final head that is longer
 // than the buffer of r, and otherwise the error of reading r.
 func AwaitFinal(r *bufio.Reader) error {
 	_, err := awaitFinal(r)
@@ -61,10 +61,7 @@
 			return finalHead{}, &InvalidError{string(line)}
 		}
 		if status >= finalStatus {
-			version10 := line[len("HTTP/1.")] == '0'
-			head, err := peekHead(r)
-			head.chunked = head.chunked && !version10
-			return head, err
+			return peekHead(r)
 		}
 		if err := discardHead(r); err != nil {
 			return finalHead{}, fmt.Errorf("interim response: %w", err)
@@ -117,7 +114,7 @@
 // peekHead waits for the whole head that is next in r, whose status line was checked, and checks its field lines.
 func peekHead(r *bufio.Reader) (finalHead, error) {
 	var fields fieldLines
-	lineStart, searched, inStatusLine := 0, 0, true
+	lineStart, searched, inStatusLine, oldVersion := 0, 0, true, false
 	for {
 		buffered, _ := r.Peek(r.Buffered())
 		for {
@@ -129,10 +126,13 @@
 			searched += n + 1
 			lineStart = searched
 			if inStatusLine {
-				inStatusLine = false
+				inStatusLine, oldVersion = false, bytes.HasPrefix(line, []byte("HTTP/1.0"))
 				continue
 			}
 			end, err := fields.check(line)
+			if end && fields.transferEncoding && (fields.contentLength || oldVersion) {
+				err = ErrFraming
+			}
 			if end || err != nil {
 				return finalHead{bytes: lineStart, chunked: fields.transferEncoding}, err
 			}
--- a/pkg/httphead/httphead_test.go
+++ b/pkg/httphead/httphead_test.go
@@ -79,6 +79,20 @@
 	assert.Len(t, invalid.Line, maxQuotedBytes)
 }
 
+// Guards against a body whose end its readers see in different places.
+func TestAmbiguousFramingDoesNotPass(t *testing.T) {
+	for head, ambiguous := range map[string]bool{
+		"HTTP/1.1 200 X\r\nContent-Length: 4\r\nTransfer-Encoding: chunked": true, "HTTP/1.1 200 X\r\ntransfer-encoding:\r\n chunked\r\nCONTENT-LENGTH: 4": true,
+		"HTTP/1.0 200 X\r\nTransfer-Encoding: chunked": true, "HTTP/1.0 200 X\r\nContent-Length: 4\r\nTransfer-Encoding: chunked": true,
+		"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked": false, "HTTP/1.0 200 X\r\nContent-Length: 4": false, "HTTP/1.1 200 X\r\nA: b": false,
+		"HTTP/1.1 103 X\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\nHTTP/1.1 200 X": false,
+	} {
+		err := AwaitFinal(bufio.NewReader(strings.NewReader(head + "\r\n\r\n")))
+		assert.Equal(t, ambiguous, errors.Is(err, ErrFraming), "%q: %v", head, err)
+		assert.True(t, ambiguous || err == nil)
+	}
+}
+
 // Guards against a check that changes what the reader of a response finds, or that needs more of it than there is.
 func TestSoundHeadsPassInPieces(t *testing.T) {
 	const buffer = 4 << 10
