Soak: plain services and engines send answers that no caller may get

Of the answers that plain services lose, every second is now a head that is none: with a blank or a control byte in the name of a field, or the status 000, and a body that no request generates. Of the engines' bytes that are no HTTP, half are. The existing checks compare the bodies.

--- a/cmd/mastic-soak/enginestreams.go
+++ b/cmd/mastic-soak/enginestreams.go
@@ -48,7 +48,14 @@
 		return err
 	}
 	if p.mode == failGarbage && p.cut == 0 {
-		return sendGarbage(conn, r)
+		form := random.IntN(2 * len(invalidHeads))
+		if form >= len(invalidHeads) {
+			return sendGarbage(conn, r)
+		}
+		if err := writeInvalidAnswer(conn, form, id, r.signature, "text/event-stream", garbageOf(r)); err != nil {
+			return err
+		}
+		return errConnEnded
 	}
 	if err := e.write(conn, r, &p); err != nil {
 		return err
@@ -93,12 +100,17 @@
 
 // sendGarbage sends bytes that are not HTTP and ends the connection.
 func sendGarbage(conn net.Conn, r *streamRun) error {
-	if _, err := fmt.Fprintf(conn, "id: 1\ndata: garbage of %s\n\n", r.signature); err != nil {
+	if _, err := conn.Write([]byte(garbageOf(r))); err != nil {
 		return err
 	}
 	return errConnEnded
 }
 
+// garbageOf returns an event that belongs to no stream.
+func garbageOf(r *streamRun) string {
+	return fmt.Sprintf("id: 1\ndata: garbage of %s\n\n", r.signature)
+}
+
 // secondAnswer sends an unsolicited answer, or bytes that are not an answer.
 func (e *engine) secondAnswer(conn net.Conn, r *streamRun, p *streamPlan) error {
 	pause(p.random)
--- a/cmd/mastic-soak/plainservice.go
+++ b/cmd/mastic-soak/plainservice.go
@@ -153,9 +153,10 @@
 		u.serveOrCrash(w, req, instance)
 		return
 	}
-	u.executed.Add(1)
+	number := u.executed.Add(1)
 	if u.service.recordRun(id, u.dropsAnswers.Load() || dropped) {
-		panic(http.ErrAbortHandler)
+		breakAnswer(w, id, int(number))
+		return
 	}
 	// The error is ignored: the client may have disconnected.
 	_, _ = fmt.Fprintf(w, "ran %s", id)
