HTTP: the check of heads reads line by line; sizes of chunks are read with a table

peekHead held the state of two loops in four variables; it now asks for one line after the other. Sizes of 15 digits, the most that the library accepts, are followed (new cases).

--- a/pkg/httphead/fields.go
+++ b/pkg/httphead/fields.go
@@ -12,7 +12,7 @@
 // FieldError means that a line of a head or of a trailer section is no field line: the name in front of its colon is no token
 // (RFC 9110, 5.6.2).
 type FieldError struct {
-	// Line is the beginning of the line.
+	// Line is the beginning of the line; in a trailer, of its last piece that was received.
 	Line string
 }
 
--- a/pkg/httphead/httphead.go
+++ b/pkg/httphead/httphead.go
@@ -34,9 +34,12 @@
 }
 
 // AwaitFinal returns once the whole head of a final response, of status 200 to 599, is next in r, of which it reads no byte. It
-// discards interim responses before it. It returns an *InvalidError for other bytes and for 101, as no caller asks for another
-// protocol, a *FieldError for a line of either head that is no field line, ErrFraming, bufio.ErrBufferFull for a final head that is longer
-// than the buffer of r, and otherwise the error of reading r.
+// discards interim responses before it. It returns
+//   - an *InvalidError for bytes that begin no response, and for 101, as no caller asks for another protocol;
+//   - a *FieldError for a line of a head, also of an interim one, that is no field line;
+//   - ErrFraming for a final head whose body has no certain end;
+//   - bufio.ErrBufferFull for a final head that is longer than the buffer of r;
+//   - otherwise the error of reading r.
 func AwaitFinal(r *bufio.Reader) error {
 	_, err := awaitFinal(r)
 	return err
@@ -46,7 +49,7 @@
 type finalHead struct {
 	// bytes is its length.
 	bytes int
-	// chunked is true if it states the framing of the body as a transfer encoding, of which only chunks are supported.
+	// chunked is true if it states a transfer encoding, of which the libraries accept chunks only.
 	chunked bool
 }
 
@@ -113,33 +116,41 @@
 
 // peekHead waits for the whole head that is next in r, whose status line was checked, and checks its field lines.
 func peekHead(r *bufio.Reader) (finalHead, error) {
+	statusLine, err := peekLine(r, 0)
+	if err != nil {
+		return finalHead{}, insideHead(err)
+	}
+	oldVersion := bytes.HasPrefix(statusLine, []byte("HTTP/1.0"))
+	head := finalHead{bytes: len(statusLine) + 1}
 	var fields fieldLines
-	lineStart, searched, inStatusLine, oldVersion := 0, 0, true, false
+	for end := false; !end; {
+		line, err := peekLine(r, head.bytes)
+		if err != nil {
+			return finalHead{}, insideHead(err)
+		}
+		if end, err = fields.check(line); err != nil {
+			return finalHead{}, err
+		}
+		head.bytes += len(line) + 1
+	}
+	head.chunked = fields.transferEncoding
+	if head.chunked && (oldVersion || fields.contentLength) {
+		return finalHead{}, ErrFraming
+	}
+	return head, nil
+}
+
+// peekLine waits for the line that begins behind the first bytes of r, and returns it without its line feed.
+func peekLine(r *bufio.Reader, begin int) ([]byte, error) {
+	searched := begin
 	for {
 		buffered, _ := r.Peek(r.Buffered())
-		for {
-			n := bytes.IndexByte(buffered[searched:], '\n')
-			if n < 0 {
-				break
-			}
-			line := buffered[lineStart : searched+n]
-			searched += n + 1
-			lineStart = searched
-			if inStatusLine {
-				inStatusLine, oldVersion = false, bytes.HasPrefix(line, []byte("HTTP/1.0"))
-				continue
-			}
-			end, err := fields.check(line)
-			if end && fields.transferEncoding && (fields.contentLength || oldVersion) {
-				err = ErrFraming
-			}
-			if end || err != nil {
-				return finalHead{bytes: lineStart, chunked: fields.transferEncoding}, err
-			}
+		if n := bytes.IndexByte(buffered[searched:], '\n'); n >= 0 {
+			return buffered[begin : searched+n], nil
 		}
 		searched = len(buffered)
-		if _, err := r.Peek(len(buffered) + 1); err != nil {
-			return finalHead{}, insideHead(err)
+		if _, err := r.Peek(searched + 1); err != nil {
+			return nil, err
 		}
 	}
 }
--- a/pkg/httphead/trailer.go
+++ b/pkg/httphead/trailer.go
@@ -111,27 +111,29 @@
 
 // scanSize follows the line with a chunk's size, and returns the bytes that are left.
 func (b *chunkedBody) scanSize(p []byte) []byte {
-	for b.state == inSize && len(p) > 0 {
-		digit, ok := hexDigit(p[0])
-		if !ok {
-			b.state = inExtension
-			break
+	if b.state == inSize {
+		n := 0
+		for n < len(p) && hexDigits[p[n]] != notHex {
+			b.left = b.left<<4 | int(hexDigits[p[n]])
+			n++
 		}
-		b.left, b.digits, p = b.left<<4|digit, b.digits+1, p[1:]
-		if b.digits > maxSizeDigits {
+		b.digits += n
+		if b.digits > maxSizeDigits || n < len(p) && b.digits == 0 {
 			b.state = notFollowed
-			return p
+			return nil
 		}
+		if n == len(p) {
+			return nil
+		}
+		b.state, p = inExtension, p[n:]
 	}
 	end := bytes.IndexByte(p, '\n')
-	switch {
-	case b.state == inExtension && b.digits == 0:
-		b.state = notFollowed
-	case b.state == inSize || end < 0:
+	if end < 0 {
 		return nil
-	case b.left == 0:
+	}
+	if b.left == 0 {
 		b.state = atField
-	default:
+	} else {
 		b.state, b.left = inData, b.left+len("\r\n")
 	}
 	return p[end+1:]
@@ -159,15 +161,17 @@
 	return true
 }
 
-func hexDigit(c byte) (int, bool) {
-	switch {
-	case '0' <= c && c <= '9':
-		return int(c - '0'), true
-	case 'a' <= c && c <= 'f':
-		return int(c-'a') + 10, true
-	case 'A' <= c && c <= 'F':
-		return int(c-'A') + 10, true
-	default:
-		return 0, false
+// notHex stands for bytes that are no hexadecimal digits.
+const notHex = 16
+
+// hexDigits holds the values of hexadecimal digits.
+var hexDigits = func() (table [256]byte) {
+	for c := range table {
+		table[c] = notHex
 	}
-}
+	for value, c := range []byte("0123456789abcdef") {
+		table[c] = byte(value)
+		table[bytes.ToUpper([]byte{c})[0]] = byte(value)
+	}
+	return table
+}()
--- a/pkg/httphead/trailer_test.go
+++ b/pkg/httphead/trailer_test.go
@@ -38,7 +38,7 @@
 		"0\r\n\r\n": true, "4\r\nbody\r\n0\r\n\r\n": true, "a;b=c\r\n0123456789\r\n00;x\r\nA: b\r\n c\r\nB:\r\n\r\n": true, "1  \r\n\n\r\n0\r\n\r\n": true,
 		"10\r\n0\r\nBad Name: v\r\n\r\n0\r\n\r\n": true, "4\r\nbody\r\n0\r\n\r\nBad Name: v\r\n\r\n": true,
 		"0\r\nBad Name: v\r\n\r\n": false, "4\r\nbody\r\n0\r\nBad : v\r\n\r\n": false, "1\r\nx\r\n0\r\nA: b\r\n c\r\nBad\x00: v\r\n\r\n": false,
-		"0;x=y\r\nBad\r\n\r\n": false, "0\r\n: v\r\n\r\n": false, "0\r\n Bad: v\r\n\r\n": false, "0\r\n\rBad: v\r\n\r\n": false,
+		"0;x=y\r\nBad\r\n\r\n": false, "0\r\n: v\r\n\r\n": false, "0\r\n Bad: v\r\n\r\n": false, strings.Repeat("0", maxSizeDigits) + "\r\nBad Name: v\r\n\r\n": false, "0\r\n\rBad: v\r\n\r\n": false,
 	} {
 		for begun := range len(text) + 1 {
 			for _, size := range []int{1, 4, len(text)} {
@@ -56,7 +56,7 @@
 
 // Chunks that the library rejects are no matter of their trailer.
 func TestInvalidChunksAreNoInvalidTrailer(t *testing.T) {
-	for _, text := range []string{"", "4\r\nbo", "x\r\nBad Name: v\r\n\r\n", "-1\r\nx\r\n0\r\n\r\n", "\r\nBad\r\n", strings.Repeat("f", 17) + "\r\nBad\r\n", "4\r\nbody\r\n", "0\r\nGood: v\r\n"} {
+	for _, text := range []string{"", "4\r\nbo", "x\r\nBad Name: v\r\n\r\n", "-1\r\nx\r\n0\r\n\r\n", "\r\nBad\r\n", strings.Repeat("f", 17) + "\r\nBad\r\n", strings.Repeat("0", maxSizeDigits+1) + "\r\nBad Name: v\r\n\r\n", "4\r\nbody\r\n", "0\r\nGood: v\r\n"} {
 		library, trailer := readChunks(text, 0, len(text)+1)
 		assert.Error(t, library, "%q", text)
 		assert.NoError(t, trailer, "%q", text)
@@ -85,8 +85,7 @@
 			}
 			length := 0
 			for _, c := range []byte(line[:size]) {
-				digit, _ := hexDigit(c)
-				length = length<<4 | digit
+				length = length<<4 | int(hexDigits[c])
 			}
 			_, err = r.Discard(length + len("\r\n"))
 			require.NoError(t, err)
