review: case 7, a request that ran is answered 503

A server that runs a non-idempotent request and answers 503 without X-Not-Executed has its status passed on, which promises clients that the request has not run: they send it once more, and it runs twice.

--- a/review/stand2/world.go
+++ b/review/stand2/world.go
@@ -264,6 +264,8 @@
 
 	mu  sync.Mutex
 	seq int
+	// runs counts the requests that a plain server has run.
+	runs int
 }
 
 func (w *world) newUpstream(n int, id, service string, serve func(u *upstream, c net.Conn)) (*upstream, error) {
