A continuation that ends with its connection before an event completes no stream

An upstream that was asked to continue it (beside a silent run, after a broken one, or by the caller's own Last-Event-Id) began an answer with neither a length nor chunks and was killed before its first event; the orderly end of its connection was taken for the end of the stream, a silent sound run was dropped for it, and no further upstream was asked.

The bytes of such an upstream and of one that crashed are the same. Ruled out as causes: acceptOrDrop, awaitFirst and adoptSuccessor, which follow that decision.

Change: such an end is a cut-off answer, as that of a first run is: a silent run stays in place, another upstream is asked, and what is not continued is broken off, or 502 before the caller has got anything, with the way to the whole stream as its remedy. It is evidence of a crash under the same conditions as a first run's. A length of 0 or a last chunk still completes the stream. A continuation counts as a series of events whatever type it states, and the type is compared without case: "Text/Event-Stream" passed before, also for first runs. send_failed has end_unproven=true, the counter is streams.continuations_without_event, and explain prints the cause.

TestResumptionWithoutFurtherEvents asked in its unframed row for a complete stream, which nothing shows; it now asks that all sends are used and the stream ends broken; its framed rows are as before.

--- a/pkg/explain/cause.go
+++ b/pkg/explain/cause.go
@@ -128,11 +128,11 @@
 	return ""
 }
 
-// reasonText returns the reason for which a send failed. For an answer that is not valid it tells what is wrong with it, so that
-// it is not taken for one that was lost on its way.
+// reasonText returns the reason for which a send failed. For an answer that came as its upstream sent it, but was not accepted,
+// it tells why, so that it is not taken for one that was lost on its way.
 func reasonText(f map[string]string) string {
-	if f["reason"] == "malformed" && f["cause"] != "" {
-		return "malformed (" + f["cause"] + ")"
+	if f["cause"] != "" && (f["reason"] == "malformed" || f["end_unproven"] == "true") {
+		return f["reason"] + " (" + f["cause"] + ")"
 	}
 	return f["reason"]
 }
--- a/pkg/explain/explain_test.go
+++ b/pkg/explain/explain_test.go
@@ -65,6 +65,19 @@
 	assert.Equal(t, "17:18:34.100 edge-1 a send to i-1 failed after 12 ms: malformed (\"Bad Name: v\" is no field line)\n", explainRequest(t, "r1", log))
 }
 
+// The description of a continuation whose end proves nothing tells it from an answer that was lost.
+func TestExplainContinuationWithoutEvent(t *testing.T) {
+	const log = `time=2026-08-16T17:18:34.100Z level=info event=send_failed node=edge-1 request_id=r1 after_event=2 after_ms=90 at_fault="" caller_began=true cause="the continuation ended with its connection, before an event" doubtful=false end_unproven=true group="" held_bytes=0 reason=cut-off reused=false send=2 sent=true target=i-2
+time=2026-08-16T17:18:34.110Z level=warn event=stream_not_resumed node=edge-1 request_id=r1 last_event=2 reason=cut-off sends=2
+time=2026-08-16T17:18:34.120Z level=info event=request_answered node=edge-1 request_id=r1 events=2 first_event=1 group="" last_event=2 outcome=cut reused=false sends=2 status=200 target=i-2 took_ms=100
+`
+	text := explainRequest(t, "r1", log)
+	assert.Contains(t, text, "a send to i-2 failed after 90 ms: cut-off (the continuation ended with its connection, before an event), after event 2\n")
+	lines, err := Read(strings.NewReader(log))
+	require.NoError(t, err)
+	assert.Equal(t, "the send to i-2 failed: cut-off (the continuation ended with its connection, before an event); the stream could not be resumed on another upstream: cut-off", Cause(Request("r1", lines)))
+}
+
 // The description of a truncated stream states the last complete event, the bytes
 // received of the next one and whether the caller had received anything.
 func TestExplainTruncatedStream(t *testing.T) {
--- a/pkg/forward/events.go
+++ b/pkg/forward/events.go
@@ -15,6 +15,13 @@
 	eventStreamType = []byte("text/event-stream")
 )
 
+// isEventStream reports whether a Content-Type is that of a series of events. Media types are
+// compared without regard to case.
+func isEventStream(contentType []byte) bool {
+	n := len(eventStreamType)
+	return len(contentType) >= n && bytes.EqualFold(contentType[:n], eventStreamType)
+}
+
 // eventSplitter splits the bytes of one upstream run into complete events.
 type eventSplitter struct {
 	buf []byte
--- a/pkg/forward/respond.go
+++ b/pkg/forward/respond.go
@@ -112,6 +112,10 @@
 		if pending > 0 {
 			e.opts.Metrics.Add("streams.broken_inside_event", 1)
 		}
+		if errors.Is(err, errContinuationWithoutEvent) {
+			e.opts.Metrics.Add("streams.continuations_without_event", 1)
+			line = line.Bool("end_unproven", true)
+		}
 	}
 	e.stopFields(line, s.request).Msg("send_failed")
 }
--- a/pkg/forward/runs_fixed_test.go
+++ b/pkg/forward/runs_fixed_test.go
@@ -166,16 +166,20 @@
 	}
 }
 
-// A resumption after the last event has nothing left to send. Its empty answer must end the
-// stream, whether the caller or the entry asked for it.
+// A resumption after the last event has nothing left to send. An empty answer that states so by
+// its framing must end the stream, whether the caller or the entry asked for it. One that ends
+// with its connection may be that of an upstream that crashed: no run completes the stream, and
+// it ends broken after the last send.
 func TestResumptionWithoutFurtherEvents(t *testing.T) {
 	for name, c := range map[string]struct {
-		end  string
-		kept string
+		end     string
+		kept    string
+		bodyEnd ending
+		sends   int
 	}{
-		"chunked":       {"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", kept},
-		"with a length": {"Content-Length: 0\r\n\r\n", kept},
-		"unframed":      {"\r\n", closed},
+		"chunked":       {"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", kept, endComplete, 1},
+		"with a length": {"Content-Length: 0\r\n\r\n", kept, endComplete, 1},
+		"unframed":      {"\r\n", closed, endTruncated, maxRuns},
 	} {
 		for resumeAfter, first := range map[int]int{0: 3, 3: 0} {
 			t.Run(fmt.Sprintf("%s, caller's Last-Event-Id %d", name, resumeAfter), func(t *testing.T) {
@@ -187,10 +191,10 @@
 						r.writes, r.connEnd = []string{head + "Transfer-Encoding: chunked\r\n\r\n" + chunk(textOf(r.generated))}, closed
 						return
 					}
-					r.writes, r.connEnd, r.bodyEnd, r.correct = []string{head + c.end}, c.kept, endComplete, true
+					r.writes, r.connEnd, r.bodyEnd, r.correct = []string{head + c.end}, c.kept, c.bodyEnd, c.bodyEnd == endComplete
 				}
 				s.assertValid(t)
-				assert.Len(t, s.runs, 1+min(first, 1), "the first empty answer ends the stream")
+				assert.Len(t, s.runs, min(c.sends+min(first, 1), maxRuns), "an empty answer ends the stream only by its framing")
 			})
 		}
 	}
--- a/pkg/forward/runs_generated_test.go
+++ b/pkg/forward/runs_generated_test.go
@@ -196,7 +196,8 @@
 	case offset < f.head || !g.wellFormed():
 		return endTruncated
 	case f.kind == unframed:
-		if connEnd == closed {
+		// Without an event, the end of the connection is no evidence of a complete stream.
+		if connEnd == closed && (g.status != http.StatusOK || lastPosition(g.engineRun) != comment) {
 			return endComplete
 		}
 		return endTruncated
--- a/pkg/forward/session.go
+++ b/pkg/forward/session.go
@@ -150,7 +150,16 @@
 			return s.refuseContent(finding)
 		}
 	}
-	return s.history.refusal(err.Reason, s.retryAfter())
+	return s.sendRefusal(err, s.retryAfter())
+}
+
+// sendRefusal is the answer to a request whose last send failed.
+func (s *session) sendRefusal(err *dispatch.CallError, retryAfter time.Duration) *fault.Error {
+	if errors.Is(err, errContinuationWithoutEvent) && s.request.route.Idempotency != document.AtMostOnce {
+		return fault.New(fault.UpstreamFailed, "send the request again; without its last event's identifier, the whole stream follows",
+			"the upstream sent no event after %q and did not state that none is left", s.position.lastID).WithOutcome(fault.Unknown)
+	}
+	return s.history.refusal(err.Reason, retryAfter)
 }
 
 func (s *session) refuse(ctx *fasthttp.RequestCtx, refusal *fault.Error) {
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -19,8 +19,11 @@
 var (
 	errTruncatedEvent = errors.New("the stream ended inside an event")
 	errNoEvent        = errors.New("the stream ended before its first event")
-	errEventSize      = errors.New("an event is longer than 256 KiB")
-	errNotResumed     = errors.New("the stream failed and could not be resumed")
+	// errContinuationWithoutEvent is the failure of a run that was asked to continue a stream: the end of its connection does
+	// not show whether events are left.
+	errContinuationWithoutEvent = errors.New("the continuation ended with its connection, before an event")
+	errEventSize                = errors.New("an event is longer than 256 KiB")
+	errNotResumed               = errors.New("the stream failed and could not be resumed")
 )
 
 // stream is the body of an answer to a caller: the events of one or several upstream runs in
--- a/pkg/forward/successor.go
+++ b/pkg/forward/successor.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -310,7 +309,7 @@
 // setResponse sets the answer whose header has been read.
 func (r *upstreamRun) setResponse(resp *dispatch.Response) {
 	r.resp = resp
-	r.endsWithConnection = !resp.Framed() && bytes.HasPrefix(resp.Header("Content-Type"), eventStreamType)
+	r.endsWithConnection = !resp.Framed() && (r.resumeAfter != "" || isEventStream(resp.Header("Content-Type")))
 }
 
 // orNil returns nil for a run whose upstream began no answer.
--- a/pkg/forward/upstream_run.go
+++ b/pkg/forward/upstream_run.go
@@ -16,7 +16,8 @@
 	// resumeAfter is the identifier of the last event that the caller has, as sent to the
 	// upstream; empty for an answer from the start.
 	resumeAfter string
-	// endsWithConnection is true for a series of events that has neither a length nor chunks.
+	// endsWithConnection is true for a series of events that has neither a length nor chunks. An
+	// answer to a request for the rest of a stream is one, whatever type it states.
 	endsWithConnection bool
 	events             eventSplitter
 	// spliced is true once the first event was checked to continue after resumeAfter.
@@ -94,16 +95,18 @@
 }
 
 // endOfBody returns io.EOF, unless the body ended inside an event or, where only the end of the
-// connection marks it, before the first event. A run that is asked to continue after the last
-// event has none. lastEvents are the events that came with the end.
+// connection marks it, before the first event. An upstream that is asked to continue a stream
+// after its last event states by a length or a last chunk that none is left. lastEvents are the
+// events that came with the end.
 func (r *upstreamRun) endOfBody(lastEvents []byte) error {
 	if r.events.partial() {
 		return r.resp.Abort(dispatch.Truncated, errTruncatedEvent)
 	}
-	if r.endsWithConnection && r.eventsRead == 0 && r.resumeAfter == "" {
-		if _, any := firstIdentifier(lastEvents); !any {
-			return r.resp.Abort(dispatch.Truncated, errNoEvent)
+	if _, any := firstIdentifier(lastEvents); r.endsWithConnection && r.eventsRead == 0 && !any {
+		if r.resumeAfter != "" {
+			return r.resp.Abort(dispatch.Truncated, errContinuationWithoutEvent)
 		}
+		return r.resp.Abort(dispatch.Truncated, errNoEvent)
 	}
 	r.resp.Finish()
 	return io.EOF
--- a/pkg/forward/wait.go
+++ b/pkg/forward/wait.go
@@ -171,7 +171,7 @@
 		return s.stopRefusal()
 	}
 	if s.lastFailure != nil {
-		return s.history.refusal(s.lastFailure.Reason, p.RetryAfter)
+		return s.sendRefusal(s.lastFailure, p.RetryAfter)
 	}
 	return fault.New(fault.Overloaded, "retry after the time in Retry-After", "no place for the request: %s", p.Reason).WithRetryAfter(p.RetryAfter)
 }
