A status that promises "not run" is not passed on for a run-once request that may have run

The entry passed the 503 on; callers take 503, 429 and 408 for the promise that the request did not run, sent it again, and it ran twice.

Cause: what a status states was decided in two places. Ruled out: marked refusals, answers cut short and 4xx and 5xx without such a promise, which were sound.

Change: Protocol.execution decides for both: stated, implied by the status only, or neither. A whole answer whose status only implies "not run" is a failed send of a run-once request, plain or a stream: 502 of the entry's own, outcome unknown, without the upstream's signature, never sent again. The answer is read to its end, so that one cut short stays a cut-off one, its connection is kept, and a Retry-After of a 503 pauses the upstream as before. Log send_failed with reason=refusal-not-stated and the status as cause, counter sends_failed.refusal-not-stated; explain prints both.

Requests that may repeat are as before, weighed: a 503 is tried again elsewhere, and the last status is passed on. A repeat does no harm there, and the upstream's status, body and Retry-After are what the caller needs.

--- a/pkg/dispatch/errors.go
+++ b/pkg/dispatch/errors.go
@@ -19,6 +19,9 @@
 	DialFailed Reason = "dial-failed"
 	// Refused means that the upstream stated that it did not run the request.
 	Refused Reason = "refused"
+	// RefusalNotStated means that the status promises that the request did not run, but the
+	// upstream did not state it.
+	RefusalNotStated Reason = "refusal-not-stated"
 	// LimitStated means that the call was not sent, as the upstream has stated a limit.
 	LimitStated Reason = "limit-stated"
 	// WriteFailed means that the connection broke while the request was sent.
--- a/pkg/dispatch/exchange.go
+++ b/pkg/dispatch/exchange.go
@@ -206,7 +206,12 @@
 	if x.client.opts.fault == errorStatusIsRefusal {
 		return isRefusalStatus(status)
 	}
-	return x.client.opts.Protocol.Refused(status, x.resp.Header.Peek)
+	return x.execution() == StatedNotRun
+}
+
+// execution returns what the response states of whether the request ran.
+func (x *exchange) execution() Execution {
+	return x.client.opts.Protocol.execution(x.resp.StatusCode(), x.resp.Header.Peek)
 }
 
 // framed reports whether a truncated body can be detected.
--- a/pkg/dispatch/protocol.go
+++ b/pkg/dispatch/protocol.go
@@ -45,6 +45,41 @@
 	}
 }
 
+// Execution is what a response states of whether its request ran.
+type Execution int
+
+const (
+	// MayHaveRun means that nothing in the response says that the request did not run.
+	MayHaveRun Execution = iota
+	// StatedNotRun means that the upstream states that the request did not run and never will.
+	StatedNotRun
+	// ImpliedNotRun means that the status promises so to callers, but that the upstream does not
+	// state it: the request may have run.
+	ImpliedNotRun
+)
+
+// execution returns what a response states of whether its request ran.
+func (p *Protocol) execution(status int, peek func(name string) []byte) Execution {
+	switch {
+	case p.Refused(status, peek):
+		return StatedNotRun
+	case PromisesNotRun(status):
+		return ImpliedNotRun
+	default:
+		return MayHaveRun
+	}
+}
+
+// PromisesNotRun reports whether callers take a status for a promise that the request did not run.
+func PromisesNotRun(status int) bool {
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout:
+		return true
+	default:
+		return false
+	}
+}
+
 func (p *Protocol) atFault(peek func(string) []byte) string {
 	if p.AtFault == nil {
 		return ""
--- a/pkg/dispatch/response.go
+++ b/pkg/dispatch/response.go
@@ -35,6 +35,10 @@
 // Status returns the status code.
 func (r *Response) Status() int { return r.exchange.resp.StatusCode() }
 
+// Execution returns what the response states of whether the request ran; never StatedNotRun, for
+// which Begin returns a failure.
+func (r *Response) Execution() Execution { return r.exchange.execution() }
+
 // Reused reports whether the connection had served an earlier call.
 func (r *Response) Reused() bool { return r.exchange.reused }
 
--- a/pkg/dispatch/response_test.go
+++ b/pkg/dispatch/response_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"testing"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
 
@@ -56,3 +57,37 @@
 		})
 	}
 }
+
+// A refusal is what its upstream states, not what its status promises to callers.
+func TestResponseStatesWhetherItsRequestRan(t *testing.T) {
+	for head, want := range map[string]Execution{
+		"503 X\r\nMasticmount-Outcome: not-run": StatedNotRun,
+		"429 X\r\nMasticmount-Outcome: not-run": StatedNotRun,
+		"409 X\r\nMasticmount-Outcome: not-run": StatedNotRun,
+		"503 X":                                 ImpliedNotRun,
+		"503 X\r\nRetry-After: 1":               ImpliedNotRun,
+		"503 X\r\nMasticmount-Outcome: ran":     ImpliedNotRun,
+		"429 X":                                 ImpliedNotRun,
+		"408 X":                                 ImpliedNotRun,
+		"200 X":                                 MayHaveRun,
+		"409 X":                                 MayHaveRun,
+		"500 X":                                 MayHaveRun,
+		"502 X":                                 MayHaveRun,
+		"504 X":                                 MayHaveRun,
+	} {
+		u := &upstream{respond: func(*http.Request, int) string {
+			return "HTTP/1.1 " + head + "\r\nMasticmount-Request-Id: r\r\nContent-Length: 0\r\n\r\n"
+		}}
+		c := u.client(0)
+		resp, err := c.Begin(context.Background(), testCall("r"))
+		got := StatedNotRun
+		if err == nil {
+			got = resp.Execution()
+			resp.Finish()
+		} else {
+			assert.Equal(t, outcome{Refused, true}, outcomeOf(err), head)
+		}
+		assert.Equal(t, want, got, head)
+		c.Close()
+	}
+}
--- a/pkg/explain/cause.go
+++ b/pkg/explain/cause.go
@@ -131,7 +131,8 @@
 // reasonText returns the reason for which a send failed. For an answer that came as its upstream sent it, but was not accepted,
 // it tells why, so that it is not taken for one that was lost on its way.
 func reasonText(f map[string]string) string {
-	if f["cause"] != "" && (f["reason"] == "malformed" || f["end_unproven"] == "true") {
+	notAccepted := f["reason"] == "malformed" || f["reason"] == "refusal-not-stated" || f["end_unproven"] == "true"
+	if notAccepted && f["cause"] != "" {
 		return f["reason"] + " (" + f["cause"] + ")"
 	}
 	return f["reason"]
--- a/pkg/explain/explain_test.go
+++ b/pkg/explain/explain_test.go
@@ -78,6 +78,17 @@
 	assert.Equal(t, "the send to i-2 failed: cut-off (the continuation ended with its connection, before an event); the stream could not be resumed on another upstream: cut-off", Cause(Request("r1", lines)))
 }
 
+// The description of a refusal that its upstream did not state names the status that was not passed on.
+func TestExplainRefusalThatIsNotStated(t *testing.T) {
+	const log = `time=2026-08-16T17:18:37.000Z level=info event=send_failed node=edge-2 request_id=r3 after_ms=20 at_fault="" cause="status 503 does not state that the request did not run" doubtful=false group="" reason=refusal-not-stated sent=true target=i-5
+time=2026-08-16T17:18:37.010Z level=info event=request_refused node=edge-2 request_id=r3 account=a class=c config_age_ms=310 detail="the upstream refused the request, but did not state that it had not run" kind=upstream-failed may_have_run=true outcome=unknown queued_ms=0 retry_after_ms=0 sends=1 status=502
+`
+	assert.Contains(t, explainRequest(t, "r3", log), "a send to i-5 failed after 20 ms: refusal-not-stated (status 503 does not state that the request did not run)\n")
+	lines, err := Read(strings.NewReader(log))
+	require.NoError(t, err)
+	assert.Equal(t, "the send to i-5 failed: refusal-not-stated (status 503 does not state that the request did not run); the request may have run, so it was not retried", Cause(Request("r3", lines)))
+}
+
 // The description of a truncated stream states the last complete event, the bytes
 // received of the next one and whether the caller had received anything.
 func TestExplainTruncatedStream(t *testing.T) {
--- a/pkg/forward/send_history.go
+++ b/pkg/forward/send_history.go
@@ -64,6 +64,10 @@
 		return fault.New(fault.DeadlinePassed, "check whether the request ran before retrying it",
 			"the deadline passed before the answer was complete").WithOutcome(fault.Unknown)
 	}
+	if reason == dispatch.RefusalNotStated {
+		return fault.New(fault.UpstreamFailed, "check whether the request ran before retrying it",
+			"the upstream refused the request, but did not state that it had not run").WithOutcome(fault.Unknown)
+	}
 	return fault.New(fault.UpstreamFailed, "check whether the request ran before retrying it",
 		"the upstream's answer was lost (%s)", reason).WithOutcome(fault.Unknown)
 }
--- a/pkg/forward/session.go
+++ b/pkg/forward/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"strconv"
 	"time"
@@ -232,7 +233,7 @@
 	}
 	// The status and header must be read now: the response releases them once its body is read to
 	// the end.
-	status, header := r.resp.Status(), r.resp.HeaderLines()
+	status, header, execution := r.resp.Status(), r.resp.HeaderLines(), r.resp.Execution()
 	if s.request.route.Stream && status == http.StatusOK {
 		run, failure := s.beginStream(ctx, r, header)
 		if failure == nil {
@@ -250,6 +251,10 @@
 	}
 	s.answer.reach(stageEnded, "")
 	s.recordAnswer(r, status)
+	if execution == dispatch.ImpliedNotRun && s.request.route.Idempotency == document.AtMostOnce {
+		// Its caller would send the request again, which may have run.
+		return r, r.resp.Abort(dispatch.RefusalNotStated, fmt.Errorf("status %d does not state that the request did not run", status))
+	}
 	copyHeader(ctx, status, header)
 	ctx.Response.SetBodyRaw(body)
 	s.observe()
