Outcome of an upstream's 429 or 408 without a statement is unknown

But an upstream's own 429 or 408 was reported as "ran", which nobody had stated: a service that answers so has mostly not run the request. It is "unknown" now, by the same list of statuses as the refusals of an entry (dispatch.PromisesNotRun). Status, body and the recorded answer of a key are as before.

--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -15,6 +15,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
 
@@ -158,6 +159,27 @@
 	}
 }
 
+// A continuation that ends before its first token is complete only by its finish reason and [DONE], however its body is framed.
+func TestContinuationThatEndsBeforeItsFirstTokenIsTruncated(t *testing.T) {
+	const finish, done = "data: {\"finish_reason\": \"stop\"}\n\n", "data: [DONE]\n\n"
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nMasticmount-Request-Id: r\r\n"
+	for body, want := range map[string]outcome{
+		"": {Truncated, false}, ": ping\n\n": {Truncated, false}, "\n\n": {Truncated, false}, done: {Truncated, false},
+		finish: {Truncated, false}, "id: 2\nda": {Truncated, false}, finish + done: {},
+	} {
+		for _, text := range []string{
+			head + "\r\n" + body,
+			stream(body),
+			head + fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body)+1, body+"\n"),
+		} {
+			u := &upstream{respond: func(*http.Request, int) string { return text }}
+			tokens, end := readStream(t, u.client(0), 2)
+			assert.Equal(t, want, end, "%q", text)
+			assert.Empty(t, tokens, "%q", text)
+		}
+	}
+}
+
 // readStream returns the one-letter events of a stream and how it ended.
 func readStream(t *testing.T, c *Client, from int) (string, outcome) {
 	s, _, err := c.OpenStream(context.Background(), testCall("r"), from)
--- a/pkg/gateway/respond.go
+++ b/pkg/gateway/respond.go
@@ -49,9 +49,10 @@
 }
 
 // outcomeOf returns the outcome of a request from the status of its answer. After a
-// 5xx it is unknown: the upstream may have failed before, during or after the run.
+// 5xx it is unknown: the upstream may have failed before, during or after the run. So it is
+// after a status that promises that the request did not run, where the upstream did not state it.
 func outcomeOf(status int) fault.Outcome {
-	if status >= http.StatusInternalServerError {
+	if status >= http.StatusInternalServerError || dispatch.PromisesNotRun(status) {
 		return fault.Unknown
 	}
 	return fault.Ran
