Soak: upstreams refuse after a run without saying so, and end answers without framing before their first event

The checks are the ones there were: "answered ..., which means not executed, but ran" and "ends as complete after event ...".

TestNoPlanEndsAStreamCorrectlyBeforeItsEnd forbade every orderly end between two events, as no entry can detect it. Before the first event of an answer without framing one can: there it now demands that such plans occur, elsewhere it forbids them as before.

--- a/cmd/mastic-soak/enginestreams.go
+++ b/cmd/mastic-soak/enginestreams.go
@@ -12,6 +12,9 @@
 // streamHead is the start of a run's answer; the framing headers follow.
 const streamHead = "HTTP/1.1 %d X\r\nX-Request-Id: %s\r\nX-Response-Stamp: %s\r\nContent-Type: text/event-stream\r\n"
 
+// failureStatuses are the statuses of runs that fail. Callers take some for a promise that the request did not run.
+var failureStatuses = []int{http.StatusInternalServerError, http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout}
+
 // serveStream answers a request with a stream according to a random plan.
 func (e *engine) serveStream(conn net.Conn, id string, after, total, step int) error {
 	l := e.set.runs
@@ -33,7 +36,7 @@
 		return e.refuse(conn, id, http.StatusServiceUnavailable)
 	}
 	if p.fails && p.mode == failStatus {
-		r.status = http.StatusInternalServerError
+		r.status = failureStatuses[random.IntN(len(failureStatuses))]
 	}
 	l.add(r)
 	defer e.beginStream(conn, r)()
--- a/cmd/mastic-soak/plainservice.go
+++ b/cmd/mastic-soak/plainservice.go
@@ -17,7 +17,8 @@
 	name   string
 	mu     sync.Mutex
 	runs   map[string]int
-	// broken counts the runs whose connection the upstream closed instead of an answer.
+	// broken counts the runs that the upstream failed: it closed the connection instead of an answer, or answered with an error
+	// although the request ran.
 	broken    map[string]int
 	total     int
 	upstreams []*upstream
@@ -153,9 +154,14 @@
 		u.serveOrCrash(w, req, instance)
 		return
 	}
-	number := u.executed.Add(1)
-	if u.service.recordRun(id, u.dropsAnswers.Load() || dropped) {
-		breakAnswer(w, id, int(number))
+	number := int(u.executed.Add(1))
+	failed := number%dropOneIn == 0 && strings.HasPrefix(id, oncePrefix) && u.service.faultsActive.Load()
+	switch broken := u.service.recordRun(id, failed || u.dropsAnswers.Load() || dropped); {
+	case failed:
+		w.WriteHeader(failureStatuses[number/dropOneIn%len(failureStatuses)])
+		return
+	case broken:
+		breakAnswer(w, id, number)
 		return
 	}
 	// The error is ignored: the client may have disconnected.
--- a/cmd/mastic-soak/streamplan.go
+++ b/cmd/mastic-soak/streamplan.go
@@ -44,7 +44,7 @@
 )
 
 func (m failureMode) String() string {
-	return [...]string{"closed", "reset", "silent", "ended early", "open chunk", "garbage", "second answer", "wrong offset", "status 500", "refused"}[m]
+	return [...]string{"closed", "reset", "silent", "ended early", "open chunk", "garbage", "second answer", "wrong offset", "error status", "refused"}[m]
 }
 
 // completesAnswer reports whether the answer itself is complete in this mode.
@@ -120,9 +120,11 @@
 	if p.mode == failOpenChunk || p.mode == failGarbage {
 		p.framing = chunked
 	}
-	// A correct end between two events is a valid answer: no entry can detect the failure.
+	// A correct end between two events is a valid answer: no entry can detect the failure. One
+	// without framing before the first event is none, also where the run resumes a stream.
 	ends := p.mode == failEndEarly || p.mode == failClose && p.framing == closeDelimited
-	if ends && !p.inside && p.cut < len(text) {
+	detectable := p.inside || p.cut == 0 && p.framing == closeDelimited
+	if ends && !detectable && p.cut < len(text) {
 		p.mode = failReset
 	}
 	return p
--- a/cmd/mastic-soak/streamplan_test.go
+++ b/cmd/mastic-soak/streamplan_test.go
@@ -28,7 +28,7 @@
 
 func TestNoPlanEndsAStreamCorrectlyBeforeItsEnd(t *testing.T) {
 	random := randomSource(1, "plans")
-	seen := map[[3]int]int{}
+	seen, beforeFirstEvent := map[[3]int]int{}, map[failureMode]int{}
 	for range plansTried {
 		events := generateEvents(random, "r", "stamp", 0, 1+random.IntN(maxStreamEvents), 1)
 		text := strings.Join(events, "")
@@ -39,9 +39,11 @@
 		}
 		boundary := p.cut == 0 || strings.HasSuffix(text[:p.cut], eventEnd)
 		assert.NotEqual(t, boundary, p.inside, "cut at %d", p.cut)
-		if boundary && p.cut < len(text) {
-			assert.NotEqual(t, failEndEarly, p.mode)
-			assert.False(t, p.mode == failClose && p.framing == closeDelimited)
+		ends := p.mode == failEndEarly || p.mode == failClose && p.framing == closeDelimited
+		if boundary && p.cut < len(text) && ends {
+			assert.Zero(t, p.cut, "%s", p.mode)
+			assert.Equal(t, closeDelimited, p.framing, "%s", p.mode)
+			beforeFirstEvent[p.mode]++
 		}
 		inside := 0
 		if p.inside {
@@ -49,6 +51,8 @@
 		}
 		seen[[3]int{int(p.mode), int(p.framing), inside}]++
 	}
+	assert.NotZero(t, beforeFirstEvent[failEndEarly])
+	assert.NotZero(t, beforeFirstEvent[failClose])
 	for mode := failClose; mode < failureModeCount; mode++ {
 		for f := chunked; f < framingCount; f++ {
 			if mode.completesAnswer() || (mode == failOpenChunk || mode == failGarbage) && f != chunked {
