--- a/pkg/forward/continuation_end_test.go
+++ b/pkg/forward/continuation_end_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/masticmount/masticmount/pkg/document"
 	"github.com/masticmount/masticmount/pkg/fault"
 )
 
@@ -157,5 +158,13 @@
 		assert.Len(t, h.received, 2, "the sends that the route allows")
 		assert.Less(t, time.Since(began), time.Second)
 		assert.Contains(t, h.entry.opts.Metrics.String(), "streams.continuations_without_event")
+
+		h.view.Document.Routes[3].Idempotency = document.AtMostOnce
+		require.NoError(t, h.view.Document.Index())
+		r, body, err = h.call("POST", "/stream/x", "prompt", "Last-Event-Id: 5")
+		require.NoError(t, err)
+		assert.Equal(t, http.StatusBadGateway, r.StatusCode)
+		assert.Contains(t, body, "check whether the request ran", "a stream that runs once is not to be sent again")
+		assert.Len(t, h.received, 3)
 	})
 }
