--- a/cmd/mastic-soak/streamplan.go
+++ b/cmd/mastic-soak/streamplan.go
@@ -107,6 +107,10 @@
 	p := streamPlan{framing: framing(random.IntN(int(framingCount))), cut: len(text), random: random}
 	p.connClose = random.IntN(connCloseOneIn) == 0
 	if !injectFaults || random.IntN(failOneIn) != 0 {
+		if len(events) == 0 && p.framing == closeDelimited {
+			// Without an event, only a length or a last chunk states that none is left.
+			p.framing = contentLength
+		}
 		return p
 	}
 	p.fails, p.mode = true, failureMode(random.IntN(int(failureModeCount)))
