forward: what waits is served in the order in which it would have ended without a wait

What callers saw: while requests waited, every later request with less work was served before one with more, however long that had waited, and one that had been sent before without success was served before all others of its priority.

Cause: rank ordered by service time alone, "which gain the most for each slot", and took 250 s off for a request that was sent before. Neither is a reason of the caller's: it has waited since its arrival, whatever became of an earlier send.

Evidence: the tests can't be built before this change (Work had a rank, no arrival). With the order of before put into the new function TestWaitingRequestsAreServedInOrder fails in "equal work by arrival" and "long work goes before later short work"; with its 250 s TestRequestSentBeforeKeepsItsPlace fails.

Change: Work has its priority and arrival in place of a rank, and goesBefore orders by priority, then by arrival plus service time.

--- a/pkg/forward/placer.go
+++ b/pkg/forward/placer.go
@@ -43,8 +43,10 @@
 type Work struct {
 	ID             uint64
 	Service, Model string
-	// Rank orders waiting requests; lower goes first.
-	Rank float64
+	// Priority orders waiting requests; lower goes first.
+	Priority int
+	// ArrivedAt is when the caller's request arrived, by the placer's clock.
+	ArrivedAt time.Time
 	// ObjectiveAt is when the first event is due; zero where that no longer matters.
 	ObjectiveAt time.Time
 	// Late requests cannot be answered by ObjectiveAt. They wait behind the requests that can,
@@ -228,7 +230,7 @@
 func (p *Placer) Submit(now time.Time, w Work) Placement {
 	q := p.queueOf(w)
 	w.Late = w.Late || q.missesObjective(now, &w, 0)
-	if len(q.waiting) == 0 || q.waiting[0].rank() > w.rank() {
+	if len(q.waiting) == 0 || w.goesBefore(&q.waiting[0]) {
 		if s := p.pick(now, &w); s != nil {
 			return Placement{Target: p.assign(now, s, q, &w)}
 		}
--- a/pkg/forward/placer_test.go
+++ b/pkg/forward/placer_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/samber/lo"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -29,8 +31,9 @@
 // callerTime is the remaining time of the tests' callers.
 const callerTime = 6 * time.Second
 
-func testWork(id uint64, rank float64) Work {
-	return Work{ID: id, Service: "pool", Model: "m", Rank: rank, TimeLeft: callerTime, WaitDeadline: start.Add(time.Minute), ServiceTime: time.Second}
+// testWork is a request that arrives some time after start.
+func testWork(id uint64, after time.Duration) Work {
+	return Work{ID: id, Service: "pool", Model: "m", ArrivedAt: start.Add(after), TimeLeft: callerTime, WaitDeadline: start.Add(time.Minute), ServiceTime: time.Second}
 }
 
 func mustPlace(t *testing.T, p *Placer, id uint64) *attach.Target {
@@ -68,22 +71,58 @@
 	assert.True(t, p.Submit(start, testWork(9, 0)).Waiting)
 }
 
-func TestWaitingRequestsAreGrantedByRank(t *testing.T) {
-	p := placerWith(groupTarget("one", "fd-a"))
-	var held *attach.Target
-	for id := range uint64(groupLimit) {
-		held = mustPlace(t, p, id)
-	}
-	for id, rank := range map[uint64]float64{10: 3, 11: 1, 12: 2} {
-		require.True(t, p.Submit(start, testWork(id, rank)).Waiting)
+// What waits is served by priority, then in the order in which it would have ended without a wait, in whatever order it was queued.
+func TestWaitingRequestsAreServedInOrder(t *testing.T) {
+	work := func(id uint64, priority int, after, serviceTime time.Duration) Work {
+		w := testWork(id, after)
+		w.Priority, w.ServiceTime = priority, serviceTime
+		return w
 	}
-	var granted []uint64
-	for range 3 {
-		for _, g := range p.Release(start, held) {
-			granted = append(granted, g.ID)
+	for name, order := range map[string][]Work{
+		"equal work by arrival":                   {work(10, 0, 0, time.Second), work(11, 0, 1, time.Second), work(12, 0, 2, time.Second)},
+		"work that came at once: short first":     {work(10, 0, 0, 1), work(11, 0, 0, 2), work(12, 0, 0, 3)},
+		"long work goes before later short work":  {work(10, 0, 0, time.Second), work(11, 0, time.Second, time.Millisecond), work(12, 0, 2*time.Second, 1)},
+		"short work overtakes long work that ran": {work(10, 0, 500*time.Millisecond, time.Millisecond), work(11, 0, 0, time.Second)},
+		"priority before both":                    {work(10, 0, time.Hour, time.Hour), work(11, 1, 0, 1), work(12, 2, 0, 0)},
+	} {
+		for _, queued := range [][]Work{order, lo.Reverse(slices.Clone(order))} {
+			p := placerWith(groupTarget("one", "fd-a"))
+			var held *attach.Target
+			for id := range uint64(groupLimit) {
+				held = mustPlace(t, p, id)
+			}
+			for _, w := range queued {
+				require.True(t, p.Submit(start, w).Waiting, name)
+			}
+			var granted []uint64
+			for range order {
+				for _, g := range p.Release(start, held) {
+					granted = append(granted, g.ID)
+				}
+			}
+			assert.Equal(t, lo.Map(order, func(w Work, _ int) uint64 { return w.ID }), granted, name)
 		}
 	}
-	assert.Equal(t, []uint64{11, 12, 10}, granted)
+}
+
+// A request that was sent before without success has no other place than one that was not: its caller has waited for as long as its
+// arrival says.
+func TestRequestSentBeforeKeepsItsPlace(t *testing.T) {
+	inBubble(t, map[string]script{"a:1": alwaysAnswer(answer(200, "ok"))}, func(h *harness) {
+		work := func(sends int, age time.Duration) Work {
+			arrived := time.Now().Add(-age)
+			r := &request{arrivedAt: arrived, deadline: arrived.Add(5 * time.Second), route: &h.view.Document.Routes[2], service: h.view.Document.Services["desk"]}
+			return (&session{entry: h.entry, request: r, history: sendHistory{sends: sends}}).newWork()
+		}
+		for _, sends := range []int{1, 2} {
+			older, newer := work(0, time.Second), work(sends, time.Second/2)
+			assert.True(t, older.goesBefore(&newer))
+			assert.False(t, newer.goesBefore(&older))
+			newer = work(0, time.Second/2)
+			older = work(sends, time.Second)
+			assert.True(t, older.goesBefore(&newer))
+		}
+	})
 }
 
 // A request that cannot be served in time must be refused on arrival, with a Retry-After that
@@ -153,7 +192,7 @@
 	for id := range uint64(groupLimit) {
 		assert.Equal(t, "clear", mustPlace(t, p, id).ID)
 	}
-	assert.True(t, p.Submit(start, testWork(50, 1)).Waiting)
+	assert.True(t, p.Submit(start, testWork(50, time.Second)).Waiting)
 	grants := p.Update(start, &attach.View{Targets: []attach.Target{suspected}})
 	require.Len(t, grants, 1, "no other target is left")
 	p.RecordAnswer(start, grants[0].Target)
@@ -215,7 +254,7 @@
 		}
 		for id := range uint64(300) {
 			now = now.Add(time.Duration(random.IntN(50)) * time.Millisecond)
-			w := testWork(id, random.Float64())
+			w := testWork(id, time.Duration(random.IntN(1000))*time.Millisecond)
 			w.WaitDeadline = now.Add(time.Duration(random.IntN(3000)) * time.Millisecond)
 			if placed := p.Submit(now, w); placed.Target != nil {
 				held = append(held, placed.Target)
@@ -260,7 +299,7 @@
 		}
 	}
 	assert.Equal(t, 10+engineQueueDepth-int(lateReserve*10), placed)
-	onTime := testWork(50, 5)
+	onTime := testWork(50, 5*time.Second)
 	onTime.ObjectiveAt = start.Add(time.Second)
 	assert.NotNil(t, p.Submit(start, onTime).Target, "it overtakes the queued late requests")
 }
--- a/pkg/forward/queue.go
+++ b/pkg/forward/queue.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"sort"
 	"time"
 
 	"github.com/masticmount/masticmount/pkg/statement"
@@ -41,7 +42,7 @@
 
 // requestQueue holds the requests that wait for the targets of one service and model.
 type requestQueue struct {
-	// waiting is ordered by rank, then by arrival.
+	// waiting is ordered by goesBefore, requests of equal order by their submission.
 	waiting []Work
 	// serviceTime is the mean time that a request occupies its slot.
 	serviceTime time.Duration
@@ -61,15 +62,17 @@
 	startLatency time.Duration
 }
 
-// lateRank orders late requests behind those that can be on time, within a priority.
-const lateRank = priorityRankStep / 2
-
-// rank is the key by which waiting requests are ordered; lower goes first.
-func (w *Work) rank() float64 {
-	if w.Late {
-		return w.Rank + lateRank
+// goesBefore reports whether a waiting request is served before another one: by priority, and then in the order in which they would
+// have ended without a wait. So short work is not held up by long work that came at the same time, and each request is overtaken
+// only by those that arrive within its own service time.
+func (w *Work) goesBefore(other *Work) bool {
+	if w.Priority != other.Priority {
+		return w.Priority < other.Priority
 	}
-	return w.Rank
+	if w.Late != other.Late {
+		return other.Late
+	}
+	return w.ArrivedAt.Add(w.ServiceTime).Before(other.ArrivedAt.Add(other.ServiceTime))
 }
 
 // recordStart updates the mean time that targets take to answer.
@@ -110,12 +113,7 @@
 }
 
 func (q *requestQueue) insert(w Work) {
-	at, _ := slices.BinarySearchFunc(q.waiting, w, func(a, b Work) int {
-		if a.rank() <= b.rank() {
-			return -1
-		}
-		return 1
-	})
+	at := sort.Search(len(q.waiting), func(i int) bool { return w.goesBefore(&q.waiting[i]) })
 	q.waiting = slices.Insert(q.waiting, at, w)
 }
 
@@ -142,7 +140,7 @@
 func (q *requestQueue) expectedWait(now time.Time, w *Work, capacity targetCapacity) time.Duration {
 	ahead := 1
 	for _, other := range q.waiting {
-		if other.rank() <= w.rank() && (other.Late || !w.Late) {
+		if !w.goesBefore(&other) && (other.Late || !w.Late) {
 			ahead++
 		}
 	}
--- a/pkg/forward/wait.go
+++ b/pkg/forward/wait.go
@@ -28,7 +28,7 @@
 	now, elapsed := boottime.Now(), time.Since(r.arrivedAt)
 	arrivedAt := now.Add(-elapsed)
 	w := Work{
-		TimeLeft: time.Until(r.deadline), Service: r.service.Name, Excluded: s.excluded, ServiceTime: r.serviceTime, Rank: rank(priority, r.serviceTime, s.history.sends > 0),
+		TimeLeft: time.Until(r.deadline), Service: r.service.Name, Excluded: s.excluded, ServiceTime: r.serviceTime, Priority: priority, ArrivedAt: arrivedAt,
 		WaitDeadline: earlier(now.Add(maxLateWait), now.Add(time.Until(r.deadline)-r.serviceTime-waitMargin)),
 	}
 	if !s.history.firstEventSent {
@@ -47,20 +47,6 @@
 	return b
 }
 
-// priorityRankStep is the difference in rank between two priorities: more than any service
-// time in seconds.
-const priorityRankStep = 1000
-
-// rank orders urgent requests first, then those that were sent before, then short ones, which
-// gain the most for each slot.
-func rank(priority int, serviceTime time.Duration, retry bool) float64 {
-	rank := float64(priority)*priorityRankStep + serviceTime.Seconds()
-	if retry {
-		rank -= priorityRankStep / 4
-	}
-	return rank
-}
-
 // waiter is a request that waits for a target.
 type waiter struct {
 	// granted receives the target; nil when the request must be examined again.
