forward: the wait that a request must expect is that for this entry's part of the slots

What callers saw: requests were let wait although they could not be served before their wait ended, and were refused at its end.

Cause: expectedWait divided the work ahead by all slots of all targets and what they queue beside, as if no other entry placed requests. With nine entries the estimate was up to nine times too short.

Change: targetCapacity.running is the entry's part of the slots, by the same rule as its part of free capacity (entryShare). Why it works: an entry gets an even part of what is free and replaces its own requests as they end.

--- a/pkg/forward/allowance.go
+++ b/pkg/forward/allowance.go
@@ -48,18 +48,26 @@
 	unreported float64
 }
 
-// update sets the allowance of an entry. Its part of the free capacity is the mean of an equal
-// part for each entry and of its part of all requests in flight.
+// entryShare is the part of a capacity that one entry gets: the mean of an equal part for each entry and of its part of all requests
+// in flight.
+func entryShare(own, all, entries int) float64 {
+	if entries <= 1 {
+		return 1
+	}
+	share := 1 / float64(entries)
+	if all > 0 {
+		share = (share + float64(own)/float64(all)) / 2
+	}
+	return share
+}
+
+// update sets the allowance of an entry.
 func (a *allowance) update(c queueCapacity) {
 	a.limited = c.entries > 1 && c.total >= minSlotsPerEntry*c.entries && float64(c.free) < ampleCapacityFactor*c.unreported
 	if !a.limited {
 		return
 	}
-	share := 1 / float64(c.entries)
-	if c.all > 0 {
-		share = (share + float64(c.own)/float64(c.all)) / 2
-	}
-	integer, carry := math.Modf(a.carry + allowanceShare*float64(max(c.free, 0))*share)
+	integer, carry := math.Modf(a.carry + allowanceShare*float64(max(c.free, 0))*entryShare(c.own, c.all, c.entries))
 	a.limit, a.carry = c.own+int(integer), carry
 }
 
--- a/pkg/forward/placer.go
+++ b/pkg/forward/placer.go
@@ -483,8 +483,8 @@
 
 // targetCapacity is what the eligible targets of a request accept.
 type targetCapacity struct {
-	// running is the number of requests that they run at once. A target with a stated limit counts
-	// with those that the limit lets this entry have there.
+	// running is this entry's part of the requests that they run at once. A target with a stated limit counts with those that the
+	// limit lets this entry have there.
 	running float64
 	// limited is true if any of them has stated a limit.
 	limited bool
@@ -505,19 +505,20 @@
 		return targetCapacity{running: float64(limit)}
 	}
 	var c targetCapacity
-	detachedRate := 0.0
+	detachedRate, slots, own, all := 0.0, 0, 0, 0
 	for _, s := range p.targets {
 		if !p.eligible(now, s, w) {
 			continue
 		}
 		limit, _, limited := p.limitOf(now, s)
 		if !limited {
-			c.running += float64(s.limit())
+			slots, own, all = slots+s.target.Slots, own+s.ownRequests, all+s.ownRequests+s.otherRequests
 			continue
 		}
 		c.limited = true
 		detachedRate += p.detachedRate(limit)
 	}
+	c.running = float64(slots) * entryShare(own, all, p.entries)
 	if c.limited {
 		perSecond := detachedRate
 		if p.attached(now) {
--- a/pkg/forward/placer_test.go
+++ b/pkg/forward/placer_test.go
@@ -152,6 +152,32 @@
 	assert.LessOrEqual(t, refused.RetryAfter, callerShare(fullRetryShare), "late requests are served")
 }
 
+// The work ahead of a request is done by the entry's part of the slots. What targets queue beyond them is not done any sooner.
+func TestExpectedWaitIsForPartOfSlots(t *testing.T) {
+	const slots, ahead = 18, 5
+	for name, c := range map[string]struct {
+		entries, own int
+		running      float64
+	}{
+		"the only entry":                 {1, slots, slots},
+		"one of nine, with an even part": {9, 2, slots / 9.0},
+		"one of nine, with nothing yet":  {9, 0, slots / 18.0},
+		"one of nine, with half of it":   {9, 9, slots * (1/9.0 + 1/2.0) / 2},
+	} {
+		target := groupTarget("one", "fd-a")
+		target.Slots = slots
+		p := NewPlacer("fd-a", rand.New(rand.NewPCG(1, 1)))
+		p.Update(start, &attach.View{Targets: []attach.Target{target}, Loads: map[string]int{target.Group: slots + engineQueueDepth - c.own}, LoadsAt: start.Add(reportLag), Entries: c.entries})
+		p.targets[target.Group].ownRequests = c.own
+		for id := range uint64(ahead) {
+			require.True(t, p.Submit(start, testWork(id, 0)).Waiting, name)
+		}
+		w := testWork(99, 0)
+		wait := p.queueOf(w).expectedWait(start, &w, p.capacity(start, &w))
+		assert.InEpsilon(t, (ahead+1)*w.ServiceTime.Seconds()/c.running, wait.Seconds(), 0.1, name)
+	}
+}
+
 func TestGiveUpRemovesRequestOnce(t *testing.T) {
 	p := placerWith(groupTarget("one", "fd-a"))
 	var held *attach.Target
--- a/pkg/forward/queue.go
+++ b/pkg/forward/queue.go
@@ -134,9 +134,8 @@
 	}
 }
 
-// expectedWait estimates the time until a request gets a target: the requests ahead of it, at
-// the rate at which capacity becomes free. Other entries take a part of that capacity, so the
-// real wait is at least as long. Late requests get targets at the rate measured for them.
+// expectedWait estimates the time until a request gets a target: the requests ahead of it, at the rate at which this entry's part of
+// the capacity becomes free. Late requests get targets at the rate measured for them.
 func (q *requestQueue) expectedWait(now time.Time, w *Work, capacity targetCapacity) time.Duration {
 	ahead := 1
 	for _, other := range q.waiting {
