forward: a request waits while it can be answered in its caller's time

What callers saw: a request that could not begin within its route's objective waited behind all that could, left a fifth of each group's slots to them, and was refused after 1.2 s, or at once where fewer late requests than two a second were served, though its caller had 5 s and more. A caller with 4.9 s before an upstream that is free after 4 s got 503.

Cause: the objective, by which answers are valued, decided who goes first, how long a request waits and what it may use (Late, lateReserve, lateRate, maxLateWait, waitMargin, mechanism late-reserve).

Evidence: TestRequestWaitsForItsTurnWhileItsCallerHasTime fails on in "its turn comes in time" and "its turn comes just in time": 503 in place of 200.

A request is refused at once where the work queued before it and its own, or the usual time to a first event, do not fit into that time. Otherwise it waits; each view of the capacity examines those that wait again. No estimate refuses the rest of an answer that has begun. The usual time is the mean and its mean deviation, so that most of those sent last are in time. Why it works: the only times that decide are the caller's.

Replaced tests: TestLateRequestsLeaveReserveForOthers, TestWaitingRequestBecomesLate and TestQueueOfLateRequestsIsBounded checked the mechanism; TestRequestWaitsForAsLongAsItsCallerHasTime, TestWaitFollowsTheTimeLeft (each millisecond of the time left), TestEqualRequestsAreDecidedAlike and TestWaitingRequestsAreExaminedAgainWhenCapacityIsLost check what the caller is owed.

--- a/pkg/document/document.go
+++ b/pkg/document/document.go
@@ -42,10 +42,8 @@
 	Idempotency Idempotency
 	// Timeout is the longest time that a request may wait.
 	Timeout time.Duration
-	// Objective is the time within which the response, or its first event, is on time.
-	Objective time.Duration
-	// MaxPause is the longest pause between two events of a stream that is on time.
-	MaxPause time.Duration
+	// EventTimeout is the time without an event, the first one included, after which callers leave a stream; 0 sets no bound.
+	EventTimeout time.Duration
 	// Priority orders routes at overload; 0 is the highest.
 	Priority int
 	// MaxAttempts is the number of upstreams that one request may be sent to.
--- a/pkg/forward/allowance.go
+++ b/pkg/forward/allowance.go
@@ -83,27 +83,16 @@
 }
 
 func (p *Placer) updateQueueAllowances(now time.Time, key queueKey, q *requestQueue) {
-	work, lateWork := Work{Service: key.service, Model: key.model}, Work{Late: true}
+	work := Work{Service: key.service, Model: key.model}
 	c := queueCapacity{own: q.inFlight, entries: p.entries, unreported: p.unreportedRequests(now, key, q)}
-	reserve := 0
 	for _, k := range p.targetKeys {
 		s := p.targets[k]
 		// A target with a stated limit has an allotment of its own.
 		if _, _, limited := p.limitOf(now, s); limited || !p.eligible(now, s, &work) {
 			continue
 		}
-		c.total, c.all, reserve = c.total+s.limit(), c.all+s.ownRequests+s.otherRequests, reserve+s.limit()-p.limitFor(s, &lateWork)
+		c.total, c.all = c.total+s.limit(), c.all+s.ownRequests+s.otherRequests
 	}
 	c.free = c.total - c.all
-	q.onTimeAllowance.update(c)
-	c.free -= reserve
-	q.lateAllowance.update(c)
-}
-
-// allowed reports whether the allowances let a request be sent now.
-func (q *requestQueue) allowed(w *Work) bool {
-	if w.Late {
-		return q.lateAllowance.allows(q.inFlight)
-	}
-	return q.onTimeAllowance.allows(q.inFlight)
+	q.allowance.update(c)
 }
--- a/pkg/forward/pick.go
+++ b/pkg/forward/pick.go
@@ -31,7 +31,7 @@
 		return p.pickIsolated(now, w)
 	}
 	q := p.queueOf(*w)
-	if p.mechanisms.Enabled(mechanism.Allowances) && !q.allowed(w) {
+	if p.mechanisms.Enabled(mechanism.Allowances) && !q.allowance.allows(q.inFlight) {
 		return nil
 	}
 	var candidates []candidate
@@ -40,7 +40,7 @@
 	activeShare := 1 - p.endedShare(now, q)
 	for _, key := range p.targetKeys {
 		s := p.targets[key]
-		if load := s.load(activeShare); p.eligible(now, s, w) && load < float64(p.limitFor(s, w)) && (!w.Late || s.ownRequests+s.otherRequests < p.limitFor(s, w)) {
+		if load := s.load(activeShare); p.eligible(now, s, w) && load < float64(s.limit()) {
 			if !p.withinLimit(now, s) {
 				q.blocked = append(q.blocked, incarnationOf(&s.target))
 				continue
--- a/pkg/forward/placer.go
+++ b/pkg/forward/placer.go
@@ -47,13 +47,12 @@
 	Priority int
 	// ArrivedAt is when the caller's request arrived, by the placer's clock.
 	ArrivedAt time.Time
-	// ObjectiveAt is when the first event is due; zero where that no longer matters.
-	ObjectiveAt time.Time
-	// Late requests cannot be answered by ObjectiveAt. They wait behind the requests that can,
-	// and leave a reserve of capacity to them.
-	Late bool
-	// WaitDeadline is the deadline for waiting: a later start would not help the caller.
-	WaitDeadline time.Time
+	// EndBy is when the caller's time ends.
+	EndBy time.Time
+	// FirstEventBy is when the caller of a stream leaves without a first event; zero where it sets no such bound.
+	FirstEventBy time.Time
+	// Begun is true once the caller has a part of the answer. No estimate refuses its rest.
+	Begun bool
 	// Excluded are the targets that the request was sent to before.
 	Excluded []string
 	// ServiceTime is the expected service time, for which the request occupies a slot.
@@ -72,9 +71,8 @@
 	// Waiting is true when the request was queued: a Grant follows, unless the wait ends
 	// before.
 	Waiting bool
-	// LateAt is when a waiting request becomes late; zero where it is late already or never
-	// will be.
-	LateAt time.Time
+	// WaitUntil is when the wait ends: the request could not be answered in the caller's time any more.
+	WaitUntil time.Time
 	// RetryAfter is when the caller should retry after a refusal.
 	RetryAfter time.Duration
 	// Reason is the reason of a refusal.
@@ -88,9 +86,11 @@
 
 // The reasons of a refusal.
 const (
-	NoTarget     Reason = "no-target"
-	QueueFull    Reason = "crowded"
-	WaitTimedOut Reason = "waited-long-enough"
+	NoTarget Reason = "no-target"
+	// NoTimeToWait means that the request is not expected to be answered in the caller's time, by the work queued before it.
+	NoTimeToWait Reason = "no-time-to-wait"
+	// WaitedInVain means that it waited, and no target took it in time.
+	WaitedInVain Reason = "waited-in-vain"
 	// LimitsStated means that the request would wait for too long as upstreams have stated limits.
 	LimitsStated Reason = "limits-stated"
 	// NoIsolation means that an isolated request would leave too few other upstreams.
@@ -190,7 +190,30 @@
 	p.expireAllotments(now)
 	p.recordUpstreams(now)
 	p.updateAllowances(now)
-	return p.grantWaiting(now)
+	return append(p.grantWaiting(now), p.reexamineWaiting(now)...)
+}
+
+// reexamineWaiting removes the waiting requests that are no longer expected to be answered in their callers' time, as the capacity
+// has changed. They must be submitted again.
+func (p *Placer) reexamineWaiting(now time.Time) []Grant {
+	var grants []Grant
+	for _, q := range p.queues {
+		if len(q.waiting) == 0 {
+			continue
+		}
+		first := q.waiting[0]
+		capacity := p.capacity(now, &Work{Service: first.Service, Model: first.Model, Isolated: first.Isolated, ServiceTime: q.serviceTime})
+		kept := 0
+		q.waiting = slices.DeleteFunc(q.waiting, func(w Work) bool {
+			if q.inTime(now, &w, q.waitAtPlace(kept+1, capacity)) {
+				kept++
+				return false
+			}
+			grants = append(grants, Grant{ID: w.ID})
+			return true
+		})
+	}
+	return grants
 }
 
 // sameIncarnation reports whether the state is that of a target's current incarnation, and not
@@ -229,7 +252,6 @@
 // Submit places a new request, queues it or refuses it.
 func (p *Placer) Submit(now time.Time, w Work) Placement {
 	q := p.queueOf(w)
-	w.Late = w.Late || q.missesObjective(now, &w, 0)
 	if len(q.waiting) == 0 || w.goesBefore(&q.waiting[0]) {
 		if s := p.pick(now, &w); s != nil {
 			return Placement{Target: p.assign(now, s, q, &w)}
@@ -238,7 +260,7 @@
 	return p.enqueue(now, q, w)
 }
 
-// enqueue has a request wait, or refuses it when it would wait for too long.
+// enqueue has a request wait if it is expected to be answered in its caller's time, and refuses it otherwise.
 func (p *Placer) enqueue(now time.Time, q *requestQueue, w Work) Placement {
 	capacity := p.capacity(now, &w)
 	if capacity.running == 0 && w.Isolated {
@@ -250,32 +272,16 @@
 		}
 		return p.refuse(now, &w, capacity.refusal(NoTarget))
 	}
-	wait := q.expectedWait(now, &w, capacity)
-	if !w.Late && q.missesObjective(now, &w, wait) {
-		w.Late = true
-		wait = q.expectedWait(now, &w, capacity)
-	}
-	if now.Add(wait).After(w.WaitDeadline) {
-		return p.refuse(now, &w, capacity.refusal(QueueFull))
+	if !q.inTime(now, &w, q.expectedWait(&w, capacity)) {
+		return p.refuse(now, &w, capacity.refusal(NoTimeToWait))
 	}
 	q.insert(w)
-	return Placement{Waiting: true, LateAt: q.latestSend(&w)}
-}
-
-// MarkLate moves a waiting request that has missed its objective behind those that can still
-// meet theirs. It returns false when the request was granted already.
-func (p *Placer) MarkLate(now time.Time, w Work) (Placement, bool) {
-	q := p.queueOf(w)
-	if !q.remove(w.ID) {
-		return Placement{}, false
-	}
-	w.Late = true
-	return p.enqueue(now, q, w), true
+	return Placement{Waiting: true, WaitUntil: q.latestStart(&w)}
 }
 
 func (p *Placer) refuse(now time.Time, w *Work, reason Reason) Placement {
 	var limits []StatedLimit
-	if reason == LimitsStated || reason == WaitTimedOut {
+	if reason == LimitsStated || reason == WaitedInVain {
 		limits = p.statedLimits(now, w)
 	}
 	return Placement{Reason: reason, Limits: limits, RetryAfter: p.RetryAfter(now, *w)}
@@ -297,7 +303,7 @@
 	if !q.remove(w.ID) {
 		return Placement{}, false
 	}
-	return p.refuse(now, &w, WaitTimedOut), true
+	return p.refuse(now, &w, WaitedInVain), true
 }
 
 // Release frees a request's slot at its target.
@@ -351,7 +357,7 @@
 // RecordStart records the time that a target took from a request to the first event or the
 // whole answer.
 func (p *Placer) RecordStart(t *attach.Target, took time.Duration) {
-	p.queueOf(Work{Service: t.Service, Model: t.Model}).recordStart(took)
+	p.queueOf(Work{Service: t.Service, Model: t.Model}).startLatency.record(took)
 }
 
 // assign counts a request at a target and returns the target.
@@ -363,7 +369,7 @@
 		p.isolationOf(w.Service).inFlight++
 	}
 	s.sentAt = now
-	q.recordServed(now, w)
+	q.recordServed(w)
 	t := s.target
 	return &t
 }
@@ -452,23 +458,10 @@
 // answerValidFor is how long an answer clears a target of suspicion.
 const answerValidFor = time.Second
 
-// lateReserve is the share of a target's slots that late requests leave to those that can be
-// on time: about as many as arrive before the next load report.
-const lateReserve = 0.2
-
 // SetMechanisms selects the mechanisms that are enabled; all are by default. Call it before
 // the first request.
 func (p *Placer) SetMechanisms(mechanisms mechanism.Set) { p.mechanisms = mechanisms }
 
-// limitFor returns the number of requests of all entries at which a target gets no further
-// request of this kind, on time or late.
-func (p *Placer) limitFor(s *targetState, w *Work) int {
-	if w.Late && p.mechanisms.Enabled(mechanism.LateReserve) {
-		return s.limit() - int(lateReserve*float64(s.target.Slots))
-	}
-	return s.limit()
-}
-
 // limit returns the largest number of requests that all entries together send to a target.
 func (s *targetState) limit() int {
 	if s.target.Group == "" {
--- a/pkg/forward/queue.go
+++ b/pkg/forward/queue.go
@@ -7,6 +7,8 @@
 	"sort"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/masticmount/masticmount/pkg/statement"
 )
 
@@ -37,20 +39,32 @@
 	serviceTime time.Duration
 	// inFlight is the number of this entry's requests in flight.
 	inFlight int
-	// onTimeAllowance and lateAllowance bound inFlight for requests that can be on time and
-	// for late ones.
-	onTimeAllowance, lateAllowance allowance
-	// lateRate is the rate at which late requests get a target.
-	lateRate rate
+	// allowance bounds inFlight.
+	allowance allowance
 	// grantRate is the rate at which keepers grant requests to limited targets.
 	grantRate rate
 	// blocked are the targets with free slots whose stated limits kept the first waiting request
 	// from being sent.
 	blocked []statement.Incarnation
-	// startLatency is the mean time from a send to the first event or the whole answer.
-	startLatency time.Duration
+	// startLatency is the time from a send to the first event or the whole answer.
+	startLatency latency
+}
+
+// latency is a decaying mean of measured times and of their distance from it.
+type latency struct{ mean, deviation time.Duration }
+
+func (l *latency) record(took time.Duration) {
+	if l.mean == 0 {
+		l.mean = took
+	}
+	distance := took - l.mean
+	l.mean += time.Duration(serviceTimeWeight * float64(distance))
+	l.deviation += time.Duration(serviceTimeWeight * float64(distance.Abs()-l.deviation))
 }
 
+// usual is a time that most of the measured ones do not exceed.
+func (l *latency) usual() time.Duration { return l.mean + l.deviation }
+
 // goesBefore reports whether a waiting request is served before another one: by priority, and then in the order in which they would
 // have ended without a wait. So short work is not held up by long work that came at the same time, and each request is overtaken
 // only by those that arrive within its own service time.
@@ -58,34 +72,25 @@
 	if w.Priority != other.Priority {
 		return w.Priority < other.Priority
 	}
-	if w.Late != other.Late {
-		return other.Late
-	}
 	return w.ArrivedAt.Add(w.ServiceTime).Before(other.ArrivedAt.Add(other.ServiceTime))
 }
 
-// recordStart updates the mean time that targets take to answer.
-func (q *requestQueue) recordStart(took time.Duration) {
-	if q.startLatency == 0 {
-		q.startLatency = took
+// latestStart is the last time at which a request can be sent and be expected to be answered in its caller's time. The rest of an
+// answer that has begun is of use for as long as the caller is there.
+func (q *requestQueue) latestStart(w *Work) time.Time {
+	if w.Begun {
+		return w.EndBy
 	}
-	q.startLatency += time.Duration(serviceTimeWeight * float64(took-q.startLatency))
-}
-
-// latestSend is the last time at which a request can be sent and be on time; zero where it is
-// late already or has no objective.
-func (q *requestQueue) latestSend(w *Work) time.Time {
-	if w.Late || w.ObjectiveAt.IsZero() {
-		return time.Time{}
+	latest := w.EndBy.Add(-w.ServiceTime)
+	if w.FirstEventBy.IsZero() {
+		return latest
 	}
-	return w.ObjectiveAt.Add(-q.startLatency)
+	return earlier(latest, w.FirstEventBy.Add(-q.startLatency.usual()))
 }
 
-// missesObjective reports whether a request that waits for a given time cannot be on time any
-// more.
-func (q *requestQueue) missesObjective(now time.Time, w *Work, wait time.Duration) bool {
-	at := q.latestSend(w)
-	return !at.IsZero() && now.Add(wait).After(at)
+// inTime reports whether a request that waits for a given time is expected to be answered in its caller's time.
+func (q *requestQueue) inTime(now time.Time, w *Work, wait time.Duration) bool {
+	return w.Begun || !now.Add(wait).After(q.latestStart(w))
 }
 
 // queueOf returns the queue of a request's service and model, and creates it at the first
@@ -95,7 +100,7 @@
 	q := p.queues[key]
 	if q == nil {
 		q = &requestQueue{serviceTime: w.ServiceTime}
-		q.onTimeAllowance.carry, q.lateAllowance.carry = p.rand.Float64(), p.rand.Float64()
+		q.allowance.carry = p.rand.Float64()
 		p.queues[key] = q
 	}
 	return q
@@ -116,40 +121,25 @@
 }
 
 // recordServed counts a request that got a target, and updates the mean service time.
-func (q *requestQueue) recordServed(now time.Time, w *Work) {
+func (q *requestQueue) recordServed(w *Work) {
 	q.serviceTime += time.Duration(serviceTimeWeight * float64(w.ServiceTime-q.serviceTime))
-	if w.Late {
-		q.lateRate.add(now)
-	}
 }
 
 // expectedWait estimates the time until a request gets a target: the requests ahead of it, at the rate at which this entry's part of
-// the capacity becomes free. Late requests get targets at the rate measured for them.
-func (q *requestQueue) expectedWait(now time.Time, w *Work, capacity targetCapacity) time.Duration {
-	ahead := 1
-	for _, other := range q.waiting {
-		if !w.goesBefore(&other) && (other.Late || !w.Late) {
-			ahead++
-		}
-	}
-	wait := time.Duration(math.Min(float64(ahead)*float64(q.serviceTime)/capacity.running, float64(maxExpectedWait)))
-	if !w.Late {
-		return wait
-	}
-	lateWait := time.Duration(float64(ahead) / max(q.lateRate.at(now), minLateRate) * float64(time.Second))
-	if capacity.limited {
-		return max(wait, lateWait)
-	}
-	return lateWait
+// the capacity becomes free.
+func (q *requestQueue) expectedWait(w *Work, capacity targetCapacity) time.Duration {
+	place := 1 + lo.CountBy(q.waiting, func(other Work) bool { return !w.goesBefore(&other) })
+	return q.waitAtPlace(place, capacity)
+}
+
+// waitAtPlace estimates the time until the request at a place of the queue, from 1, gets a target.
+func (q *requestQueue) waitAtPlace(place int, capacity targetCapacity) time.Duration {
+	return time.Duration(math.Min(float64(place)*float64(q.serviceTime)/capacity.running, float64(maxExpectedWait)))
 }
 
 // maxExpectedWait bounds an expected wait, so that it can be added to a time.
 const maxExpectedWait = time.Hour
 
-// minLateRate is the least rate, in requests a second, at which an entry is assumed to serve
-// late requests: a few must wait to find out when capacity becomes free again.
-const minLateRate = 2
-
 // rateDecay is the time constant with which a rate decays.
 const rateDecay = time.Second
 
--- a/pkg/forward/retry_after.go
+++ b/pkg/forward/retry_after.go
@@ -16,7 +16,7 @@
 	// Whoever returns may be sent to any target.
 	w.Excluded = nil
 	if capacity := p.capacity(now, &w); capacity.running > 0 {
-		return max(p.queueOf(w).expectedWait(now, &w, capacity), minRetryAfter)
+		return max(p.queueOf(w).expectedWait(&w, capacity), minRetryAfter)
 	}
 	if at, found := p.nextTarget(now, &w); found {
 		return max(at.Sub(now), minRetryAfter)
--- a/pkg/mechanism/mechanism.go
+++ b/pkg/mechanism/mechanism.go
@@ -24,8 +24,6 @@
 	FullDomains Name = "full-domains"
 	// Allowances divide the free slots of a model among the entries.
 	Allowances Name = "allowances"
-	// LateReserve reserves slots for requests that can still meet their latency objective.
-	LateReserve Name = "late-reserve"
 	// RandomTarget selects randomly among the best targets; without it each entry uses the
 	// best one.
 	RandomTarget Name = "spread-draw"
@@ -40,7 +38,7 @@
 
 // all lists the names that Parse accepts.
 var all = []Name{
-	SecondWeights, Moves, FullDomains, Allowances, LateReserve, RandomTarget, SlowTargets, StartupRetryDelay, SharedRetryBudget,
+	SecondWeights, Moves, FullDomains, Allowances, RandomTarget, SlowTargets, StartupRetryDelay, SharedRetryBudget,
 }
 
 // Set selects the enabled mechanisms: it holds those that are disabled, so the zero value
