forward: a request waits for a target that takes work again in its caller's time

What callers saw: while all targets of a service backed off after failures or wanted no work for a time, each request was refused at once, also where they took work again long before the caller's time ended.

Cause: enqueue refused whenever no target took work at that moment, though the end of a backoff or pause is known.

Evidence: TestCallerWaitsForUpstreamThatWantsNoWorkForAMoment, over TCP, on the code before: "status 503, Retry-After 0.10" for a caller with 5 s left.

Change: the wait that a request must expect is then the time until the first target that it was not sent to takes work again. It waits where that leaves its caller time, and is examined at that moment; otherwise it is refused at once with that time. With no such target it is refused at once as before: nothing shows that a wait would help. Why it works: the same rule as for queued work, with the known time in place of the estimate.

--- a/pkg/forward/caller_time_test.go
+++ b/pkg/forward/caller_time_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/masticmount/masticmount/pkg/attach"
 )
 
 // A request waits for its turn while it can still be answered in its caller's time, and no longer.
@@ -91,3 +93,60 @@
 	assert.Equal(t, 40*time.Millisecond, p.ExpectedServiceTime(plain))
 	assert.Equal(t, NoTimeToWait, p.Submit(start, plain).Reason)
 }
+
+// Where no target takes work for a time that is known, a request waits for the first one if that leaves its caller time, and is refused at
+// once otherwise.
+func TestRequestWaitsForTargetThatTakesWorkAgain(t *testing.T) {
+	const away = 2 * time.Second
+	target := groupTarget("one", "fd-a")
+	view := &attach.View{Targets: []attach.Target{target}}
+	for name, c := range map[string]struct {
+		leave  func(p *Placer)
+		reason Reason
+	}{
+		"it failed":        {func(p *Placer) { p.BackOffUntil(&target, start.Add(away)) }, NoTarget},
+		"it wants no work": {func(p *Placer) { p.Pause(start, incarnationOf(&target), away) }, Paused},
+	} {
+		p := placerWith(target)
+		c.leave(p)
+		w := testWork(1, 0)
+		at, found := p.nextTarget(start, &w)
+		require.True(t, found, name)
+		assert.LessOrEqual(t, at.Sub(start), away+away/10, name)
+		w.EndBy = at.Add(w.ServiceTime)
+		placed := p.Submit(start, w)
+		require.True(t, placed.Waiting, name)
+		assert.Equal(t, at, placed.NextTarget, name)
+		assert.Empty(t, p.Update(at.Add(-time.Millisecond), view), name)
+		grants := p.ExamineWaiting(at)
+		require.Len(t, grants, 1, name)
+		assert.NotNil(t, grants[0].Target, name)
+
+		p = placerWith(target)
+		c.leave(p)
+		at, _ = p.nextTarget(start, &w)
+		w.EndBy = at.Add(w.ServiceTime - time.Millisecond)
+		refused := p.Submit(start, w)
+		assert.Equal(t, c.reason, refused.Reason, name)
+		assert.Equal(t, at.Sub(start), refused.RetryAfter, name)
+
+		w.EndBy, w.Excluded = start.Add(time.Minute), []string{target.ID}
+		assert.Equal(t, c.reason, p.Submit(start, w).Reason, "%s: the request was sent there before", name)
+	}
+}
+
+// A caller that has time is served over TCP by an upstream that wanted no work for a moment.
+func TestCallerWaitsForUpstreamThatWantsNoWorkForAMoment(t *testing.T) {
+	h := newSocketHarness(t)
+	target := h.entry.opts.View().Targets[0]
+	h.entry.observePause(incarnationOf(&target), 100*time.Millisecond)
+	answered := h.call("caller", 5*time.Second)
+	select {
+	case id := <-h.received:
+		assert.Equal(t, "caller", id)
+	case resp := <-answered:
+		require.Fail(t, "not sent", "status %d, Retry-After %s", resp.StatusCode, resp.Header.Get("Retry-After"))
+	}
+	h.proceed <- struct{}{}
+	assert.Equal(t, http.StatusOK, (<-answered).StatusCode)
+}
--- a/pkg/forward/pauses.go
+++ b/pkg/forward/pauses.go
@@ -3,12 +3,14 @@
 import (
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/masticmount/masticmount/pkg/boottime"
 	"github.com/masticmount/masticmount/pkg/statement"
 )
 
 // Pause keeps work of this entry away from an upstream for a time. After it one request at a time is sent there until it answers. It
-// returns the waiting requests that no other upstream takes, which must be submitted again, and whether the pause is new.
+// returns the waiting requests that can't be answered in time any more, which must be submitted again, and whether the pause is new.
 func (p *Placer) Pause(now time.Time, upstream statement.Incarnation, d time.Duration) (grants []Grant, began bool) {
 	began = p.pauses.Begin(now, upstream, d)
 	for _, s := range p.targets {
@@ -16,7 +18,7 @@
 			s.consecutiveFailures = max(s.consecutiveFailures, 1)
 		}
 	}
-	return p.grantWaiting(now), began
+	return p.ExamineWaiting(now), began
 }
 
 // paused reports whether a target wants no work of this entry.
@@ -32,21 +34,9 @@
 
 // pausesAny reports whether any target of a request is paused.
 func (p *Placer) pausesAny(now time.Time, w *Work) bool {
-	_, paused := p.firstReturn(now, w)
-	return paused
-}
-
-// firstReturn is when the first of a request's targets takes work again; false if none is paused.
-func (p *Placer) firstReturn(now time.Time, w *Work) (first time.Time, paused bool) {
-	for _, s := range p.targets {
-		if s.seenInView != p.viewNumber || s.target.Service != w.Service || s.target.Model != w.Model {
-			continue
-		}
-		if end, is := p.pauses.Until(now, incarnationOf(&s.target)); is && (!paused || end.Before(first)) {
-			first, paused = end, true
-		}
-	}
-	return first, paused
+	return lo.SomeBy(lo.Values(p.targets), func(s *targetState) bool {
+		return s.seenInView == p.viewNumber && s.target.Service == w.Service && s.target.Model == w.Model && p.paused(now, s)
+	})
 }
 
 // observePause records that an upstream wants no work of this entry for a time.
--- a/pkg/forward/placer.go
+++ b/pkg/forward/placer.go
@@ -73,6 +73,8 @@
 	Waiting bool
 	// WaitUntil is when the wait ends: the request could not be answered in the caller's time any more.
 	WaitUntil time.Time
+	// NextTarget is when the first target is expected to take the request, where none does now; otherwise zero.
+	NextTarget time.Time
 	// RetryAfter is when the caller should retry after a refusal.
 	RetryAfter time.Duration
 	// Reason is the reason of a refusal.
@@ -190,7 +192,7 @@
 	p.expireAllotments(now)
 	p.recordUpstreams(now)
 	p.updateAllowances(now)
-	return append(p.grantWaiting(now), p.reexamineWaiting(now)...)
+	return p.ExamineWaiting(now)
 }
 
 // reexamineWaiting removes the waiting requests that are no longer expected to be answered in their callers' time, as the capacity
@@ -205,7 +207,13 @@
 		capacity := p.capacity(now, &Work{Service: first.Service, Model: first.Model, Isolated: first.Isolated})
 		kept := 0
 		q.waiting = slices.DeleteFunc(q.waiting, func(w Work) bool {
-			if q.inTime(now, &w, q.waitAtPlace(kept+1, capacity)) {
+			wait, expected := q.waitAtPlace(kept+1, capacity), true
+			if capacity.none() {
+				var at time.Time
+				at, expected = p.nextTarget(now, &w)
+				wait = at.Sub(now)
+			}
+			if w.Begun || expected && q.inTime(now, &w, wait) {
 				kept++
 				return false
 			}
@@ -263,20 +271,34 @@
 // enqueue has a request wait if it is expected to be answered in its caller's time, and refuses it otherwise.
 func (p *Placer) enqueue(now time.Time, q *requestQueue, w Work) Placement {
 	capacity := p.capacity(now, &w)
-	if capacity.none() && w.Isolated {
-		return p.refuse(now, &w, NoIsolation)
-	}
+	wait, nextTarget := q.expectedWait(&w, capacity), time.Time{}
 	if capacity.none() {
-		if _, paused := p.firstReturn(now, &w); paused {
-			return p.refuse(now, &w, Paused)
+		var found bool
+		if nextTarget, found = p.nextTarget(now, &w); !found || w.Isolated {
+			return p.refuse(now, &w, p.reasonForNoTarget(now, &w))
 		}
-		return p.refuse(now, &w, capacity.refusal(NoTarget))
+		wait = nextTarget.Sub(now)
 	}
-	if !q.inTime(now, &w, q.expectedWait(&w, capacity)) {
+	if !q.inTime(now, &w, wait) {
+		if capacity.none() {
+			return p.refuse(now, &w, p.reasonForNoTarget(now, &w))
+		}
 		return p.refuse(now, &w, capacity.refusal(NoTimeToWait))
 	}
 	q.insert(w)
-	return Placement{Waiting: true, WaitUntil: q.latestStart(&w)}
+	return Placement{Waiting: true, WaitUntil: q.latestStart(&w), NextTarget: nextTarget}
+}
+
+// reasonForNoTarget is the reason of a refusal while no target takes the request.
+func (p *Placer) reasonForNoTarget(now time.Time, w *Work) Reason {
+	switch {
+	case w.Isolated:
+		return NoIsolation
+	case p.pausesAny(now, w):
+		return Paused
+	default:
+		return NoTarget
+	}
 }
 
 func (p *Placer) refuse(now time.Time, w *Work, reason Reason) Placement {
@@ -384,6 +406,11 @@
 	return &t
 }
 
+// ExamineWaiting returns the grants that are possible now.
+func (p *Placer) ExamineWaiting(now time.Time) []Grant {
+	return append(p.grantWaiting(now), p.reexamineWaiting(now)...)
+}
+
 // grantWaiting assigns free capacity to waiting requests.
 func (p *Placer) grantWaiting(now time.Time) []Grant {
 	var grants []Grant
@@ -391,7 +418,7 @@
 		for len(q.waiting) > 0 {
 			w := q.waiting[0]
 			s := p.pick(now, &w)
-			if s == nil && (w.Isolated || p.pausesAny(now, &w)) && p.capacity(now, &w).none() {
+			if s == nil && w.Isolated && p.capacity(now, &w).none() {
 				q.waiting = q.waiting[1:]
 				grants = append(grants, Grant{ID: w.ID})
 				continue
--- a/pkg/forward/retry_after.go
+++ b/pkg/forward/retry_after.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"slices"
 	"time"
 
 	"github.com/masticmount/masticmount/pkg/boottime"
@@ -25,9 +26,10 @@
 }
 
 // nextTarget is when the first of a request's targets that get no work ends its pause or backoff; false if there is none.
+// A request does not return to a target that it was sent to.
 func (p *Placer) nextTarget(now time.Time, w *Work) (first time.Time, found bool) {
 	for _, s := range p.targets {
-		if s.seenInView != p.viewNumber || s.target.Service != w.Service || s.target.Model != w.Model || p.statements.Leaving(incarnationOf(&s.target)) {
+		if s.seenInView != p.viewNumber || s.target.Service != w.Service || s.target.Model != w.Model || slices.Contains(w.Excluded, s.target.ID) || p.statements.Leaving(incarnationOf(&s.target)) {
 			continue
 		}
 		at := s.backoffUntil
