forward: a request is sent again where its caller has the time that it takes

What callers saw: after a failed send, a request with less than 120 ms left was not sent again although it takes 10 ms, and one with 0.7 s left was, to a service that takes 1 s: it took an upstream's slot and a retry that others could have used, and ended in 504.

Cause: minTimeLeft, "two passes of an engine", for every service.

Evidence: TestRequestIsSentAgainWhileItsCallerHasTime fails on in three cases: 502 for "little time, for less work", 504 for "much time, for more work" and "not quite enough time".

Change: another send has to be expected to be answered in the caller's time, by the same rule that lets a request wait. The rest of an answer that has begun is sent again until that time ends. Why it works: what requests take is known from those that ended.

Replaced check: "no time left" of TestRetryableFailures by the four cases, at both sides of the time that is needed.

--- a/pkg/forward/caller_time_test.go
+++ b/pkg/forward/caller_time_test.go
@@ -150,3 +150,38 @@
 	h.proceed <- struct{}{}
 	assert.Equal(t, http.StatusOK, (<-answered).StatusCode)
 }
+
+// A request whose send failed is sent again where its caller has the time that such requests are known to take, however little that is, and
+// not otherwise.
+func TestRequestIsSentAgainWhileItsCallerHasTime(t *testing.T) {
+	for name, c := range map[string]struct {
+		run, breaksAfter time.Duration
+		left             string
+		status, sends    int
+	}{
+		"little time, for less work": {10 * time.Millisecond, 60 * time.Millisecond, "Test-Left: 150", http.StatusOK, 2},
+		"much time, for more work":   {time.Second, 100 * time.Millisecond, "Test-Left: 800", http.StatusBadGateway, 1},
+		"just enough time":           {500 * time.Millisecond, 100 * time.Millisecond, "Test-Left: 610", http.StatusOK, 2},
+		"not quite enough time":      {500 * time.Millisecond, 100 * time.Millisecond, "Test-Left: 590", http.StatusBadGateway, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runs := 0
+			upstream := func(*http.Request, string, net.Conn) (string, bool) {
+				if runs++; runs == 2 {
+					<-time.After(c.breaksAfter)
+					return "", false
+				}
+				<-time.After(c.run)
+				return answer(200, "ok"), true
+			}
+			inBubble(t, map[string]script{"a:1": upstream, "b:1": upstream}, func(h *harness) {
+				_, _, err := h.call("POST", "/repeat/x", "text")
+				require.NoError(t, err)
+				resp, _, err := h.call("POST", "/repeat/x", "text", c.left)
+				require.NoError(t, err)
+				assert.Equal(t, c.status, resp.StatusCode)
+				assert.Len(t, h.received, 1+c.sends)
+			})
+		})
+	}
+}
--- a/pkg/forward/outcome_test.go
+++ b/pkg/forward/outcome_test.go
@@ -21,22 +21,20 @@
 		failure    *dispatch.CallError
 		sends      int
 		firstEvent bool
-		left       time.Duration
 		want       bool
 	}{
-		"once, not sent":                  {document.AtMostOnce, unsent, 1, false, time.Second, true},
-		"once, refused":                   {document.AtMostOnce, refused, 1, false, time.Second, true},
-		"once, answer lost":               {document.AtMostOnce, lost, 1, false, time.Second, false},
-		"repeatable, answer lost":         {document.Idempotent, lost, 1, false, time.Second, true},
-		"repeatable, partly passed on":    {document.Idempotent, lost, 1, true, time.Second, false},
-		"resumable, partly passed on":     {document.Resumable, lost, 1, true, time.Second, true},
-		"no attempt left":                 {document.Idempotent, lost, 2, false, time.Second, false},
-		"no time left":                    {document.Idempotent, lost, 1, false, minTimeLeft / 2, false},
-		"refused, but no attempt is left": {document.AtMostOnce, refused, 2, false, time.Second, false},
+		"once, not sent":                  {document.AtMostOnce, unsent, 1, false, true},
+		"once, refused":                   {document.AtMostOnce, refused, 1, false, true},
+		"once, answer lost":               {document.AtMostOnce, lost, 1, false, false},
+		"repeatable, answer lost":         {document.Idempotent, lost, 1, false, true},
+		"repeatable, partly passed on":    {document.Idempotent, lost, 1, true, false},
+		"resumable, partly passed on":     {document.Resumable, lost, 1, true, true},
+		"no attempt left":                 {document.Idempotent, lost, 2, false, false},
+		"refused, but no attempt is left": {document.AtMostOnce, refused, 2, false, false},
 	} {
 		h := sendHistory{sends: test.sends, firstEventSent: test.firstEvent}
 		h.recordFailure(test.failure)
-		assert.Equal(t, test.want, h.mayRetry(test.kind, 2, test.left), name)
+		assert.Equal(t, test.want, h.mayRetry(test.kind, 2), name)
 	}
 }
 
--- a/pkg/forward/placer.go
+++ b/pkg/forward/placer.go
@@ -392,6 +392,11 @@
 	return p.queueOf(w).expectedServiceTime(w.ServiceTime)
 }
 
+// InTime reports whether a request that is sent now is expected to be answered in its caller's time.
+func (p *Placer) InTime(now time.Time, w Work) bool {
+	return now.Before(w.EndBy) && p.queueOf(w).inTime(now, &w, 0)
+}
+
 // assign counts a request at a target and returns the target.
 func (p *Placer) assign(now time.Time, s *targetState, q *requestQueue, w *Work) *attach.Target {
 	s.ownRequests++
--- a/pkg/forward/send_history.go
+++ b/pkg/forward/send_history.go
@@ -31,8 +31,8 @@
 }
 
 // mayRetry reports whether a request may be sent to another upstream.
-func (h *sendHistory) mayRetry(kind document.Idempotency, maxAttempts int, left time.Duration) bool {
-	if h.sends-h.notConnected >= max(maxAttempts, 1) || h.notConnected > maxNotConnected || left < minTimeLeft {
+func (h *sendHistory) mayRetry(kind document.Idempotency, maxAttempts int) bool {
+	if h.sends-h.notConnected >= max(maxAttempts, 1) || h.notConnected > maxNotConnected {
 		return false
 	}
 	switch kind {
@@ -49,10 +49,6 @@
 // within the time limit for opening a connection, and excludes its target.
 const maxNotConnected = 4
 
-// minTimeLeft is the time left below which another send cannot be answered in time: two passes
-// of an engine.
-const minTimeLeft = 120 * time.Millisecond
-
 // refusal is the answer to a request that no upstream answered. It states that the request
 // never ran only where that is certain.
 func (h *sendHistory) refusal(reason dispatch.Reason, retryAfter time.Duration) *fault.Error {
--- a/pkg/forward/session.go
+++ b/pkg/forward/session.go
@@ -389,10 +389,11 @@
 	return s.spendRetry()
 }
 
-// canRetry reports whether another send is allowed by the route, the time left, the outcomes
-// of the sends so far and what the caller has been sent.
+// canRetry reports whether another send is allowed by the route, the outcomes of the sends so far and what the caller has been sent,
+// and can be answered in the caller's time; the caller holds the lock.
 func (s *session) canRetry() bool {
-	return !s.request.body.released && s.position.resumable() && s.history.mayRetry(s.request.route.Idempotency, s.request.route.MaxAttempts, time.Until(s.request.deadline))
+	return !s.request.body.released && s.position.resumable() && s.history.mayRetry(s.request.route.Idempotency, s.request.route.MaxAttempts) &&
+		s.entry.placer.InTime(boottime.Now(), s.newWork())
 }
 
 // recordAnswer records that the target gave a whole answer.
