forward: a stream gets a second run when its first event is overdue

What callers saw: a stream whose upstream fell silent before its first event waited 1.5 s for a second run, also at a service that begins after 20 ms; at one that begins after 2 s each stream ran twice.

Cause: firstEventTimeout, 1.5 s for every service and without a reason.

Evidence: TestStreamIsSentAgainWhenItsFirstEventIsOverdue fails on the commit before: 1.54 s with a quick service and a silent upstream (at most 1 s), two runs with a slow service (one).

Change: before the first event a run is silent when it takes longer than such streams usually take by what is a stall between events. As before, the silent run goes on, the caller gets whichever sends the next event first, and no second run begins that could not send it in the caller's time. Why it works: what is usual is measured at each service.

--- a/pkg/forward/caller_time_test.go
+++ b/pkg/forward/caller_time_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"testing"
@@ -185,3 +186,44 @@
 		})
 	}
 }
+
+// A stream gets a second run when its first event takes longer than it usually does: early where that is soon, and not at all where an
+// upstream only takes the time that it needs.
+func TestStreamIsSentAgainWhenItsFirstEventIsOverdue(t *testing.T) {
+	for name, c := range map[string]struct {
+		usual, silent time.Duration
+		within        time.Duration
+		runs          int
+	}{
+		"quick service, silent upstream": {20 * time.Millisecond, 4 * time.Second, time.Second, 2},
+		"slow service":                   {2 * time.Second, 2 * time.Second, 2100 * time.Millisecond, 1},
+		"slow service, silent upstream":  {2 * time.Second, 4900 * time.Millisecond, 4800 * time.Millisecond, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runs, learning := 0, true
+			upstream := func(_ *http.Request, _ string, conn net.Conn) (string, bool) {
+				_, _ = fmt.Fprintf(conn, streamHead, "p")
+				if runs++; !learning && runs == 1 {
+					<-time.After(c.silent)
+				} else {
+					<-time.After(c.usual)
+				}
+				return chunk(event(1)) + "0\r\n\r\n", true
+			}
+			inBubble(t, map[string]script{"a:1": upstream, "b:1": upstream}, func(h *harness) {
+				for range 10 {
+					_, _, err := h.call("POST", "/stream/x", "prompt")
+					require.NoError(t, err)
+				}
+				runs, learning = 0, false
+				began := time.Now()
+				_, body, err := h.call("POST", "/stream/x", "prompt")
+				require.NoError(t, err)
+				assert.Equal(t, event(1), body)
+				assert.LessOrEqual(t, time.Since(began), c.within)
+				assert.Equal(t, c.runs, runs)
+				<-time.After(c.silent)
+			})
+		})
+	}
+}
--- a/pkg/forward/placer.go
+++ b/pkg/forward/placer.go
@@ -382,6 +382,9 @@
 	p.queueOf(Work{Service: t.Service, Model: t.Model}).startLatency.record(took)
 }
 
+// UsualStart is the time that most targets take from a request to the first event or the whole answer; 0 where nothing is known.
+func (p *Placer) UsualStart(w Work) time.Duration { return p.queueOf(w).startLatency.usual() }
+
 // RecordServiceTime records the time that a target took for a whole request with the given work.
 func (p *Placer) RecordServiceTime(t *attach.Target, stated, took time.Duration) {
 	p.queueOf(Work{Service: t.Service, Model: t.Model}).measured.record(stated, took)
--- a/pkg/forward/session.go
+++ b/pkg/forward/session.go
@@ -28,10 +28,8 @@
 )
 
 const (
-	// firstEventTimeout is the stall timeout of a resumable stream before its first event.
-	firstEventTimeout = 1500 * time.Millisecond
-	// eventGapTimeout is the stall timeout between events of such a stream: several passes of
-	// an engine, with the prompts that it reads between them.
+	// eventGapTimeout is the stall timeout between events of a resumable stream: several passes of an engine, with the prompts that it
+	// reads between them.
 	eventGapTimeout = 400 * time.Millisecond
 	// refusedBackoff is the backoff of a target that refused a request because it was full.
 	refusedBackoff = 100 * time.Millisecond
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -63,7 +63,7 @@
 // still be followed by another.
 func (st *stream) awaitFirst(r *upstreamRun) *dispatch.CallError {
 	st.run = r
-	st.session.setStallTimeout(st, firstEventTimeout)
+	st.session.setStallTimeout(st, st.session.firstEventTimeout())
 	if err := st.fill(); err != nil && !isComplete(err) {
 		return asCallError(err)
 	}
@@ -73,6 +73,14 @@
 	return nil
 }
 
+// firstEventTimeout is the stall timeout of a resumable stream before its first event: longer than such streams usually take by what
+// would be a stall between events.
+func (s *session) firstEventTimeout() time.Duration {
+	s.entry.mu.Lock()
+	defer s.entry.mu.Unlock()
+	return s.entry.placer.UsualStart(s.newWork()) + eventGapTimeout
+}
+
 // setStallTimeout sets the time without an event after which the run of a resumable stream gets
 // a successor.
 func (s *session) setStallTimeout(st *stream, d time.Duration) {
--- a/pkg/forward/successor.go
+++ b/pkg/forward/successor.go
@@ -82,7 +82,7 @@
 			return
 		}
 	}
-	if n := len(all.pending); n > 0 && time.Since(all.pending[n-1].send.at) < firstEventTimeout {
+	if n := len(all.pending); n > 0 && time.Since(all.pending[n-1].send.at) < st.session.firstEventTimeout() {
 		st.reportStallLate()
 		return
 	}
@@ -252,7 +252,7 @@
 		}
 		select {
 		case <-st.successors.wake:
-		case <-time.After(firstEventTimeout):
+		case <-time.After(st.session.firstEventTimeout()):
 		}
 	}
 	return false
