gateway: no Retry-After for a request that never fits its deadline

What callers saw: a request that takes longer than its route's deadline allows, on idle groups too, was refused with 504 and told to come back after 1 s, to be refused again each time.

Cause: the attempt's machine adds a Retry-After to each refusal that has none.

Evidence: TestRequestThatNeverFitsItsDeadlineIsNotAskedBack fails on the commit before for the kind deadline: Retry-After is there.

Change: a request that was sent nowhere because its deadline is too near gets none. Others keep it. Why it works: the scheduler refuses with that kind only by the request's own time, not by the queue.

--- a/pkg/gateway/attempt/machine.go
+++ b/pkg/gateway/attempt/machine.go
@@ -282,12 +282,21 @@
 // refuse ends the request with an error whose outcome accounts for all attempts.
 func (m *Machine) refuse(err *fault.Error) []Action {
 	reported := *err
-	if reported.RetryAfter == 0 && (m.req.Idempotent || !m.mayHaveRun) {
+	if reported.RetryAfter == 0 && m.retryMayHelp(err) {
 		reported.RetryAfter = retryAfter
 	}
 	return m.end(&reported)
 }
 
+// retryMayHelp reports whether the caller may send the request again with another result. One that was sent nowhere because its deadline
+// is too near will find it as near the next time.
+func (m *Machine) retryMayHelp(err *fault.Error) bool {
+	if !m.mayHaveRun {
+		return err.Kind != fault.DeadlinePassed
+	}
+	return m.req.Idempotent
+}
+
 // end ends the request with an error, without a time for a retry if it has none.
 func (m *Machine) end(err *fault.Error) []Action {
 	reported := *err
--- a/pkg/gateway/deadline_test.go
+++ b/pkg/gateway/deadline_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/masticmount/masticmount/pkg/fakes"
 	"github.com/masticmount/masticmount/pkg/fault"
+	"github.com/masticmount/masticmount/pkg/scheduling"
 )
 
 // Guards against a request that ends at its deadline without a refusal, or without an error event if
@@ -36,3 +37,27 @@
 	require.Contains(t, a.body, `"deadline"`)
 	require.NotContains(t, a.body, "[DONE]")
 }
+
+// refusingScheduler refuses each request with an error.
+type refusingScheduler struct {
+	scheduling.Scheduler
+	err *fault.Error
+}
+
+func (s *refusingScheduler) Acquire(context.Context, scheduling.Request) (scheduling.Assignment, error) {
+	return scheduling.Assignment{}, s.err
+}
+
+// Guards against callers that are told to come back although their request takes longer than its deadline allows whenever it is sent.
+func TestRequestThatNeverFitsItsDeadlineIsNotAskedBack(t *testing.T) {
+	for kind, asked := range map[fault.Kind]bool{fault.DeadlinePassed: false, fault.Overloaded: true} {
+		h := newHarness(t, func(o *Options) {
+			o.Scheduler = &refusingScheduler{o.Scheduler, fault.New(kind, "allow more time", "the request takes 4s and its deadline is in 2s")}
+		})
+		h.addEngine("g1", fakes.Faults{}, func(context.Context, int) {})
+		a := h.chat(false, 9)
+		require.Equal(t, string(fault.NotRun), a.outcome, kind)
+		require.Equal(t, string(kind), a.kind())
+		require.Equal(t, asked, a.header.Get("Retry-After") != "", kind)
+	}
+}
