--- a/pkg/scheduling/core.go
+++ b/pkg/scheduling/core.go
@@ -187,7 +187,7 @@
 	j := c.newJob(now, e)
 	if !j.awaitsGroup() && !c.table.Available(e.Request.Route, &e.Request.Request) {
 		c.dropIfIdle(j.pool)
-		c.emit(Refuse{e.ID, noWholeGroupError(e.Request.Route)})
+		c.emit(Refuse{e.ID, routing.NoWholeGroupError(e.Request.Route)})
 		return
 	}
 	if refusal := c.checkFeasibleWhenIdle(now, j); refusal != nil {
--- a/pkg/scheduling/dispatch.go
+++ b/pkg/scheduling/dispatch.go
@@ -243,7 +243,7 @@
 	for _, j := range infeasible {
 		if groups == 0 && !j.awaitsGroup() {
 			c.discard(j)
-			c.emit(Refuse{j.id, noWholeGroupError(j.request.Route)})
+			c.emit(Refuse{j.id, routing.NoWholeGroupError(j.request.Route)})
 			continue
 		}
 		c.checkFeasible(now, j)
