grouping: the work of a draining group has the time for which a leaving member remains

What callers saw: streams that still ran 1.8 s after a member of their group said that it leaves, or after the group's engines were given to another model, were cancelled at the upstream; they paused until they were resumed elsewhere, or broke where no retry was left.

Cause: drainTimeout, 1.8 s, close to the time after which no new request may reach a leaving upstream. Nothing that a caller is owed ends then: a member that leaves remains while its head has work, for 10 s at most, and engines that are moved don't leave at all.

Change: the timeout is those 10 s. The group takes nothing new from the beginning, and is released as soon as its head is done. Why it works: callers' requests end before, as they do on a group that stays.

A move waits for the longest request in flight, up to 10 s.

--- a/pkg/grouping/handover_test.go
+++ b/pkg/grouping/handover_test.go
@@ -57,6 +57,24 @@
 	assert.NotContains(t, s.planner.groups, name)
 }
 
+// Guards against cutting the streams of a group because a member leaves: the member remains while they run.
+func TestGroupOfLeavingMemberFinishesItsWork(t *testing.T) {
+	const memberRemains = 10 * time.Second
+	s, head, member := suspected(t, "member")
+	name := head.Group.Group
+	member.Draining, s.busy[head.ID] = true, true
+	s.deliverReport(member)
+	before := len(s.orders)
+	s.run(memberRemains - time.Second)
+	assert.Contains(t, s.changes(before), fmt.Sprintf("%s %s %s", Close, head.ID, name))
+	for _, o := range s.orders[before:] {
+		assert.False(t, o.Cancel, "%s %s %s", o.Kind, o.Upstream, o.Group)
+	}
+	assert.Equal(t, fleet.Closing, head.Group.State)
+	s.run(2 * time.Second)
+	assert.True(t, slices.ContainsFunc(s.orders[before:], func(o Order) bool { return o.Cancel && o.Group == name }), "its time is over")
+}
+
 // Guards against reusing the engines of a group that serves, because its model is no longer
 // configured when another coordinator takes over.
 func TestEnginesOfGroupWithRemovedModelAreNotReused(t *testing.T) {
--- a/pkg/grouping/planner.go
+++ b/pkg/grouping/planner.go
@@ -43,8 +43,9 @@
 	stallMargin = 600 * time.Millisecond
 	// formTimeout limits the forming of a group whose members have the weights.
 	formTimeout = 6 * time.Second
-	// drainTimeout limits the wait for the requests in flight of a draining group.
-	drainTimeout = 1800 * time.Millisecond
+	// drainTimeout limits the wait for the requests in flight of a draining group: a member that leaves remains for at most this time
+	// while its head has work.
+	drainTimeout = 10 * time.Second
 	// answerTTL is how long a group's answer to an entry is proof that it works.
 	answerTTL = 1500 * time.Millisecond
 	// suspicionTTL is how long an entry's suspicion of a group is acted upon.
