forward: the wait for a verdict or a trial leaves the caller the time for its request

What callers saw: a request whose upstream broke was held for up to 200 ms until it was known whether that had crashed, and one with quarantined content for up to 500 ms for a trial, whatever time the caller had: with 0.1 s left it was sent again 0.1 s too late, and ended in 504.

Cause: crashCheckTimeout and TrialWait were not bounded by the caller's time.

Change: both waits end at the last time at which the request can be sent and be expected to be answered in time. Why it works: it is the time at which waiting for a target ends, too.

Cost: not measured by itself; it acts only on requests with less than half a second left.

--- a/pkg/forward/caller_time_test.go
+++ b/pkg/forward/caller_time_test.go
@@ -228,3 +228,39 @@
 		})
 	}
 }
+
+// A request whose upstream may have crashed waits for the verdict no longer than leaves its caller the time for another send.
+func TestVerdictIsAwaitedWithinTheCallersTime(t *testing.T) {
+	const left, before = 150 * time.Millisecond, 5
+	runs, broken := 0, ""
+	upstreamAt := func(address string) script {
+		return func(*http.Request, string, net.Conn) (string, bool) {
+			if runs++; runs == before+1 {
+				broken = address
+				<-time.After(50 * time.Millisecond)
+				return "", false
+			}
+			<-time.After(10 * time.Millisecond)
+			return answer(200, "ok"), true
+		}
+	}
+	inBubble(t, map[string]script{"a:1": upstreamAt("a:1"), "b:1": upstreamAt("b:1"), "c:1": upstreamAt("c:1")}, func(h *harness) {
+		for range before {
+			_, _, err := h.call("POST", "/repeat/x", "other")
+			require.NoError(t, err)
+		}
+		h.dialError = func(address string) error {
+			if address == broken {
+				// The probes of the check take long.
+				<-time.After(time.Second)
+			}
+			return nil
+		}
+		began := time.Now()
+		resp, _, err := h.call("POST", "/repeat/x", "text", fmt.Sprint("Test-Left: ", left.Milliseconds()))
+		require.NoError(t, err)
+		assert.Equal(t, http.StatusOK, resp.StatusCode)
+		assert.LessOrEqual(t, time.Since(began), left)
+		<-time.After(5 * time.Second)
+	})
+}
--- a/pkg/forward/crashes.go
+++ b/pkg/forward/crashes.go
@@ -392,13 +392,14 @@
 	defer func() { s.queueTime += time.Since(waitStart) }()
 	poll := time.NewTicker(trialPollInterval)
 	defer poll.Stop()
+	longest := min(quarantine.TrialWait, s.timeToWait())
 	for {
 		select {
 		case <-poll.C:
 		case <-s.ctx.Done():
 		}
 		finding, found, _ = s.checkContents(false)
-		if !found || s.ctx.Err() != nil || time.Since(waitStart) >= quarantine.TrialWait {
+		if !found || s.ctx.Err() != nil || time.Since(waitStart) >= longest {
 			return finding, found
 		}
 	}
--- a/pkg/forward/placer.go
+++ b/pkg/forward/placer.go
@@ -399,6 +399,9 @@
 	return p.queueOf(w).expectedServiceTime(w.ServiceTime)
 }
 
+// LatestStart is the last time at which a request can be sent and be expected to be answered in its caller's time.
+func (p *Placer) LatestStart(w Work) time.Time { return p.queueOf(w).latestStart(&w) }
+
 // InTime reports whether a request that is sent now is expected to be answered in its caller's time.
 func (p *Placer) InTime(now time.Time, w Work) bool {
 	return now.Before(w.EndBy) && p.queueOf(w).inTime(now, &w, 0)
--- a/pkg/forward/suspects.go
+++ b/pkg/forward/suspects.go
@@ -18,7 +18,7 @@
 		return
 	}
 	s.crashCheck = nil
-	timer := time.NewTimer(crashCheckTimeout)
+	timer := time.NewTimer(min(crashCheckTimeout, s.timeToWait()))
 	defer timer.Stop()
 	select {
 	case <-check.done:
--- a/pkg/forward/wait.go
+++ b/pkg/forward/wait.go
@@ -30,6 +30,13 @@
 	return w
 }
 
+// timeToWait is the time for which the request can wait and still be answered in the caller's time.
+func (s *session) timeToWait() time.Duration {
+	s.entry.mu.Lock()
+	defer s.entry.mu.Unlock()
+	return max(s.entry.placer.LatestStart(s.newWork()).Sub(boottime.Now()), 0)
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
