fleetnode: a planned stop cuts answers as late as it can, and refuses who has none before the kill may come

What callers saw: where the process noticed the signal 0.5 s late or more, answers that had begun were cut up to 0.4 s before the end of the stop; callers without an answer were refused 0.3 s before that end, also where the kill may come earlier, and then got a reset.

Cause: the end of a stop was derived from the last sixth of the grace period, in which a cut does not count against an entry, and one end served both.

Evidence: TestCallersWithoutAnswerAreRefusedBeforeEarliestKill fails on the commit before: 2.7 s where 2 s are left.

Change: answers that have begun go on for the whole time of the stop; callers without one are refused before the earliest time of the kill. Why it works: to the caller of a begun answer a cut is no better than the kill, while one without an answer can go elsewhere. estimateTime stays: callers that send 3 s after SIGTERM or later are promised a whole answer, which an estimate can't give; its comment says so now.

Cost: none where the signal is noticed within 0.4 s.

--- a/pkg/fleetnode/entry.go
+++ b/pkg/fleetnode/entry.go
@@ -51,8 +51,9 @@
 	AnnounceInterval time.Duration
 	// BodyMemory bounds the memory of the bodies of all open requests, in bytes; 0 means the default.
 	BodyMemory int64
-	// Grace is the time from the signal to stop until the process is killed, and EstimateTime that in which a request may
-	// be accepted by its expected duration. A Grace of 0 means that the signal is always noticed at once.
+	// Grace is the time from the signal to stop until the process is killed; 0 means that the signal is always noticed at once.
+	// EstimateTime is the time from the signal in which a request may be accepted by its expected duration: callers that come later
+	// are promised a whole answer.
 	Grace, EstimateTime time.Duration
 	// Mechanisms selects the mechanisms that are enabled; the zero value enables all.
 	Mechanisms mechanism.Set
--- a/pkg/fleetnode/stop_plan.go
+++ b/pkg/fleetnode/stop_plan.go
@@ -13,8 +13,6 @@
 	earlyBeat    = beatInterval / 2
 	// killReserve is the time from the end of a planned stop to the kill at the end of the grace period.
 	killReserve = 400 * time.Millisecond
-	// cutMargin is the time from when the grace period lets streams be cut until they are.
-	cutMargin = 100 * time.Millisecond
 )
 
 // heartbeat bounds how late a process notices a signal: it had not come before the last beats that were on time.
@@ -55,28 +53,28 @@
 
 // stopPlan holds the times of a planned stop.
 type stopPlan struct {
-	// estimatesUntil is until when requests are accepted by their expected duration.
+	// estimatesUntil is until when requests are accepted by their expected duration: the load balancer still sends callers here, and
+	// EstimateTime since the signal is not over, whenever that came.
 	estimatesUntil time.Time
-	// acceptedEnd is the end of a request that is accepted by its deadline: it is before the kill, whenever the signal came.
+	// acceptedEnd is by when each request that is accepted has to end, and before which those without an answer are refused. It is
+	// before the kill, whenever the signal came.
 	acceptedEnd time.Time
-	// end is when what is left is cut.
+	// end is when answers that have begun are cut.
 	end time.Time
 }
 
-// planStop plans a stop whose signal is noticed now and may have come up to lag before. The grace period counts from the
-// signal: accepting assumes that it came early, and cutting, which must not be before the last sixth of it, that it came late.
+// planStop plans a stop whose signal is noticed now and may have come up to lag before. The grace period counts from the signal. What is
+// accepted or refused assumes that it came early, so that the kill cuts no caller without an answer. An answer that has begun goes on as if
+// it came now: to its caller a cut is no better than the kill.
 func planStop(now time.Time, lag time.Duration, opts *EntryOptions) stopPlan {
 	end := now.Add(opts.StopTimeout)
-	if opts.Grace == 0 {
-		return stopPlan{now.Add(opts.BalancerWait), end, end}
+	plan := stopPlan{now.Add(opts.BalancerWait), end, end}
+	if opts.Grace > 0 {
+		earliest := now.Add(-lag)
+		plan.estimatesUntil = earlier(plan.estimatesUntil, earliest.Add(opts.EstimateTime))
+		plan.acceptedEnd = earlier(end, earliest.Add(opts.Grace-killReserve))
 	}
-	earliest := now.Add(-lag)
-	accepted := earlier(end, earliest.Add(opts.Grace-killReserve))
-	mayCut := now.Add(opts.Grace*5/6 + cutMargin)
-	if accepted.After(mayCut) {
-		mayCut = accepted
-	}
-	return stopPlan{earlier(now.Add(opts.BalancerWait), earliest.Add(opts.EstimateTime)), accepted, earlier(end, mayCut)}
+	return plan
 }
 
 func earlier(a, b time.Time) time.Time {
--- a/pkg/forward/stop.go
+++ b/pkg/forward/stop.go
@@ -10,8 +10,8 @@
 	"github.com/masticmount/masticmount/pkg/fault"
 )
 
-// plannedStop is when a planned stop began, by when the requests that are accepted in it must have ended, and until
-// when the load balancer sends new callers.
+// plannedStop is when a planned stop began, until when the load balancer sends new callers, and by when the requests that are accepted in
+// it must have ended.
 type plannedStop struct{ began, balancerUntil, end time.Time }
 
 // BeginStop begins a planned stop: from now on every answer closes its connection, and requests
@@ -161,10 +161,13 @@
 
 // Finish answers the requests that callers have sent and closes their connections, until ctx
 // ends. A request may arrive after the last one was answered and before its connection was
-// closed: it is answered like the others. Those that arrive later are refused, and shortly before
-// the end of ctx those whose answer has not begun. It returns the number of requests that are left.
+// closed: it is answered like the others. Those that arrive later are refused, and shortly before the end of accepted requests, or of ctx,
+// those whose answer has not begun. It returns the number of requests that are left.
 func (e *Entry) Finish(ctx context.Context) int {
 	if end, ends := ctx.Deadline(); ends {
+		if planned := e.plannedStop.Load(); planned != nil {
+			end = earlier(end, planned.end)
+		}
 		timer := time.AfterFunc(time.Until(end)-refusalTime, e.refuseUnbegun)
 		defer timer.Stop()
 	}
--- a/pkg/forward/stop_test.go
+++ b/pkg/forward/stop_test.go
@@ -119,3 +119,44 @@
 	}()
 	return caller, unfinished
 }
+
+// Where the kill may come before the end of the stop, as the signal may have been noticed late, callers without an answer are refused before
+// it, and answers that have begun go on.
+func TestCallersWithoutAnswerAreRefusedBeforeEarliestKill(t *testing.T) {
+	const accepted, end = 2 * time.Second, 3 * time.Second
+	for name, c := range map[string]struct {
+		upstream script
+		status   int
+		within   time.Duration
+	}{
+		"no answer": {slowly(10 * time.Second), http.StatusBadGateway, accepted},
+		"begun":     {begins(fmt.Sprintf(streamHead, "p")+chunk(event(1)), end-200*time.Millisecond, chunk(event(2))+"0\r\n\r\n"), http.StatusOK, end},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, map[string]script{"a:1": c.upstream}, func(h *harness) {
+				target := map[bool]string{true: "/stream/x", false: "/repeat/x"}[c.status == http.StatusOK]
+				listener := &chanListener{conns: make(chan net.Conn, 1), closed: make(chan struct{})}
+				go func() { _ = h.entry.Serve(disconnect.WrapListener(listener)) }()
+				caller, server := net.Pipe()
+				listener.conns <- server
+				h.send(caller, "POST", target, "text")
+				synctest.Wait()
+				began := time.Now()
+				h.entry.BeginStop(began, began.Add(accepted))
+				left := make(chan int, 1)
+				go func() {
+					ctx, cancel := context.WithDeadline(context.Background(), began.Add(end))
+					defer cancel()
+					left <- h.entry.Finish(ctx)
+				}()
+				resp, _, err := h.receive(caller)
+				require.NoError(t, err)
+				assert.Equal(t, c.status, resp.StatusCode)
+				assert.LessOrEqual(t, time.Since(began), c.within)
+				_ = caller.Close()
+				assert.Zero(t, <-left)
+				<-time.After(time.Minute)
+			})
+		})
+	}
+}
