Design: the decisions on callers' requests with their reasons

docs/design/decisions.md lists what decides who waits, is refused, told to come back, served first, sent again or cut, in the entries of the users' platform and in masticmountd, each with the caller's reason and its test; internal/proofs checks that the tests exist.

--- a/internal/proofs/proofs_test.go
+++ b/internal/proofs/proofs_test.go
@@ -18,11 +18,17 @@
 	assert.Equal(t, []Model{{"spec/claim.pml", "BROKEN_X"}}, Models(page))
 }
 
-// TestReferencesResolve guards against references in docs/PROOFS.md to tests, models
-// or injected faults that have been renamed or removed.
+// TestReferencesResolve guards against references in docs/PROOFS.md and in the table of decisions to tests, models or injected faults that
+// have been renamed or removed.
 func TestReferencesResolve(t *testing.T) {
-	page, err := os.ReadFile(filepath.Join(top, "docs", "PROOFS.md"))
-	require.NoError(t, err)
+	for _, name := range []string{"PROOFS.md", "design/decisions.md"} {
+		page, err := os.ReadFile(filepath.Join(top, "docs", name))
+		require.NoError(t, err)
+		assertReferencesResolve(t, page)
+	}
+}
+
+func assertReferencesResolve(t *testing.T, page []byte) {
 	for _, ref := range Tests(string(page)) {
 		assert.True(t, declared(t, ref), "%s.%s does not exist", ref.Folder, ref.Name)
 	}
