forward: a refusal names the limits of upstreams that take nothing

What operators saw: where all upstreams stated a limit of 0 and the entry had no keeper, the reason was no-target in place of limits-stated. Evidence: TestRefusalNamesLimitOfNothing fails on the commit before and passes on. Change: the reason of that path is that of the capacity, too.

--- a/pkg/forward/placer.go
+++ b/pkg/forward/placer.go
@@ -286,7 +286,7 @@
 		q.insert(w)
 		return Placement{Waiting: true, WaitUntil: q.latestStart(&w), NextTarget: nextTarget, Estimate: estimate}
 	case capacity.none():
-		return p.refuse(now, &w, p.reasonForNoTarget(now, &w), estimate)
+		return p.refuse(now, &w, capacity.refusal(p.reasonForNoTarget(now, &w)), estimate)
 	default:
 		return p.refuse(now, &w, capacity.refusal(NoTimeToWait), estimate)
 	}
--- a/pkg/forward/stated_limits_test.go
+++ b/pkg/forward/stated_limits_test.go
@@ -356,3 +356,14 @@
 		assert.Greater(t, float64(f.served), possible*c.share, "%d entries, %g requests a second", c.entries, c.perSecond)
 	}
 }
+
+// Where all upstreams take nothing, and no keeper is there to grant more, the refusal says so.
+func TestRefusalNamesLimitOfNothing(t *testing.T) {
+	p := NewPlacer("fd", rand.New(rand.NewPCG(1, 1)))
+	target := pausedTarget("a")
+	p.Update(start, &attach.View{Targets: []attach.Target{target}})
+	p.statements.Observe(start, incarnationOf(&target), statement.Statement{Limited: true})
+	refused := p.Submit(start, Work{ID: 1, Service: "desk", EndBy: start.Add(time.Second)})
+	assert.Equal(t, LimitsStated, refused.Reason)
+	assert.Len(t, refused.Limits, 1)
+}
