forward: the order of waiting requests is by the work that they are known to take

What callers saw: a request that allows many tokens was overtaken by all that came within the time that these would take, though such requests end long before.

Cause: the order added the time that a request's size tells to its arrival, while waits and refusals use what requests took.

Evidence: TestOrderIsByLearnedWork fails with the order of the commit before: request 11 goes before 10.

Change: goesBefore adds the learned time. Why it works: it is the time at which the request would have ended without a wait.

--- a/pkg/forward/placer.go
+++ b/pkg/forward/placer.go
@@ -262,7 +262,7 @@
 // Submit places a new request, queues it or refuses it.
 func (p *Placer) Submit(now time.Time, w Work) Placement {
 	q := p.queueOf(w)
-	if len(q.waiting) == 0 || w.goesBefore(&q.waiting[0]) {
+	if len(q.waiting) == 0 || q.goesBefore(&w, &q.waiting[0]) {
 		if s := p.pick(now, &w); s != nil {
 			return Placement{Target: p.assign(now, s, q, &w)}
 		}
--- a/pkg/forward/placer_test.go
+++ b/pkg/forward/placer_test.go
@@ -103,6 +103,21 @@
 	}
 }
 
+// The order is by the work that requests are known to take, not by the largest that their size allows.
+func TestOrderIsByLearnedWork(t *testing.T) {
+	p, held := fullPlacer(t)
+	for range 100 {
+		p.RecordServiceTime(held, 40*time.Second, time.Second)
+	}
+	large, later := testWork(10, 0), testWork(11, 2*time.Second)
+	large.ServiceTime, later.ServiceTime = 40*time.Second, 4*time.Second
+	require.True(t, p.Submit(start, large).Waiting)
+	require.True(t, p.Submit(start, later).Waiting)
+	grants := p.Release(start, held)
+	require.Len(t, grants, 1)
+	assert.EqualValues(t, 10, grants[0].ID, "it takes 1 s, and came 2 s before")
+}
+
 // A request that was sent before without success has no other place than one that was not: its caller has waited for as long as its
 // arrival says.
 func TestRequestSentBeforeKeepsItsPlace(t *testing.T) {
@@ -115,11 +130,12 @@
 		}
 		for _, sends := range []int{1, 2} {
 			older, newer := work(0, time.Second), work(sends, time.Second/2)
-			assert.True(t, older.goesBefore(&newer))
-			assert.False(t, newer.goesBefore(&older))
+			q := h.entry.placer.queueOf(older)
+			assert.True(t, q.goesBefore(&older, &newer))
+			assert.False(t, q.goesBefore(&newer, &older))
 			newer = work(0, time.Second/2)
 			older = work(sends, time.Second)
-			assert.True(t, older.goesBefore(&newer))
+			assert.True(t, q.goesBefore(&older, &newer))
 		}
 	})
 }
--- a/pkg/forward/queue.go
+++ b/pkg/forward/queue.go
@@ -98,11 +98,11 @@
 // goesBefore reports whether a waiting request is served before another one: by priority, and then in the order in which they would
 // have ended without a wait. So short work is not held up by long work that came at the same time, and each request is overtaken
 // only by those that arrive within its own service time.
-func (w *Work) goesBefore(other *Work) bool {
+func (q *requestQueue) goesBefore(w, other *Work) bool {
 	if w.Priority != other.Priority {
 		return w.Priority < other.Priority
 	}
-	return w.ArrivedAt.Add(w.ServiceTime).Before(other.ArrivedAt.Add(other.ServiceTime))
+	return w.ArrivedAt.Add(q.expectedServiceTime(w.ServiceTime)).Before(other.ArrivedAt.Add(q.expectedServiceTime(other.ServiceTime)))
 }
 
 // latestStart is the last time at which a request can be sent and be expected to be answered in its caller's time. The rest of an
@@ -137,7 +137,7 @@
 }
 
 func (q *requestQueue) insert(w Work) {
-	at := sort.Search(len(q.waiting), func(i int) bool { return w.goesBefore(&q.waiting[i]) })
+	at := sort.Search(len(q.waiting), func(i int) bool { return q.goesBefore(&w, &q.waiting[i]) })
 	q.waiting = slices.Insert(q.waiting, at, w)
 }
 
@@ -163,7 +163,7 @@
 
 // ahead is the number of waiting requests that go before a request.
 func (q *requestQueue) ahead(w *Work) int {
-	return lo.CountBy(q.waiting, func(other Work) bool { return !w.goesBefore(&other) })
+	return lo.CountBy(q.waiting, func(other Work) bool { return !q.goesBefore(w, &other) })
 }
 
 // waitAtPlace estimates the time until the request at a place of the queue, from 1, gets a target; 0 where nothing is known of the
