forward: move the estimates of the placer into a file of their own

No change of behaviour: what is expected of waits and service times, and the re-examination of waiting requests by it, move from placer.go and queue.go to estimate.go; reexamineWaiting is named dropUnservable, after what it does.

--- a/pkg/forward/placer.go
+++ b/pkg/forward/placer.go
@@ -197,35 +197,6 @@
 	return p.ExamineWaiting(now)
 }
 
-// reexamineWaiting removes the waiting requests that are no longer expected to be answered in their callers' time, as the capacity
-// has changed. They must be submitted again.
-func (p *Placer) reexamineWaiting(now time.Time) []Grant {
-	var grants []Grant
-	for _, q := range p.queues {
-		if len(q.waiting) == 0 {
-			continue
-		}
-		first := q.waiting[0]
-		capacity := p.capacity(now, &Work{Service: first.Service, Model: first.Model, Isolated: first.Isolated})
-		kept := 0
-		q.waiting = slices.DeleteFunc(q.waiting, func(w Work) bool {
-			wait, expected := q.waitAtPlace(kept+1, capacity), true
-			if capacity.none() {
-				var at time.Time
-				at, expected = p.nextTarget(now, &w)
-				wait = at.Sub(now)
-			}
-			if w.Begun || expected && q.inTime(now, &w, wait) {
-				kept++
-				return false
-			}
-			grants = append(grants, Grant{ID: w.ID})
-			return true
-		})
-	}
-	return grants
-}
-
 // sameIncarnation reports whether the state is that of a target's current incarnation, and not
 // that of another one under the same name.
 func (s *targetState) sameIncarnation(t *attach.Target) bool {
@@ -386,27 +357,6 @@
 	p.queueOf(Work{Service: t.Service, Model: t.Model}).startLatency.record(took)
 }
 
-// UsualStart is the time that most targets take from a request to the first event or the whole answer; 0 where nothing is known.
-func (p *Placer) UsualStart(w Work) time.Duration { return p.queueOf(w).startLatency.usual() }
-
-// RecordServiceTime records the time that a target took for a whole request with the given work.
-func (p *Placer) RecordServiceTime(t *attach.Target, stated, took time.Duration) {
-	p.queueOf(Work{Service: t.Service, Model: t.Model}).measured.record(stated, took)
-}
-
-// ExpectedServiceTime is the time that a target is expected to take for a request; 0 where nothing is known.
-func (p *Placer) ExpectedServiceTime(w Work) time.Duration {
-	return p.queueOf(w).expectedServiceTime(w.ServiceTime)
-}
-
-// LatestStart is the last time at which a request can be sent and be expected to be answered in its caller's time.
-func (p *Placer) LatestStart(w Work) time.Time { return p.queueOf(w).latestStart(&w) }
-
-// InTime reports whether a request that is sent now is expected to be answered in its caller's time.
-func (p *Placer) InTime(now time.Time, w Work) bool {
-	return now.Before(w.EndBy) && p.queueOf(w).inTime(now, &w, 0)
-}
-
 // assign counts a request at a target and returns the target.
 func (p *Placer) assign(now time.Time, s *targetState, q *requestQueue, w *Work) *attach.Target {
 	s.ownRequests++
@@ -423,7 +373,7 @@
 
 // ExamineWaiting returns the grants that are possible now.
 func (p *Placer) ExamineWaiting(now time.Time) []Grant {
-	return append(p.grantWaiting(now), p.reexamineWaiting(now)...)
+	return append(p.grantWaiting(now), p.dropUnservable(now)...)
 }
 
 // grantWaiting assigns free capacity to waiting requests.
