gateway: Retry-After of a request beyond a stated limit is when the limit allows one

What callers saw: a request to the only upstream of a service, which takes one in 10 s, was refused and told to come back after 2 s, the time after which a lost group is replaced.

Cause: the refused send excluded the only group, so that the refusal was "no whole group"; and the limit's own time was not known.

Change: statement.Allotments.Wait tells when a limit allows the next request, a pause its end. The failed attempt carries that time, and a refusal for want of another group keeps it. Why it works: the excluded group is the one that takes the next request.

--- a/pkg/dispatch/errors.go
+++ b/pkg/dispatch/errors.go
@@ -51,7 +51,7 @@
 	Address string
 	// Sent is true if any byte of the request may have been sent.
 	Sent bool
-	// RetryAfter is the delay that the refusing upstream asked for.
+	// RetryAfter is the delay that the refusing upstream asked for, or that its stated limit asks for.
 	RetryAfter time.Duration
 	// AtFault is the upstream that the refusing one names as the cause; empty if none.
 	AtFault string
--- a/pkg/gateway/attempt/machine.go
+++ b/pkg/gateway/attempt/machine.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/masticmount/masticmount/pkg/fault"
 )
@@ -61,6 +62,8 @@
 	// unnumbered is true once a part without a token position was delivered.
 	unnumbered bool
 	claimed    bool
+	// retryAfter is the delay that the last failed attempt asked for; 0 for none.
+	retryAfter time.Duration
 	// hasSuccessor is true while a successor runs beside the attempt.
 	hasSuccessor bool
 	// lastFailure is the failure of the attempt whose successor is awaited; nil if the
@@ -106,7 +109,7 @@
 	case SlotAssigned:
 		return m.slotAssigned(e.Group)
 	case SlotRefused:
-		return m.refuse(e.Err)
+		return m.slotRefused(e.Err)
 	case Failed:
 		return m.failed(e)
 	case Delivered:
@@ -179,6 +182,7 @@
 		m.mayHaveRun = false
 	}
 	m.mayHaveRun = m.mayHaveRun || !e.NotRun
+	m.retryAfter = e.Err.RetryAfter
 	actions := []Action{Release{Failed: true}}
 	if m.hasSuccessor && !e.Final {
 		m.phase, m.lastFailure = phaseAwaiting, &e
@@ -279,6 +283,15 @@
 	return Acquire{Resumed: m.resumeFrom(), Exclude: append([]string(nil), m.exclude...)}
 }
 
+// slotRefused ends the request. Without another group capacity is expected when the one that failed takes requests again.
+func (m *Machine) slotRefused(err *fault.Error) []Action {
+	reported := *err
+	if err.Kind == fault.NoWholeGroup && m.retryAfter > 0 {
+		reported.RetryAfter = m.retryAfter
+	}
+	return m.refuse(&reported)
+}
+
 // refuse ends the request with an error whose outcome accounts for all attempts.
 func (m *Machine) refuse(err *fault.Error) []Action {
 	reported := *err
--- a/pkg/gateway/respond.go
+++ b/pkg/gateway/respond.go
@@ -69,7 +69,7 @@
 	}
 	if callErr.Reason == dispatch.LimitStated {
 		return fault.New(fault.Overloaded, "retry after the time in Retry-After", "the upstream has stated how many requests it takes").
-			WithCause(callErr).WithRetryAfter(upstreamRetryAfter)
+			WithCause(callErr).WithRetryAfter(max(callErr.RetryAfter, upstreamRetryAfter))
 	}
 	e := fault.New(kind, remedy, "the upstream returned no complete answer: %s", callErr.Reason).WithCause(callErr)
 	if !callErr.NotRun() {
--- a/pkg/gateway/session.go
+++ b/pkg/gateway/session.go
@@ -303,8 +303,8 @@
 // two attempts can run concurrently.
 func (s *session) send(sl *slot, call dispatch.Call, from int) result {
 	r := result{slot: sl, address: call.Address}
-	if !s.g.limits.admit(call.Upstream) {
-		r.err = limitError(call.Address)
+	if wait, admitted := s.g.limits.admit(call.Upstream); !admitted {
+		r.err = limitError(call.Address, wait)
 		return r
 	}
 	sl.started = time.Now()
--- a/pkg/gateway/stated_limits.go
+++ b/pkg/gateway/stated_limits.go
@@ -61,24 +61,27 @@
 }
 
 // admit counts a send against the limit that its upstream has stated. It returns false where the limit leaves this entry no
-// request now, or the upstream wants none or leaves.
-func (l *statedLimits) admit(upstream statement.Incarnation) bool {
+// request now, or the upstream wants none or leaves, with the time until it takes one; 0 where that is not known.
+func (l *statedLimits) admit(upstream statement.Incarnation) (wait time.Duration, admitted bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := boottime.Now()
-	if _, paused := l.pauses.Until(now, upstream); paused || l.table.Leaving(upstream) {
-		return false
+	if l.table.Leaving(upstream) {
+		return 0, false
+	}
+	if end, paused := l.pauses.Until(now, upstream); paused {
+		return end.Sub(now), false
 	}
 	limit, _, limited := l.table.Limit(now, upstream)
 	if !limited {
-		return true
+		return 0, true
 	}
 	perSecond := statement.Rate(limit, 1/float64(l.entries))
 	if !l.allotments.Allows(now, upstream, perSecond) {
-		return false
+		return l.allotments.Wait(now, upstream, perSecond), false
 	}
 	l.allotments.Use(now, upstream, perSecond)
-	return true
+	return 0, true
 }
 
 // headOf returns the incarnation of the upstream that takes a group's requests.
@@ -86,7 +89,7 @@
 	return statement.Incarnation{Upstream: g.Members[0].ID, StartTime: g.Members[0].Incarnation}
 }
 
-// limitError is the failure of an attempt that was not sent because of a stated limit.
-func limitError(address string) *dispatch.CallError {
-	return &dispatch.CallError{Reason: dispatch.LimitStated, Address: address}
+// limitError is the failure of an attempt that was not sent because of what its upstream has stated.
+func limitError(address string, wait time.Duration) *dispatch.CallError {
+	return &dispatch.CallError{Reason: dispatch.LimitStated, Address: address, RetryAfter: wait}
 }
--- a/pkg/gateway/stated_limits_test.go
+++ b/pkg/gateway/stated_limits_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"testing"
 
@@ -11,6 +13,7 @@
 
 	"github.com/masticmount/masticmount/pkg/api"
 	"github.com/masticmount/masticmount/pkg/dispatch"
+	"github.com/masticmount/masticmount/pkg/statement"
 )
 
 // leaving stands for the statement of an upstream that it leaves.
@@ -49,12 +52,18 @@
 
 func TestRequestBeyondStatedLimitIsRefusedAtOnce(t *testing.T) {
 	h := newHarness(t)
+	// The first right to send comes after the same part of its interval in each run.
+	h.gw.limits.allotments = statement.NewAllotments(rand.New(rand.NewPCG(1, 1)))
 	limited := h.addLimitedService("limited", "0.1")
 	refused := 0
 	for i := range 30 {
 		if a := h.send(http.MethodGet, fmt.Sprintf("/lookup?n=%d", i), ""); a.status == http.StatusServiceUnavailable {
 			refused++
 			assert.Equal(t, "not-run", a.outcome)
+			wait, err := strconv.Atoi(a.header.Get("Retry-After"))
+			assert.NoError(t, err)
+			assert.GreaterOrEqual(t, wait, 3, "one request in 10 s")
+			assert.LessOrEqual(t, wait, 12)
 		}
 	}
 	assert.GreaterOrEqual(t, refused, 25)
--- a/pkg/statement/allotment.go
+++ b/pkg/statement/allotment.go
@@ -43,6 +43,15 @@
 	return a.accrue(now, upstream, rate).credit >= 1
 }
 
+// Wait is the time until Allows is true; 0 where that is not known, as nothing may be sent.
+func (a *Allotments) Wait(now time.Time, upstream Incarnation, rate float64) time.Duration {
+	missing := 1 - a.accrue(now, upstream, rate).credit
+	if missing <= 0 || rate <= 0 {
+		return 0
+	}
+	return time.Duration(missing / rate * float64(time.Second))
+}
+
 // Use records that a request is sent to an upstream.
 func (a *Allotments) Use(now time.Time, upstream Incarnation, rate float64) {
 	a.accrue(now, upstream, rate).credit--
