fault: one name for the shortest Retry-After

What a reader saw: nine constants of 1 s and one of 100 ms in masticmountd's packages, each for a refusal of its own, without a reason for the figure. Cause: the header states whole seconds, so that 1 s is the shortest time that it can state; that stood at one of them. Change: fault.MinRetryAfter replaces them. Callers see the same: 100 ms was rounded up to 1 s.

--- a/pkg/admission/fifo.go
+++ b/pkg/admission/fifo.go
@@ -26,7 +26,7 @@
 	select {
 	case q.waiting <- struct{}{}:
 	default:
-		return nil, fault.New(fault.Overloaded, "retry after the time given", "the queue is full").WithRetryAfter(time.Second)
+		return nil, fault.New(fault.Overloaded, "retry after the time given", "the queue is full").WithRetryAfter(fault.MinRetryAfter)
 	}
 	defer func() { <-q.waiting }()
 	ctx, cancel := context.WithDeadline(ctx, deadline)
@@ -35,6 +35,6 @@
 	case q.slots <- struct{}{}:
 		return func() { <-q.slots }, nil
 	case <-ctx.Done():
-		return nil, fault.New(fault.DeadlinePassed, "retry, or allow more time", "the deadline passed in the queue").WithRetryAfter(time.Second)
+		return nil, fault.New(fault.DeadlinePassed, "retry, or allow more time", "the deadline passed in the queue").WithRetryAfter(fault.MinRetryAfter)
 	}
 }
--- a/pkg/fault/fault.go
+++ b/pkg/fault/fault.go
@@ -210,6 +210,10 @@
 	}
 }
 
+// MinRetryAfter is the shortest Retry-After, as the header states whole seconds. Callers whom another node or the next moment can serve
+// are told this time.
+const MinRetryAfter = time.Second
+
 // RetryAfterSeconds returns RetryAfter in whole seconds, rounded up.
 func (e *Error) RetryAfterSeconds() int {
 	return int((e.RetryAfter + time.Second - 1) / time.Second)
--- a/pkg/gateway/attempt/attempt.go
+++ b/pkg/gateway/attempt/attempt.go
@@ -8,8 +8,6 @@
 package attempt
 
 import (
-	"time"
-
 	"github.com/masticmount/masticmount/pkg/fault"
 )
 
@@ -176,6 +174,3 @@
 	// MarkUnknown keeps the key claimed; the request may have run.
 	MarkUnknown Settlement = "mark-unknown"
 )
-
-// retryAfter is the Retry-After of a request whose upstreams failed.
-const retryAfter = time.Second
--- a/pkg/gateway/attempt/machine.go
+++ b/pkg/gateway/attempt/machine.go
@@ -257,7 +257,7 @@
 	m.mayHaveRun = true
 	m.exclude = nil
 	if !m.canRetry() {
-		return m.endInterrupted(fault.New(fault.UpstreamFailed, "send the request again", "%s", detail).WithRetryAfter(retryAfter))
+		return m.endInterrupted(fault.New(fault.UpstreamFailed, "send the request again", "%s", detail).WithRetryAfter(fault.MinRetryAfter))
 	}
 	if m.hasSuccessor {
 		m.phase, m.lastFailure = phaseAwaiting, nil
@@ -296,7 +296,7 @@
 func (m *Machine) refuse(err *fault.Error) []Action {
 	reported := *err
 	if reported.RetryAfter == 0 && m.retryMayHelp(err) {
-		reported.RetryAfter = retryAfter
+		reported.RetryAfter = fault.MinRetryAfter
 	}
 	return m.end(&reported)
 }
--- a/pkg/gateway/claim.go
+++ b/pkg/gateway/claim.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/masticmount/masticmount/pkg/claims"
 	"github.com/masticmount/masticmount/pkg/dispatch"
@@ -10,9 +9,6 @@
 	"github.com/masticmount/masticmount/pkg/gateway/attempt"
 )
 
-// inProgressRetryAfter is the Retry-After while the request with the key is running.
-const inProgressRetryAfter = time.Second
-
 func (s *session) claimKey() claims.Key {
 	return claims.Key{Account: s.req.account, Value: s.req.key}
 }
@@ -37,7 +33,7 @@
 		return attempt.AnswerRecorded{}
 	case claims.InProgress:
 		return attempt.ClaimConflict{Err: fault.New(fault.InProgress, "wait, then send the same key again",
-			"the request with this key is still running").WithOutcome(fault.Unknown).WithRetryAfter(inProgressRetryAfter)}
+			"the request with this key is still running").WithOutcome(fault.Unknown).WithRetryAfter(fault.MinRetryAfter)}
 	case claims.Reused:
 		return attempt.ClaimConflict{Err: fault.New(fault.KeyReused, "use a new key for a new request", "the key belongs to another request")}
 	default:
--- a/pkg/gateway/inflight.go
+++ b/pkg/gateway/inflight.go
@@ -3,20 +3,12 @@
 import (
 	"context"
 	"sync"
-	"time"
 
 	"github.com/masticmount/masticmount/pkg/fault"
 )
 
-const (
-	// stoppingRetryAfter is the Retry-After while the entry stops; another entry accepts
-	// the retry.
-	stoppingRetryAfter = time.Second
-	// maxBytesInFlight limits the total body size of queued and running requests.
-	maxBytesInFlight = 256 << 20
-	// overloadRetryAfter is the Retry-After while maxBytesInFlight is exceeded.
-	overloadRetryAfter = time.Second
-)
+// maxBytesInFlight limits the total body size of queued and running requests.
+const maxBytesInFlight = 256 << 20
 
 // inFlightTracker counts the requests in flight. It refuses new ones while the
 // gateway stops and while their bodies would exceed maxBytesInFlight.
@@ -38,7 +30,7 @@
 	}
 	if t.bytes+bytes > maxBytesInFlight {
 		return nil, fault.New(fault.Overloaded, "retry after the time in Retry-After", "the requests in flight use too much memory").
-			WithRetryAfter(overloadRetryAfter)
+			WithRetryAfter(fault.MinRetryAfter)
 	}
 	t.requests++
 	t.bytes += bytes
@@ -47,7 +39,7 @@
 
 func stoppingError() *fault.Error {
 	return fault.New(fault.Stopping, "send the request again; another entry will accept it", "this entry is stopping").
-		WithRetryAfter(stoppingRetryAfter)
+		WithRetryAfter(fault.MinRetryAfter)
 }
 
 func (t *inFlightTracker) untrack(bytes int) {
--- a/pkg/gateway/isolation.go
+++ b/pkg/gateway/isolation.go
@@ -11,12 +11,8 @@
 	"github.com/masticmount/masticmount/pkg/scheduling"
 )
 
-const (
-	// suspectRetryAfter is the Retry-After of a suspect for which no upstream can be spared.
-	suspectRetryAfter = time.Second
-	// avoidTime is how long after a crash other requests avoid the group for suspects.
-	avoidTime = 10 * time.Second
-)
+// avoidTime is how long after a crash other requests avoid the group for suspects.
+const avoidTime = 10 * time.Second
 
 // isolationOf returns the channel that is full while a suspect of a route is in flight.
 func (w *crashWatch) isolationOf(route string) chan struct{} {
@@ -78,7 +74,7 @@
 	s.finding = &finding
 	s.g.crashes.metrics.Add("requests.suspects_refused", 1)
 	return "", attempt.SlotRefused{Err: fault.New(fault.RequestSuspected, "retry after the time in Retry-After",
-		"%d upstreams crashed while this request ran, and no other can be spared for it", len(finding.Upstreams)).WithRetryAfter(suspectRetryAfter)}
+		"%d upstreams crashed while this request ran, and no other can be spared for it", len(finding.Upstreams)).WithRetryAfter(fault.MinRetryAfter)}
 }
 
 // hasEnded reports whether the upstream of a group is known to have ended.
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -20,8 +20,6 @@
 const (
 	// maxNameBytes limits the length of a client's request identifier, class and key.
 	maxNameBytes = 128
-	// notReadyRetryAfter is the Retry-After while an entry loads its configuration.
-	notReadyRetryAfter = time.Second
 	// requestIDKey is the key of the request identifier in a context's locals.
 	requestIDKey = "request_id"
 	// accountKey is the key of the client account in a context's locals.
@@ -77,7 +75,7 @@
 	id := g.assignRequestID(c)
 	if g.opts.Config().Revision == 0 {
 		return nil, fault.New(fault.NotReady, "send the request again; another entry will accept it", "this entry has not loaded its configuration yet").
-			WithRetryAfter(notReadyRetryAfter)
+			WithRetryAfter(fault.MinRetryAfter)
 	}
 	account, ok := g.authenticate(c.Get(fiber.HeaderAuthorization))
 	if !ok {
@@ -140,7 +138,7 @@
 		return refusal
 	}
 	return fault.New(fault.NotReady, "retry soon, or use another entry", "this entry has not heard from the keepers recently; %s", refusal.Detail).
-		WithRetryAfter(notReadyRetryAfter)
+		WithRetryAfter(fault.MinRetryAfter)
 }
 
 func (g *Gateway) matchRoute(req *request) error {
--- a/pkg/gateway/respond.go
+++ b/pkg/gateway/respond.go
@@ -4,7 +4,6 @@
 	"errors"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/gofiber/fiber/v3"
 
@@ -12,11 +11,7 @@
 	"github.com/masticmount/masticmount/pkg/fault"
 )
 
-const (
-	okStatus = http.StatusOK
-	// upstreamRetryAfter is the Retry-After of a request that an upstream failed.
-	upstreamRetryAfter = time.Second
-)
+const okStatus = http.StatusOK
 
 // serveComplete runs the request and writes the complete answer.
 func (s *session) serveComplete(c fiber.Ctx) error {
@@ -69,13 +64,13 @@
 	}
 	if callErr.Reason == dispatch.LimitStated {
 		return fault.New(fault.Overloaded, "retry after the time in Retry-After", "the upstream has stated how many requests it takes").
-			WithCause(callErr).WithRetryAfter(max(callErr.RetryAfter, upstreamRetryAfter))
+			WithCause(callErr).WithRetryAfter(max(callErr.RetryAfter, fault.MinRetryAfter))
 	}
 	e := fault.New(kind, remedy, "the upstream returned no complete answer: %s", callErr.Reason).WithCause(callErr)
 	if !callErr.NotRun() {
 		return e.WithOutcome(fault.Unknown)
 	}
-	return e.WithRetryAfter(max(callErr.RetryAfter, upstreamRetryAfter))
+	return e.WithRetryAfter(max(callErr.RetryAfter, fault.MinRetryAfter))
 }
 
 // handleError logs an error and writes it as a problem response.
@@ -118,7 +113,7 @@
 		return fault.New(fault.HeaderTooLarge, "send fewer or shorter headers", "the header has more than %d bytes", maxHeaderBytes)
 	case http.StatusRequestTimeout:
 		return fault.New(fault.SlowRequest, "send the whole request at once", "the request was not received completely within %s", g.opts.ReadTimeout).
-			WithRetryAfter(upstreamRetryAfter)
+			WithRetryAfter(fault.MinRetryAfter)
 	case http.StatusNotFound, http.StatusMethodNotAllowed, http.StatusNotImplemented:
 		return fault.New(fault.NoRoute, "check the method and the path", "%s", httpErr.Message)
 	default:
--- a/pkg/limits/limits.go
+++ b/pkg/limits/limits.go
@@ -15,8 +15,6 @@
 )
 
 const (
-	// minRetryAfter is the minimum retry-after time of a refused request.
-	minRetryAfter = 100 * time.Millisecond
 	// newLimitGrace bounds the time for which a limit that is new to a running node
 	// is not enforced there while the node waits for its first share.
 	newLimitGrace = 2 * time.Second
@@ -216,5 +214,5 @@
 
 func limitReached(name, limitKind string, retryAfter time.Duration) error {
 	return fault.New(fault.LimitReached, "slow down, or ask an operator to raise the limit",
-		"client account %q reached its limit of %s", name, limitKind).WithRetryAfter(max(retryAfter, minRetryAfter))
+		"client account %q reached its limit of %s", name, limitKind).WithRetryAfter(max(retryAfter, fault.MinRetryAfter))
 }
--- a/pkg/scheduling/estimate.go
+++ b/pkg/scheduling/estimate.go
@@ -6,9 +6,6 @@
 	"github.com/masticmount/masticmount/pkg/fault"
 )
 
-// minRetryAfter is the minimum retry-after time: the header states whole seconds.
-const minRetryAfter = time.Second
-
 // estimate is the expected completion of a waiting request.
 type estimate struct {
 	wait    time.Duration
@@ -79,7 +76,9 @@
 
 // retryAfter returns the time until the queue has drained so far that the request
 // would meet its deadline.
-func (e estimate) retryAfter() time.Duration { return max(e.wait+e.service-e.timeLeft, minRetryAfter) }
+func (e estimate) retryAfter() time.Duration {
+	return max(e.wait+e.service-e.timeLeft, fault.MinRetryAfter)
+}
 
 // checkFeasibleWhenIdle refuses a request that could not meet its deadline even on
 // idle groups.
@@ -121,7 +120,7 @@
 func (c *Core) queueFull(now time.Time, j *job) *fault.Error {
 	e := c.estimate(now, j, j.pool.queue.Ahead(&j.item))
 	return fault.New(fault.Overloaded, "retry after the time given", "the queue is full of requests of higher worth").
-		WithRetryAfter(max(e.wait, minRetryAfter))
+		WithRetryAfter(max(e.wait, fault.MinRetryAfter))
 }
 
 func resumptionTooLateError() *fault.Error {
@@ -130,5 +129,5 @@
 
 func retryBudgetError() *fault.Error {
 	return fault.New(fault.Overloaded, "retry after the time given; operators: find the failing group",
-		"retry budget exhausted: retries already add a tenth to the load").WithRetryAfter(minRetryAfter)
+		"retry budget exhausted: retries already add a tenth to the load").WithRetryAfter(fault.MinRetryAfter)
 }
--- a/pkg/scheduling/weighted.go
+++ b/pkg/scheduling/weighted.go
@@ -231,9 +231,9 @@
 
 func tooManyRequestsError() *fault.Error {
 	return fault.New(fault.Overloaded, "retry after the time given; operators: add entries",
-		"this entry holds %d requests", maxRequests).WithRetryAfter(minRetryAfter)
+		"this entry holds %d requests", maxRequests).WithRetryAfter(fault.MinRetryAfter)
 }
 
 func stoppingError() *fault.Error {
-	return fault.New(fault.Stopping, "retry through another entry", "this entry is stopping").WithRetryAfter(minRetryAfter)
+	return fault.New(fault.Stopping, "retry through another entry", "this entry is stopping").WithRetryAfter(fault.MinRetryAfter)
 }
