--- a/pkg/forward/estimate.go
+++ b/pkg/forward/estimate.go
@@ -41,7 +41,7 @@
 	if e == nil {
 		return line
 	}
-	line = line.Int("ahead", e.Ahead).Float64("own_slots", e.Slots).Dur("expected_wait_ms", e.Wait).Dur("expected_service_ms", e.ServiceTime).
+	line = line.Int("ahead", e.Ahead).Float64("own_slots", math.Round(10*e.Slots)/10).Dur("expected_wait_ms", e.Wait).Dur("expected_service_ms", e.ServiceTime).
 		Dur("usual_start_ms", e.Start).Dur("time_left_ms", e.Left)
 	if e.FirstEventLeft != 0 {
 		line = line.Dur("first_event_left_ms", e.FirstEventLeft)
