--- a/pkg/forward/caller_order_test.go
+++ b/pkg/forward/caller_order_test.go
@@ -65,20 +65,21 @@
 }
 
 // call sends a request of a caller that waits for a time. The channel gets its answer.
-func (h *socketHarness) call(id string, left time.Duration) <-chan *http.Response {
+func (h *socketHarness) call(id string, left time.Duration) <-chan reply {
 	req, err := http.NewRequest(http.MethodPost, "http://"+h.address+"/repeat/x", strings.NewReader("text"))
 	require.NoError(h.t, err)
 	req.Host = "h"
 	req.Header.Set(testHeaderNames.RequestID, id)
 	req.Header.Set(testHeaderNames.Key, "secret")
 	req.Header.Set(testHeaderNames.TimeLeft, fmt.Sprint(left.Milliseconds()))
-	answered := make(chan *http.Response, 1)
+	answered := make(chan reply, 1)
 	go func() {
+		defer close(answered)
 		resp, err := http.DefaultClient.Do(req)
 		if assert.NoError(h.t, err, id) {
 			_ = resp.Body.Close()
+			answered <- reply{resp.StatusCode, resp.Header, resp.Close}
 		}
-		answered <- resp
 	}()
 	return answered
 }
@@ -105,7 +106,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := newSocketHarness(t)
-			answers := []<-chan *http.Response{h.call("running", timeout)}
+			answers := []<-chan reply{h.call("running", timeout)}
 			require.Equal(t, "running", <-h.received)
 			for i, l := range left {
 				answers = append(answers, h.call(fmt.Sprint("caller-", i), l))
--- a/pkg/forward/placer_test.go
+++ b/pkg/forward/placer_test.go
@@ -83,7 +83,9 @@
 		"short work overtakes long work that ran": {work(10, 0, 500*time.Millisecond, time.Millisecond), work(11, 0, 0, time.Second)},
 		"priority before both":                    {work(10, 0, time.Hour, time.Hour), work(11, 1, 0, 1), work(12, 2, 0, 0)},
 	} {
-		for _, queued := range [][]Work{order, lo.Reverse(slices.Clone(order))} {
+		reversed := slices.Clone(order)
+		slices.Reverse(reversed)
+		for _, queued := range [][]Work{order, reversed} {
 			p := placerWith(groupTarget("one", "fd-a"))
 			var held *attach.Target
 			for id := range uint64(groupLimit) {
