Tests: upstreams that run at the same time count their runs atomically

Cause: the test's own counter: a silent stream's second run calls the same upstream from another goroutine. Change: the counters and flags of such tests are atomic. The checks are the same.

--- a/pkg/forward/caller_time_test.go
+++ b/pkg/forward/caller_time_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -26,9 +27,9 @@
 		"its time ends before its turn": {"Test-Left: 2500", http.StatusServiceUnavailable, 2500 * time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
-			runs := 0
+			var runs atomic.Int32
 			inBubble(t, map[string]script{"a:1": func(*http.Request, string, net.Conn) (string, bool) {
-				if runs++; runs == 1 {
+				if runs.Add(1) == 1 {
 					<-time.After(run)
 				}
 				return answer(200, "ok"), true
@@ -167,9 +168,9 @@
 		"not quite enough time":      {500 * time.Millisecond, 100 * time.Millisecond, "Test-Left: 590", http.StatusBadGateway, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
-			runs := 0
+			var runs atomic.Int32
 			upstream := func(*http.Request, string, net.Conn) (string, bool) {
-				if runs++; runs == 2 {
+				if runs.Add(1) == 2 {
 					<-time.After(c.breaksAfter)
 					return "", false
 				}
@@ -194,17 +195,18 @@
 	for name, c := range map[string]struct {
 		usual, silent time.Duration
 		within        time.Duration
-		runs          int
+		runs          int32
 	}{
 		"quick service, silent upstream": {20 * time.Millisecond, 4 * time.Second, time.Second, 2},
 		"slow service":                   {2 * time.Second, 2 * time.Second, 2100 * time.Millisecond, 1},
 		"slow service, silent upstream":  {2 * time.Second, 4900 * time.Millisecond, 4800 * time.Millisecond, 2},
 	} {
 		t.Run(name, func(t *testing.T) {
-			runs, learning := 0, true
+			var runs atomic.Int32
+			var learned atomic.Bool
 			upstream := func(_ *http.Request, _ string, conn net.Conn) (string, bool) {
 				_, _ = fmt.Fprintf(conn, streamHead, "p")
-				if runs++; !learning && runs == 1 {
+				if runs.Add(1) == 1 && learned.Load() {
 					<-time.After(c.silent)
 				} else {
 					<-time.After(c.usual)
@@ -216,13 +218,14 @@
 					_, _, err := h.call("POST", "/stream/x", "prompt")
 					require.NoError(t, err)
 				}
-				runs, learning = 0, false
+				runs.Store(0)
+				learned.Store(true)
 				began := time.Now()
 				_, body, err := h.call("POST", "/stream/x", "prompt")
 				require.NoError(t, err)
 				assert.Equal(t, event(1), body)
 				assert.LessOrEqual(t, time.Since(began), c.within)
-				assert.Equal(t, c.runs, runs)
+				assert.Equal(t, c.runs, runs.Load())
 				<-time.After(c.silent)
 			})
 		})
@@ -232,11 +235,12 @@
 // A request whose upstream may have crashed waits for the verdict no longer than leaves its caller the time for another send.
 func TestVerdictIsAwaitedWithinTheCallersTime(t *testing.T) {
 	const left, before = 150 * time.Millisecond, 5
-	runs, broken := 0, ""
+	var runs atomic.Int32
+	var broken atomic.Value
 	upstreamAt := func(address string) script {
 		return func(*http.Request, string, net.Conn) (string, bool) {
-			if runs++; runs == before+1 {
-				broken = address
+			if runs.Add(1) == before+1 {
+				broken.Store(address)
 				<-time.After(50 * time.Millisecond)
 				return "", false
 			}
@@ -250,7 +254,7 @@
 			require.NoError(t, err)
 		}
 		h.dialError = func(address string) error {
-			if address == broken {
+			if address == broken.Load() {
 				// The probes of the check take long.
 				<-time.After(time.Second)
 			}
--- a/pkg/forward/causes_test.go
+++ b/pkg/forward/causes_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -224,9 +225,9 @@
 
 // The send of a silent stream to another target, and what it was based on, is found by the request.
 func TestLogsExplainSecondRunOfSilentStream(t *testing.T) {
-	runs := 0
+	var runs atomic.Int32
 	upstream := func(req *http.Request, body string, conn net.Conn) (string, bool) {
-		if runs++; runs == 1 {
+		if runs.Add(1) == 1 {
 			return pausingStream(1, soundPause)(req, body, conn)
 		}
 		return resumedStreamAnswer(req, 3), true
