scheduling: an engine takes resumed work like other work of its size

What callers saw: a request that was resumed, because its group broke or its slot was taken back, went behind all others that waited in the engine, although its caller holds a part of the answer and the scheduler puts it first.

Cause: resumedPriority, the lowest priority that masticmountd gives engines.

Change: the priority at the engine is that of short or of long work.

--- a/pkg/scheduling/core.go
+++ b/pkg/scheduling/core.go
@@ -62,9 +62,8 @@
 const (
 	defaultShortTokens = 128
 	// Engine priorities; lower runs first.
-	shortPriority   = 0
-	longPriority    = 10
-	resumedPriority = 20
+	shortPriority = 0
+	longPriority  = 10
 )
 
 // Core decides when and where requests run. It is a deterministic state machine:
--- a/pkg/scheduling/dispatch.go
+++ b/pkg/scheduling/dispatch.go
@@ -127,14 +127,10 @@
 }
 
 func priorityOf(j *job) int {
-	switch {
-	case j.request.Resumed > 0:
-		return resumedPriority
-	case j.item.Long:
+	if j.item.Long {
 		return longPriority
-	default:
-		return shortPriority
 	}
+	return shortPriority
 }
 
 func (c *Core) isPreemptible(j *job, group *domain.Group) bool {
