keeper, control: lines and counters that tell why leads end and what keepers are busy with

region_log_role has the cause of each change of role; log_loop_late has what the log loop did while its ticks were late; keeper_behind has which members lag and how many bytes were sent, and sent again; entry_links has the links of entries that begin and end and what they carry; keeper_learner_waits covers learners that replace an identity of their own node. Each line comes at most once a second. No decision changes.

--- a/pkg/control/attach.go
+++ b/pkg/control/attach.go
@@ -55,6 +55,8 @@
 		nodeID: first.GetNodeId(), stream: stream, wake: make(chan struct{}, 1),
 	}
 	c.opts.Log.Info().Str("entry", s.nodeID).Uint64("document", first.GetDocumentVersion()).Msg("entry_attached")
+	c.links.begin()
+	defer c.links.end()
 	c.handleReport(s, first)
 	ended := make(chan error, 1)
 	go func() { ended <- c.receive(s) }()
@@ -112,7 +114,9 @@
 		c.mu.Lock()
 		signal := c.changes.signal
 		c.mu.Unlock()
-		if err := s.stream.Send(c.nextUpdate(s, first)); err != nil {
+		u := c.nextUpdate(s, first)
+		c.links.sent(u)
+		if err := s.stream.Send(u); err != nil {
 			return err
 		}
 		if err := s.awaitUpdate(signal, tick.C, sentAt, ended); err != nil {
--- a/pkg/control/control.go
+++ b/pkg/control/control.go
@@ -103,6 +103,8 @@
 	evidenceChanged chan struct{}
 
 	confirmations confirmations
+	links         linkCounts
+	linkReporter  linkReporter
 	relays        relays
 
 	planner *grouping.Planner
@@ -172,6 +174,7 @@
 			c.drainInbox()
 		case <-tick.C:
 			c.expire(boottime.Now())
+			c.reportLinks(boottime.Now())
 		}
 		c.plan(boottime.Now())
 	}
--- a/pkg/keeper/logloop.go
+++ b/pkg/keeper/logloop.go
@@ -52,6 +52,11 @@
 	planner   voterPlanner
 	checks    checkSchedule
 	schedule  changeSchedule
+	meter     loopMeter
+	// commitReported is the commit index at the last report on members that are behind.
+	commitReported uint64
+	// behindCheckAt is the tick of the next such report.
+	behindCheckAt uint64
 	// reported is the reason last logged for which a membership change waits.
 	reported string
 	// transportMembership is the last membership passed to the transport.
@@ -96,7 +101,7 @@
 		case <-ticker.C:
 			l.tick()
 		case e := <-l.keeper.events.Chan():
-			e.handle(l)
+			l.handle(e)
 		}
 		l.drain()
 	}
@@ -107,17 +112,28 @@
 	for range eventRingSize {
 		select {
 		case e := <-l.keeper.events.Chan():
-			e.handle(l)
+			l.handle(e)
 		default:
 			return
 		}
 	}
 }
 
+func (l *logLoop) handle(e event) {
+	began := time.Now()
+	e.handle(l)
+	l.meter.period.events++
+	l.meter.period.handling += time.Since(began)
+}
+
 func (l *logLoop) tick() {
 	l.machine.Tick()
-	l.keeper.tickedAt.Store(boottime.Now().UnixNano())
+	now := boottime.Now()
+	l.keeper.tickedAt.Store(now.UnixNano())
 	l.ticks++
+	if l.meter.tick(now) {
+		l.reportLag(now)
+	}
 	l.keeper.transport.checkConnections(l.checks.due(l.ticks, l.machine.Unheard(unheardTicks)))
 	if l.schedule.due(l.ticks) {
 		l.changeVoters()
@@ -129,7 +145,11 @@
 func (l *logLoop) changeVoters() {
 	change := l.machine.NextReplacement()
 	if change == nil {
-		next := l.planner.next(l.machine.Status())
+		status := l.machine.Status()
+		next := l.planner.next(status)
+		if next.change == nil && next.waiting == "" {
+			next.learner, next.waiting = waitingReplacement(status)
+		}
 		l.reportWaiting(next)
 		change = next.change
 	}
@@ -169,7 +189,7 @@
 		if !ok {
 			return true
 		}
-		if err := l.sync(ready); err != nil {
+		if err := timed(&l.meter.period.syncing, func() error { return l.sync(ready) }); err != nil {
 			l.fail(err)
 			return false
 		}
@@ -211,7 +231,10 @@
 		if l.keeper.batches.Push(b) {
 			return true
 		}
-		if !l.keeper.applied.wait(ctx, applied+1) {
+		began := time.Now()
+		running := l.keeper.applied.wait(ctx, applied+1)
+		l.meter.period.applyWait += time.Since(began)
+		if !running {
 			return false
 		}
 	}
@@ -254,7 +277,7 @@
 	}
 	if changed {
 		l.keeper.opts.Log.Info().Str("role", s.Role.String()).Uint64("term", s.Term).Uint64("leader", s.Leader).
-			Int("members", len(s.Membership.GetMembers())).Msg("region_log_role")
+			Str("cause", string(s.Cause)).Int("members", len(s.Membership.GetMembers())).Msg("region_log_role")
 	}
 	if changed || l.ticks%statusTicks == 0 || s.Commit == s.Last {
 		l.published = s
@@ -263,6 +286,10 @@
 	if changed || l.ticks%statusTicks == 0 {
 		l.updateMetrics(s)
 	}
+	if l.ticks >= l.behindCheckAt {
+		l.behindCheckAt = l.ticks + statusTicks
+		l.reportBehind(s)
+	}
 }
 
 // updateMetrics sets the gauges of the region log.
@@ -278,6 +305,8 @@
 	metrics.Set("regionlog.leads", leads)
 	metrics.Set("regionlog.term", int64(s.Term))
 	metrics.Set("regionlog.commit", int64(s.Commit))
+	metrics.Set("regionlog.entry_bytes_sent", int64(s.Sent.EntryBytes))
+	metrics.Set("regionlog.entry_bytes_repeated", int64(s.Sent.RepeatedBytes))
 	members, voters := len(s.Membership.GetMembers()), len(regionlog.Voters(s.Membership))
 	metrics.Set("regionlog.voters", int64(voters))
 	metrics.Set("regionlog.learners", int64(members-voters))
--- a/pkg/keeper/voterplanner.go
+++ b/pkg/keeper/voterplanner.go
@@ -149,6 +149,19 @@
 	return leastVoters(present, caughtUp), ""
 }
 
+// waitingReplacement returns a learner that is to replace the lost identity of its node, and why it does not yet.
+func waitingReplacement(s regionlog.Status) (learner uint64, waiting string) {
+	m, ok := lo.Find(s.Membership.GetMembers(), func(m *peerpb.Member) bool { return m.GetLearner() && m.GetReplacing() })
+	switch {
+	case !ok || s.Role != regionlog.Leader:
+		return 0, ""
+	case s.SilentTicks[m.GetIdentity()] > 2*heartbeatTicks:
+		return m.GetIdentity(), learnerIsSilent
+	default:
+		return m.GetIdentity(), learnerIsBehind
+	}
+}
+
 // olderLearner returns the previous identity of a keeper that lost its disk while it was
 // a learner. Nothing else removes that identity, and the keeper cannot be promoted while
 // it is a member.
--- a/pkg/regionlog/election.go
+++ b/pkg/regionlog/election.go
@@ -17,11 +17,11 @@
 	}
 	if m.takesOver() {
 		m.takeover.attempts++
-		m.campaign(false, true)
+		m.campaign(false, true, CauseTakeover)
 		return
 	}
 	if m.electionElapsed >= m.electionTimeout && m.isVoter() {
-		m.campaign(m.cfg.injectedFault != faultNoPreVote, false)
+		m.campaign(m.cfg.injectedFault != faultNoPreVote, false, CauseLeaderSilent)
 	}
 }
 
@@ -33,7 +33,7 @@
 	if m.electionElapsed >= m.cfg.ElectionTicks {
 		m.electionElapsed = 0
 		if !m.checkQuorum() && m.cfg.injectedFault != faultNoCheckQuorum {
-			m.becomeFollower(m.term, 0)
+			m.becomeFollower(m.term, 0, CauseQuorumSilent)
 			return
 		}
 	}
@@ -73,14 +73,14 @@
 	return ticks + int(z%uint64(ticks))
 }
 
-func (m *Machine) becomeFollower(term, leader uint64) {
+func (m *Machine) becomeFollower(term, leader uint64, cause RoleCause) {
 	if term != m.term {
 		m.term, m.vote = term, 0
 	}
 	if m.role == Leader {
 		m.recordSilences(m.silentMembers())
 	}
-	m.role, m.leader, m.transferee = Follower, leader, 0
+	m.role, m.leader, m.transferee, m.cause = Follower, leader, 0, cause
 	m.progress, m.peers, m.votes = nil, nil, nil
 	m.reads = readQueue{}
 	m.resetTimeout()
@@ -89,7 +89,8 @@
 // campaign starts an election, or a pre-vote if pre is set. A pre-vote does not
 // increment the term, so that a keeper that rejoins after a partition does not
 // disrupt the leader.
-func (m *Machine) campaign(pre, transfer bool) {
+func (m *Machine) campaign(pre, transfer bool, cause RoleCause) {
+	m.cause = cause
 	m.votes = map[uint64]bool{}
 	m.leader = 0
 	kind, term := peerpb.MessageKind_MESSAGE_KIND_PRE_VOTE, m.term+1
@@ -123,16 +124,16 @@
 	no := lo.CountBy(voters, func(id uint64) bool { v, ok := m.votes[id]; return ok && !v })
 	switch {
 	case yes > len(voters)/2 && m.role == PreCandidate:
-		m.campaign(false, false)
+		m.campaign(false, false, CausePreVoteWon)
 	case yes > len(voters)/2:
 		m.becomeLeader()
 	case no > len(voters)/2:
-		m.becomeFollower(m.term, 0)
+		m.becomeFollower(m.term, 0, CauseElectionLost)
 	}
 }
 
 func (m *Machine) becomeLeader() {
-	m.role, m.leader, m.transferee, m.votes = Leader, m.cfg.Identity, 0, nil
+	m.role, m.leader, m.transferee, m.votes, m.cause = Leader, m.cfg.Identity, 0, nil, CauseElectionWon
 	m.electionElapsed, m.heartbeatElapsed = 0, 0
 	m.reads = readQueue{}
 	m.progress = map[uint64]*progress{}
--- a/pkg/regionlog/machine.go
+++ b/pkg/regionlog/machine.go
@@ -26,6 +26,24 @@
 	return [...]string{"follower", "pre-candidate", "candidate", "leader"}[r]
 }
 
+// RoleCause is why a keeper changed its role, or its term.
+type RoleCause string
+
+// The causes of a change of role.
+const (
+	CauseStarted      RoleCause = "started"
+	CauseFollows      RoleCause = "message of a leader"
+	CauseLeaderSilent RoleCause = "no message of a leader for an election timeout"
+	CausePreVoteWon   RoleCause = "pre-vote won"
+	CauseElectionWon  RoleCause = "election won"
+	CauseElectionLost RoleCause = "votes refused by a majority"
+	CauseQuorumSilent RoleCause = "no response of a majority for an election timeout"
+	CauseLaterTerm    RoleCause = "message of a later term"
+	CauseVoteGivenUp  RoleCause = "demoted or removed"
+	CauseTransfer     RoleCause = "leadership transferred"
+	CauseTakeover     RoleCause = "leader of an earlier revision"
+)
+
 // Config sets up a Machine.
 type Config struct {
 	// Identity of this keeper, generated when its disk was first formatted.
@@ -94,8 +112,10 @@
 
 // Status describes the state of a Machine.
 type Status struct {
-	Identity   uint64
-	Role       Role
+	Identity uint64
+	Role     Role
+	// Cause is why the keeper took its role, or ended it.
+	Cause      RoleCause
 	Term       uint64
 	Leader     uint64
 	Commit     uint64
@@ -110,6 +130,14 @@
 	// did not respond to the preceding leader, and up to two election timeouts without a
 	// message of the preceding leader itself.
 	SilentTicks map[uint64]int
+	// Sent counts what this keeper sent to others since its start.
+	Sent SentCounts
+}
+
+// SentCounts counts the entries that a leader sent, by the size of their data in bytes.
+type SentCounts struct {
+	// EntryBytes are all, RepeatedBytes those that the member had been sent before in the term.
+	EntryBytes, RepeatedBytes uint64
 }
 
 // Machine is the protocol state of one keeper of the region log.
@@ -117,6 +145,7 @@
 	cfg    Config
 	log    *entryLog
 	role   Role
+	cause  RoleCause
 	term   uint64
 	vote   uint64
 	leader uint64
@@ -143,6 +172,7 @@
 	transferElapsed int
 	reads           readQueue
 
+	sent     SentCounts
 	messages []*peerpb.LogMessage
 	// installing is a snapshot that the owner has not synced yet.
 	installing      *peerpb.LogSnapshot
@@ -168,7 +198,7 @@
 	log.delivered = stored.Applied
 	m := &Machine{cfg: cfg, log: log, term: hs.GetTerm(), vote: hs.GetVote(), randomState: cfg.Seed}
 	m.syncedHardState = m.hardState()
-	m.becomeFollower(m.term, 0)
+	m.becomeFollower(m.term, 0, CauseStarted)
 	if cfg.FirstElectionTicks > 0 {
 		m.electionTimeout = m.randomTimeout(cfg.FirstElectionTicks)
 	}
@@ -182,8 +212,8 @@
 // Status returns the machine's current state.
 func (m *Machine) Status() Status {
 	s := Status{
-		Identity: m.cfg.Identity, Role: m.role, Term: m.term, Leader: m.leader,
-		Commit: m.log.commit, Last: m.log.last(), Membership: m.log.membership(),
+		Identity: m.cfg.Identity, Role: m.role, Cause: m.cause, Term: m.term, Leader: m.leader,
+		Commit: m.log.commit, Last: m.log.last(), Membership: m.log.membership(), Sent: m.sent,
 	}
 	if m.role == Leader {
 		s.Match = lo.MapValues(m.progress, func(p *progress, _ uint64) uint64 { return p.match })
@@ -307,7 +337,7 @@
 	m.maybeCommit()
 	if !m.isVoter() && !m.log.changePending() {
 		m.transferBeforeStep()
-		m.becomeFollower(m.term, 0)
+		m.becomeFollower(m.term, 0, CauseVoteGivenUp)
 	}
 }
 
--- a/pkg/regionlog/replication.go
+++ b/pkg/regionlog/replication.go
@@ -27,6 +27,8 @@
 	installElapsed int
 	// matchAtHeartbeat is match as of the last heartbeat.
 	matchAtHeartbeat uint64
+	// sentUpTo is the last index sent.
+	sentUpTo uint64
 	// sentCommit is the last commit index sent.
 	sentCommit uint64
 	// active is set if the member responded since the last quorum check.
@@ -90,6 +92,7 @@
 		Index: previous, LogTerm: term, Entries: entries, Commit: m.log.commit,
 	})
 	p.sentCommit = m.log.commit
+	m.countSent(p, entries)
 	if p.replicating {
 		p.next += uint64(len(entries))
 	} else {
@@ -97,6 +100,18 @@
 	}
 }
 
+// countSent counts entries that are sent to a peer.
+func (m *Machine) countSent(p *progress, entries []*peerpb.LogEntry) {
+	for _, e := range entries {
+		size := uint64(len(e.GetData()))
+		m.sent.EntryBytes += size
+		if e.GetIndex() <= p.sentUpTo {
+			m.sent.RepeatedBytes += size
+		}
+		p.sentUpTo = max(p.sentUpTo, e.GetIndex())
+	}
+}
+
 func (m *Machine) broadcastHeartbeat() {
 	m.reads.sent = m.reads.last
 	silent := m.silentMembers()
--- a/pkg/regionlog/step.go
+++ b/pkg/regionlog/step.go
@@ -40,17 +40,17 @@
 		if m.leaseHeld() && !msg.GetTransfer() {
 			return false
 		}
-		m.becomeFollower(msg.GetTerm(), 0)
+		m.becomeFollower(msg.GetTerm(), 0, CauseLaterTerm)
 	case peerpb.MessageKind_MESSAGE_KIND_PRE_VOTE_RESPONSE:
 		// A granted pre-vote carries the term that the election would have.
 		if msg.GetReject() {
-			m.becomeFollower(msg.GetTerm(), 0)
+			m.becomeFollower(msg.GetTerm(), 0, CauseLaterTerm)
 		}
 	case peerpb.MessageKind_MESSAGE_KIND_APPEND, peerpb.MessageKind_MESSAGE_KIND_HEARTBEAT,
 		peerpb.MessageKind_MESSAGE_KIND_SNAPSHOT:
-		m.becomeFollower(msg.GetTerm(), msg.GetFrom())
+		m.becomeFollower(msg.GetTerm(), msg.GetFrom(), CauseLaterTerm)
 	default:
-		m.becomeFollower(msg.GetTerm(), 0)
+		m.becomeFollower(msg.GetTerm(), 0, CauseLaterTerm)
 	}
 	return true
 }
@@ -96,7 +96,7 @@
 // followLeader becomes a follower of the leader of the current term.
 func (m *Machine) followLeader(leader uint64) {
 	if m.role != Follower {
-		m.becomeFollower(m.term, leader)
+		m.becomeFollower(m.term, leader, CauseFollows)
 	}
 	if m.takeover.term != m.term {
 		m.follow()
--- a/pkg/regionlog/transfer.go
+++ b/pkg/regionlog/transfer.go
@@ -68,6 +68,6 @@
 // handleTimeoutNow starts an election immediately, as requested by the leader.
 func (m *Machine) handleTimeoutNow() {
 	if m.isVoter() && m.role != Leader {
-		m.campaign(false, true)
+		m.campaign(false, true, CauseTransfer)
 	}
 }
