regionlog: entries are sent again only once they are known to be lost

Cause: at each heartbeat, every 100 ms, a peer that had acknowledged nothing since the last one was probed again and then sent all that followed again, whether or not the first copy was still on its way or being read. The slower a keeper, the more copies it got. The window bounded entries, not bytes. Class: a timeout taken for a loss.

Why it works: a member answers a heartbeat that follows a message only after that message, as a connection keeps their order. An answer without the message's acknowledgement shows that one of both was lost; a slow member answers neither. Heartbeats take the numbers that reads had, which members of all builds echo, so no message changes. The window is bounded in bytes, and a message is 128 KB in place of 512 KB, so that a keeper that reads 300 KB/s takes one in within an election timeout.

--- a/pkg/keeper/keeper.go
+++ b/pkg/keeper/keeper.go
@@ -41,9 +41,11 @@
 	// which the tolerance of lost disks rests.
 	revision = 1
 	// maxAppendBytes limits the entries in one message.
-	maxAppendBytes = 512 << 10
+	maxAppendBytes = 128 << 10
 	// maxWindowEntries limits the unacknowledged entries in flight to a peer.
 	maxWindowEntries = 8192
+	// maxWindowBytes limits their size, at 170 Mbit/s to 50 ms of a link.
+	maxWindowBytes = 1 << 20
 	// maxUncommittedBytes limits the uncommitted entries of a leader.
 	maxUncommittedBytes = 16 << 20
 	// MaxCommandBytes limits the size of one command.
--- a/pkg/keeper/logloop.go
+++ b/pkg/keeper/logloop.go
@@ -77,7 +77,7 @@
 	binary.LittleEndian.PutUint64(seed[:], newIdentity())
 	machine, err := regionlog.New(regionlog.Config{
 		Identity: l.keeper.store.Identity(), ElectionTicks: electionTicks, FirstElectionTicks: firstElectionTicks, HeartbeatTicks: heartbeatTicks,
-		MaxAppendBytes: maxAppendBytes, MaxWindowEntries: maxWindowEntries,
+		MaxAppendBytes: maxAppendBytes, MaxWindowEntries: maxWindowEntries, MaxWindowBytes: maxWindowBytes,
 		Revision: revision, MaxInheritedSilence: l.planner.absentTicks - electionTicks,
 		MaxUncommittedBytes: maxUncommittedBytes, Seed: binary.LittleEndian.Uint64(seed[:]),
 	}, stored)
--- a/pkg/regionlog/election.go
+++ b/pkg/regionlog/election.go
@@ -40,7 +40,7 @@
 	m.tickTransfer()
 	if m.heartbeatElapsed >= m.cfg.HeartbeatTicks {
 		m.heartbeatElapsed = 0
-		m.retransmit()
+		m.retransmitSnapshots()
 		m.broadcastHeartbeat()
 	}
 }
--- a/pkg/regionlog/machine.go
+++ b/pkg/regionlog/machine.go
@@ -62,6 +62,8 @@
 	MaxAppendBytes int
 	// MaxWindowEntries limits the unacknowledged entries in flight to a peer.
 	MaxWindowEntries uint64
+	// MaxWindowBytes limits their size; one message more may be in flight.
+	MaxWindowBytes int
 	// MaxUncommittedBytes limits the size of the uncommitted entries.
 	MaxUncommittedBytes int
 	// MaxInheritedSilence limits, in ticks, the silence of a member that a new leader counts from
--- a/pkg/regionlog/network_test.go
+++ b/pkg/regionlog/network_test.go
@@ -58,6 +58,9 @@
 	// nodeOf maps every identity to its node, including lost identities.
 	nodeOf   map[uint64]string
 	nextRead uint64
+	// maxAppendBytes, maxWindowBytes and maxWindowEntries are those of Config.
+	maxAppendBytes, maxWindowBytes int
+	maxWindowEntries               uint64
 	// firstElectionTicks is Config.FirstElectionTicks of every keeper.
 	firstElectionTicks int
 	// targetVoters makes repair replace a voter whenever there is a caught-up spare; 0
@@ -89,6 +92,7 @@
 
 func newNetwork(f injectedFault, voters int) *network {
 	n := &network{
+		maxAppendBytes: 200, maxWindowBytes: 1000, maxWindowEntries: 8,
 		nodes: map[uint64]*keeperNode{}, cut: map[[2]uint64]bool{}, injectedFault: f,
 		reads: map[uint64]readCheck{}, committed: map[uint64]*peerpb.LogEntry{}, leaders: map[uint64]uint64{},
 		nodeOf: map[uint64]string{}, onRefused: func(*keeperNode, *peerpb.LogMessage, error) {}, onReady: func(*keeperNode, Ready) {},
@@ -129,7 +133,7 @@
 func (n *network) start(k *keeperNode) {
 	m, err := New(Config{
 		Identity: k.identity, ElectionTicks: testElectionTicks, FirstElectionTicks: n.firstElectionTicks, HeartbeatTicks: 2,
-		MaxInheritedSilence: testInheritedSilence, Revision: n.revisions[k.nodeID], MaxAppendBytes: 200, MaxWindowEntries: 8, MaxUncommittedBytes: 1 << 20,
+		MaxInheritedSilence: testInheritedSilence, Revision: n.revisions[k.nodeID], MaxAppendBytes: n.maxAppendBytes, MaxWindowBytes: n.maxWindowBytes, MaxWindowEntries: n.maxWindowEntries, MaxUncommittedBytes: 1 << 20,
 		Seed: k.identity, injectedFault: n.injectedFault,
 	}, k.disk.stored)
 	if err != nil {
--- a/pkg/regionlog/replication.go
+++ b/pkg/regionlog/replication.go
@@ -1,6 +1,7 @@
 package regionlog
 
 import (
+	"github.com/samber/lo"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/masticmount/masticmount/pkg/peerpb"
@@ -19,14 +20,14 @@
 	// replicating enables pipelining. While it is false, one message at a time
 	// probes for the last index at which the logs match.
 	replicating bool
-	// probeInFlight is set while such a probe is in flight.
-	probeInFlight bool
+	// inFlight are the messages with entries that the member has not acknowledged, the
+	// oldest first, and inFlightBytes the size of their entries.
+	inFlight      []sentEntries
+	inFlightBytes int
 	// installing is set while a snapshot is in flight.
 	installing bool
 	// installElapsed counts the heartbeats since the snapshot was sent.
 	installElapsed int
-	// matchAtHeartbeat is match as of the last heartbeat.
-	matchAtHeartbeat uint64
 	// sentUpTo is the last index sent.
 	sentUpTo uint64
 	// sentCommit is the last commit index sent.
@@ -38,18 +39,43 @@
 	// silentTicks is the number of ticks since the member's last response, as in
 	// Status.SilentTicks.
 	silentTicks int
-	// read is the number of the last read that the member confirmed.
-	read uint64
+	// answered is the number of the last heartbeat that the member answered.
+	answered uint64
+}
+
+// sentEntries is a message with entries, or a probe.
+type sentEntries struct {
+	// last is the index of its last entry.
+	last  uint64
+	bytes int
+	// heartbeat is the number of the last heartbeat before it.
+	heartbeat uint64
 }
 
 // responded records a response of the member.
 func (p *progress) responded() { p.active, p.silentTicks = true, 0 }
 
 func (p *progress) probe() {
-	p.replicating, p.probeInFlight, p.installing, p.installElapsed = false, false, false, 0
+	p.replicating, p.installing, p.installElapsed = false, false, 0
 	p.next = p.match + 1
+	p.forgetInFlight()
+}
+
+func (p *progress) forgetInFlight() { p.inFlight, p.inFlightBytes = nil, 0 }
+
+// acknowledge removes the messages whose entries the member has, up to p.match.
+func (p *progress) acknowledge() {
+	for len(p.inFlight) > 0 && p.inFlight[0].last <= p.match {
+		p.inFlightBytes -= p.inFlight[0].bytes
+		p.inFlight = p.inFlight[1:]
+	}
 }
 
+// lost reports whether the member answered a heartbeat that was sent after a message which
+// it has not acknowledged. Messages and responses keep their order on a connection, so the
+// message or its response was lost. A member that is only slow answers neither.
+func (p *progress) lost() bool { return len(p.inFlight) > 0 && p.answered > p.inFlight[0].heartbeat }
+
 // replicate sends each peer its missing entries, within the peer's window.
 func (m *Machine) replicate() {
 	for _, id := range m.peers {
@@ -61,16 +87,16 @@
 }
 
 func (m *Machine) sendable(p *progress) bool {
-	if p.installing || p.probeInFlight {
+	switch {
+	case p.installing:
 		return false
-	}
-	if !p.replicating {
-		return true
-	}
-	if p.next > m.log.last() {
+	case !p.replicating:
+		return len(p.inFlight) == 0
+	case p.next > m.log.last():
 		return p.sentCommit < m.log.commit
+	default:
+		return p.next-p.match <= m.cfg.MaxWindowEntries && p.inFlightBytes < m.cfg.MaxWindowBytes
 	}
-	return p.next-p.match <= m.cfg.MaxWindowEntries
 }
 
 // sendAppend sends the entries from p.next on, or a snapshot if the entry
@@ -93,10 +119,13 @@
 	})
 	p.sentCommit = m.log.commit
 	m.countSent(p, entries)
+	if len(entries) == 0 && p.replicating {
+		return
+	}
+	sent := sentEntries{last: previous + uint64(len(entries)), bytes: lo.SumBy(entries, entrySize), heartbeat: m.reads.sent}
+	p.inFlight, p.inFlightBytes = append(p.inFlight, sent), p.inFlightBytes+sent.bytes
 	if p.replicating {
 		p.next += uint64(len(entries))
-	} else {
-		p.probeInFlight = true
 	}
 }
 
@@ -113,12 +142,12 @@
 }
 
 func (m *Machine) broadcastHeartbeat() {
-	m.reads.sent = m.reads.last
+	m.reads.sent++
 	silent := m.silentMembers()
 	for _, id := range m.peers {
 		m.send(&peerpb.LogMessage{
 			Kind: peerpb.MessageKind_MESSAGE_KIND_HEARTBEAT, To: id,
-			Commit: min(m.progress[id].match, m.log.commit), Read: m.reads.last, Silences: silent, Revision: m.cfg.Revision,
+			Commit: min(m.progress[id].match, m.log.commit), Read: m.reads.sent, Silences: silent, Revision: m.cfg.Revision,
 		})
 	}
 }
@@ -178,7 +207,10 @@
 	}
 	p.match = max(p.match, msg.GetIndex())
 	p.next = max(p.next, p.match+1)
-	p.probeInFlight = false
+	if !p.replicating {
+		p.forgetInFlight()
+	}
+	p.acknowledge()
 	if !p.installing || p.match >= m.log.base.Index {
 		p.installing, p.replicating = false, true
 	}
@@ -204,7 +236,7 @@
 	}
 	agreed, _ := m.agreementHint(msg.GetHint(), msg.GetHintTerm())
 	p.next = max(p.match+1, min(agreed, msg.GetHint(), msg.GetIndex()-1)+1)
-	p.probeInFlight = false
+	p.forgetInFlight()
 }
 
 func (m *Machine) handleHeartbeat(msg *peerpb.LogMessage) {
@@ -216,34 +248,34 @@
 	})
 }
 
-// handleHeartbeatResponse marks the member active and records the read that it
-// confirms.
+// handleHeartbeatResponse marks the member active and records the heartbeat that it
+// answered. What is known to be lost is sent again.
 func (m *Machine) handleHeartbeatResponse(msg *peerpb.LogMessage) {
 	p, ok := m.progress[msg.GetFrom()]
 	if m.role != Leader || !ok {
 		return
 	}
 	p.responded()
-	p.read = max(p.read, msg.GetRead())
+	p.answered = max(p.answered, msg.GetRead())
+	switch {
+	case !p.lost():
+	case p.replicating:
+		p.probe()
+	default:
+		p.forgetInFlight()
+	}
 }
 
-// retransmit resets, at each heartbeat, the peers that have acknowledged nothing
-// since the last one, so that unacknowledged entries are sent again.
-func (m *Machine) retransmit() {
+// retransmitSnapshots sends, at each heartbeat, the snapshots again that were not
+// acknowledged for too long.
+func (m *Machine) retransmitSnapshots() {
 	for _, id := range m.peers {
 		p := m.progress[id]
-		stalled := p.match < m.log.last() && p.match == p.matchAtHeartbeat
-		p.matchAtHeartbeat = p.match
-		switch {
-		case p.installing:
-			p.installElapsed++
-			if p.installElapsed >= snapshotHeartbeats {
-				p.probe()
-			}
-		case p.replicating && stalled:
+		if !p.installing {
+			continue
+		}
+		if p.installElapsed++; p.installElapsed >= snapshotHeartbeats {
 			p.probe()
-		default:
-			p.probeInFlight = false
 		}
 	}
 }
