regionlog: a learner is promoted though changes go on while it acknowledges

Cause and class: a moving target that must be met exactly.

Why it works: a learner that responds and lacks no more than one message counts as caught up. Safety doesn't rest on it: the lost identity is removed first, and the removal is committed only by a majority of the voters left, which holds all before it; a promoted learner that lacks entries can't win an election against them. Learners that stand by for any voter are promoted as before.

--- a/pkg/regionlog/membership.go
+++ b/pkg/regionlog/membership.go
@@ -187,10 +187,24 @@
 	return responding > len(voters)/2
 }
 
-// caughtUp reports whether a peer has replicated every committed entry.
+// caughtUp reports whether a peer has replicated every committed entry, or responds and
+// lacks no more than one message of them. Without that allowance a peer whose
+// acknowledgements take longer than the time between two changes would never count.
 func (m *Machine) caughtUp(identity uint64) bool {
 	p, ok := m.progress[identity]
-	return ok && p.match >= m.log.commit
+	switch {
+	case !ok:
+		return false
+	case p.match >= m.log.commit:
+		return true
+	case !p.replicating || p.match < m.log.base.Index || p.silentTicks > 2*m.cfg.HeartbeatTicks:
+		return false
+	}
+	missing := 0
+	for index := p.match + 1; index <= m.log.commit && missing <= m.cfg.MaxAppendBytes; index++ {
+		missing += entrySize(m.log.at(index))
+	}
+	return missing <= m.cfg.MaxAppendBytes
 }
 
 // refreshProgress updates progress and peers to the membership in effect.
--- a/pkg/regionlog/slowpeer_test.go
+++ b/pkg/regionlog/slowpeer_test.go
@@ -173,6 +173,35 @@
 	require.LessOrEqual(t, caughtUpAt, 400, "ticks until the learner has caught up")
 }
 
+// Guards against a learner that is not promoted because changes come faster than it acknowledges them.
+func TestLearnerIsPromotedWhileConfigurationChanges(t *testing.T) {
+	n, leader, learner, lost := electedRateNetwork(t, 4)
+	n.link(leader.identity, learner.identity).delay = 4
+	n.link(learner.identity, leader.identity).delay = 4
+	// A change is committed every 300 ms and acknowledged by the learner after 400 ms; the leader looks each 250 ms.
+	const changeTicks, lookTicks = 6, 5
+	promotedAt := 0
+	for tick := 1; tick <= 400 && promotedAt == 0; tick++ {
+		if tick%changeTicks == 0 {
+			n.propose(leader, fmt.Sprintf("%*d", largeCommand, tick), 0, crashNever)
+		}
+		if change := leader.machine.NextReplacement(); tick%lookTicks == 0 && change != nil {
+			_, _, _ = leader.machine.ProposeMembership(0, change)
+			n.processReady(leader, crashNever)
+		}
+		n.step()
+		if member, ok := FindMember(leader.machine.log.membership(), learner.identity); ok && !member.GetLearner() {
+			promotedAt = tick
+		}
+	}
+	require.NoError(t, n.violation)
+	t.Logf("promoted after %d ticks", promotedAt)
+	require.NotZero(t, promotedAt, "promoted")
+	require.LessOrEqual(t, promotedAt, 40, "ticks until the learner has the vote")
+	_, listed := FindMember(leader.machine.log.membership(), lost)
+	require.False(t, listed, "the lost identity is a member")
+}
+
 // Guards against entries that are lost on their way and sent again only after a timeout.
 func TestLostEntriesAreSentAgainAfterNextHeartbeat(t *testing.T) {
 	n, leader, learner, _ := electedRateNetwork(t, 4)
