control: a list of tunnel peers goes over a link at most once a second

Cause: each entry that attaches or detaches changed the list of entries that open connections for others, and woke all primary links, which sent the whole list again: the cost of a restart grew with the square of the number of entries. Class: the whole sent for each change of a part.

Why it works: an entry needs the list only while it has lost its own path, and tries peers in turn; a list that is a second old serves it.

--- a/pkg/control/attach.go
+++ b/pkg/control/attach.go
@@ -19,6 +19,9 @@
 	// updateInterval is the time between two updates without changes; an entry drops
 	// its link to a keeper that misses several.
 	updateInterval = 400 * time.Millisecond
+	// tunnelInterval is the least time between two lists of tunnel peers over a link. A list names all entries, and each of
+	// them changes it when it attaches, so that lists at each change cost the square of their number.
+	tunnelInterval = time.Second
 )
 
 // subscriber is the stream to one entry.
@@ -41,8 +44,9 @@
 	// behindSince is the time from which the entry has lacked the newest document.
 	behindSince time.Time
 	sentKeepers int
-	// sentTunnels is the version of the tunnel peers that the entry was sent.
+	// sentTunnels is the version of the tunnel peers that the entry was sent, at tunnelsAt.
 	sentTunnels uint64
+	tunnelsAt   time.Time
 }
 
 // Attach serves one entry until its stream ends.
@@ -63,9 +67,7 @@
 	err = c.sendUpdates(s, ended)
 	c.mu.Lock()
 	c.loads.removeNode(s.nodeID)
-	if c.tunnels.remove(s) {
-		c.changes.bump()
-	}
+	c.tunnels.remove(s)
 	c.mu.Unlock()
 	c.confirmations.remove(s)
 	c.opts.Log.Info().Str("entry", s.nodeID).AnErr("reason", err).Msg("entry_detached")
@@ -91,9 +93,7 @@
 	}
 	c.mu.Lock()
 	c.loads.setNode(boottime.Now(), s.nodeID, r)
-	if c.tunnels.set(s, r.GetTunnel()) {
-		c.changes.bump()
-	}
+	c.tunnels.set(s, r.GetTunnel())
 	c.mu.Unlock()
 	c.mergeCrashEvidence(r.GetCrashEvidence())
 	c.mergeStatements(r.GetStatements())
@@ -169,9 +169,7 @@
 	s.sentVersion = c.changes.version
 	u.CrashEvidence, s.sentEvidence = c.crashes.Encode(boottime.Now(), s.sentEvidence)
 	u.Statements, s.sentStatements = c.statements.Encode(boottime.Now(), s.sentStatements)
-	if s.sentTunnels != c.tunnels.version {
-		s.sentTunnels, u.Tunnels = c.tunnels.version, c.tunnels.except(s.nodeID)
-	}
+	u.Tunnels = c.tunnels.due(s, boottime.Now())
 	u.Granted, s.granted = encodeIncarnations(s.granted), nil
 	if s.needsDocument(boottime.Now(), c.content.GetVersion()) {
 		s.sentDocument, u.Document = c.content.GetVersion(), c.content.GetContent()
--- a/pkg/control/tunnels.go
+++ b/pkg/control/tunnels.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -22,31 +23,36 @@
 	peer       *peerpb.TunnelPeer
 }
 
-// set stores what an entry reported of itself. It returns true if other entries are to learn of it.
-func (t *tunnelPeers) set(s *subscriber, peer *peerpb.TunnelPeer) bool {
+// set stores what an entry reported of itself.
+func (t *tunnelPeers) set(s *subscriber, peer *peerpb.TunnelPeer) {
 	if peer == nil {
-		return false
+		return
 	}
 	if t.byNode == nil {
 		t.byNode = map[string]attachedPeer{}
 	}
 	held, known := t.byNode[s.nodeID]
 	t.byNode[s.nodeID] = attachedPeer{s, peer}
-	if known && proto.Equal(held.peer, peer) {
-		return false
+	if !known || !proto.Equal(held.peer, peer) {
+		t.version++
 	}
-	t.version++
-	return true
 }
 
 // remove removes the entry of a stream that has ended.
-func (t *tunnelPeers) remove(s *subscriber) bool {
-	if held, known := t.byNode[s.nodeID]; !known || held.subscriber != s {
-		return false
+func (t *tunnelPeers) remove(s *subscriber) {
+	if held, known := t.byNode[s.nodeID]; known && held.subscriber == s {
+		delete(t.byNode, s.nodeID)
+		t.version++
 	}
-	delete(t.byNode, s.nodeID)
-	t.version++
-	return true
+}
+
+// due returns the peers for the next update over a link, or nil if they have not changed or the last list is too recent.
+func (t *tunnelPeers) due(s *subscriber, now time.Time) *peerpb.TunnelPeers {
+	if s.sentTunnels == t.version || now.Sub(s.tunnelsAt) < tunnelInterval {
+		return nil
+	}
+	s.sentTunnels, s.tunnelsAt = t.version, now
+	return t.except(s.nodeID)
 }
 
 // except returns all peers but one.
