attach: no further keepers while one that knows a leader may confirm

Cause: after a restart of all VMs no keeper confirms a configuration within the 1.6 s after which an entry attaches to a further keeper each half second. All entries did so at once: 384 links in two seconds for 64 entries that need 192, each with all upstreams and the document, while the keepers were late for just that work. Class: late work that makes more work.

Why it works: a keeper that knows a leader is likely to confirm soon, and one that is cut off loses its leader within a second. After 3.2 s the entry goes on as before, and at once if no keeper knows a leader.

--- a/pkg/attach/attach.go
+++ b/pkg/attach/attach.go
@@ -202,11 +202,12 @@
 	return further[:min(1, len(further))]
 }
 
-// unconfirmed reports whether no link has confirmed the configuration within unconfirmedTimeout although one had that long.
+// unconfirmed reports whether no link has confirmed the configuration within unconfirmedTimeout although one had that long,
+// and none is likely to soon.
 // The caller holds the lock.
 func (a *Attachment) unconfirmed(now time.Time) bool {
 	links := lo.Values(a.links)
-	return lo.NoneBy(links, func(l *link) bool { return l.confirms(now) }) &&
+	return lo.NoneBy(links, func(l *link) bool { return l.confirms(now) || l.mayConfirm(now) }) &&
 		lo.SomeBy(links, func(l *link) bool { return now.Sub(l.attachedAt) >= unconfirmedTimeout })
 }
 
--- a/pkg/attach/link.go
+++ b/pkg/attach/link.go
@@ -24,6 +24,9 @@
 	// unconfirmedTimeout is the time without a confirmation after which a link counts as one that confirms nothing: the
 	// answer to one request for it is missing.
 	unconfirmedTimeout = 2 * confirmInterval
+	// leaderTimeout is the same for a link to a keeper that knows a leader: it is likely to confirm, and a further link costs
+	// the keepers more than its answer. One that is cut off loses its leader within a second.
+	leaderTimeout = 2 * unconfirmedTimeout
 	// reconnectDelay is the delay after a link failed before a new one is opened.
 	reconnectDelay = 250 * time.Millisecond
 	// queueRetryDelay is the time between two attempts to queue the loss of a link while the
@@ -42,6 +45,8 @@
 	// version is the document version that the keeper last reported, freshness what the link has confirmed.
 	version   atomic.Uint64
 	freshness freshness
+	// leaderKnown is true while the keeper reports that it knows a leader.
+	leaderKnown atomic.Bool
 	stop      context.CancelFunc
 	// urgent has the next report sent at once.
 	urgent chan struct{}
@@ -50,6 +55,11 @@
 // confirms reports whether the link has confirmed the configuration within unconfirmedTimeout.
 func (l *link) confirms(now time.Time) bool { return l.freshness.age(now) < unconfirmedTimeout }
 
+// mayConfirm reports whether the keeper knows a leader and has had less than leaderTimeout for a confirmation.
+func (l *link) mayConfirm(now time.Time) bool {
+	return l.leaderKnown.Load() && (l.freshness.age(now) < leaderTimeout || now.Sub(l.attachedAt) < leaderTimeout)
+}
+
 // run serves the stream until it fails or the link's context ends. It then queues the loss
 // of the link, unless ctx, the context of the whole attachment, has ended.
 func (l *link) run(ctx, linkCtx context.Context) {
@@ -105,6 +115,7 @@
 		silenceTimer.Reset(silenceTimeout)
 		l.attached.Store(true)
 		l.version.Store(f.GetDocumentVersion())
+		l.leaderKnown.Store(f.GetLeaderKnown())
 		l.freshness.confirm(f.GetConfirmedToken())
 		if first {
 			l.attachment.opts.Log.Info().Str("keeper", l.address).Uint64("document", f.GetDocumentVersion()).Msg("keeper_attached")
--- a/pkg/attach/unconfirmed_test.go
+++ b/pkg/attach/unconfirmed_test.go
@@ -114,3 +114,27 @@
 	a.logConfirmation(now)
 	return log.String()
 }
+
+// Guards against entries that all attach to twice as many keepers after a restart of all VMs, as no keeper confirms yet: the
+// further links make the keepers later.
+func TestFurtherKeepersAreNotTriedWhileOneWithLeaderMayConfirm(t *testing.T) {
+	now := start.Add(time.Hour)
+	for name, test := range map[string]struct {
+		leaderKnown bool
+		attached    time.Duration
+		further     int
+	}{
+		"no leader":                     {false, 2 * time.Second, 1},
+		"leader known for a short time": {true, 2 * time.Second, 0},
+		"leader known, but no answer":   {true, 4 * time.Second, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a := attachedTo(6, now, 0, 0, 0)
+			for _, l := range a.links {
+				l.attachedAt = now.Add(-test.attached)
+				l.leaderKnown.Store(test.leaderKnown)
+			}
+			assert.Len(t, a.missingLinks(now), test.further)
+		})
+	}
+}
--- a/pkg/control/attach.go
+++ b/pkg/control/attach.go
@@ -154,12 +154,13 @@
 // nextUpdate returns the update with everything that has not been sent to the entry yet.
 func (c *Control) nextUpdate(s *subscriber, first bool) *peerpb.FleetUpdate {
 	token := c.confirmations.confirmed(s)
-	members := c.opts.Keeper.Status().Membership.GetMembers()
+	status := c.opts.Keeper.Status()
+	members := status.Membership.GetMembers()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	u := &peerpb.FleetUpdate{
 		Full: first, DocumentVersion: c.content.GetVersion(), ConfirmedToken: token,
-		FailureDomain: c.opts.FailureDomain,
+		FailureDomain: c.opts.FailureDomain, LeaderKnown: status.Leader != 0,
 	}
 	if s.primary.Load() {
 		sums := c.loads.all(boottime.Now(), s.nodeID)
