control: changes cause at most 20 updates a second on a link

Cause: each change of an upstream woke all primary links 15 ms later, so that a keeper sent up to 66 updates a second to each of its entries while hundreds of upstreams change, as after a restart or a move; ticks came on top. Class: cost that grows with the rate of changes times the links.

Why it works: a first change after a quiet time still goes out after 15 ms; later ones wait for at most 50 ms and share an update.

--- a/pkg/control/attach.go
+++ b/pkg/control/attach.go
@@ -16,6 +16,9 @@
 	// updateDelay is the delay between a change and the update to subscribers, so that
 	// one message carries several changes.
 	updateDelay = 15 * time.Millisecond
+	// minUpdateInterval is the least time between an update and the next one that a change causes, so that the cost of a
+	// link doesn't grow with the rate of changes.
+	minUpdateInterval = 50 * time.Millisecond
 	// updateInterval is the time between two updates without changes; an entry drops
 	// its link to a keeper that misses several.
 	updateInterval = 400 * time.Millisecond
@@ -132,7 +135,7 @@
 		select {
 		case <-signal:
 			if s.primary.Load() {
-				time.Sleep(updateDelay)
+				time.Sleep(max(updateDelay, minUpdateInterval-boottime.Now().Sub(sentAt)))
 				return nil
 			}
 			// The primary link carries the change immediately, this one with its next periodic update.
@@ -140,7 +143,11 @@
 		case <-s.wake:
 			return nil
 		case <-tick:
-			if s.primary.Load() || boottime.Now().Sub(sentAt) >= updateInterval {
+			interval := updateInterval
+			if s.primary.Load() {
+				interval = minUpdateInterval
+			}
+			if boottime.Now().Sub(sentAt) >= interval {
 				return nil
 			}
 		case err := <-ended:
