tunnel: a reset that a write gets is not an orderly end of the answer

What callers saw: a worker answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was still written; the client got that part as a complete answer.

Cause: an entry that reaches an upstream for another one writes and reads on one connection at the same time. The operating system reports a reset only once: if the write got it, the read returned what had arrived and then an orderly end, which was passed on as one. Class: an error that is reported once, to whoever asks first.

Evidence: TestResetWhileRequestIsWrittenIsNotOrderlyEnd, over TCP, four ways in which such an answer ends, 40 times each.

Why it works: at the end of an answer the write in progress is ended, and whether any write got a reset decides; a reset after an orderly end is reported as a broken pipe and changes nothing.

--- a/pkg/attach/link.go
+++ b/pkg/attach/link.go
@@ -47,7 +47,7 @@
 	freshness freshness
 	// leaderKnown is true while the keeper reports that it knows a leader.
 	leaderKnown atomic.Bool
-	stop      context.CancelFunc
+	stop        context.CancelFunc
 	// urgent has the next report sent at once.
 	urgent chan struct{}
 }
--- a/pkg/dispatch/reset_test.go
+++ b/pkg/dispatch/reset_test.go
@@ -111,3 +111,43 @@
 		})
 	}
 }
+
+// Guards against a part of an answer without a length that counts as the whole, as its connection is reset while the request is
+// still written.
+func TestResetWhileRequestIsWrittenIsNotEndOfResponse(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nMasticmount-Request-Id: r\r\n\r\n"
+	ends := map[string]func(conn *net.TCPConn){
+		"reset":                          func(conn *net.TCPConn) { _ = conn.SetLinger(0); _ = conn.Close() },
+		"closed with the request unread": func(conn *net.TCPConn) { _ = conn.Close() },
+	}
+	for name, end := range ends {
+		for size, body := range map[string]int{"request in the socket's buffer": 64 << 10, "request that does not fit": 16 << 20} {
+			t.Run(name+", "+size, func(t *testing.T) {
+				listener, err := net.Listen("tcp", "127.0.0.1:0")
+				require.NoError(t, err)
+				defer func() { _ = listener.Close() }()
+				go func() {
+					for {
+						conn, err := listener.Accept()
+						if err != nil {
+							return
+						}
+						_, _ = io.ReadFull(conn, make([]byte, 1))
+						_, _ = io.WriteString(conn, head+"part")
+						end(conn.(*net.TCPConn))
+					}
+				}()
+				client := NewClientWith(Options{Protocol: Protocol{AllowUnframed: true}})
+				for range 40 {
+					call := testCall("r")
+					call.Address, call.Body = listener.Addr().String(), make([]byte, body)
+					r, err := client.Begin(context.Background(), call)
+					if err == nil {
+						_, err = r.ReadAll()
+					}
+					require.Error(t, err)
+				}
+			})
+		}
+	}
+}
--- a/pkg/tunnel/conn.go
+++ b/pkg/tunnel/conn.go
@@ -66,8 +66,9 @@
 	return err
 }
 
-// copyFrames copies what an upstream sends to the other entry, in frames. It returns true after an orderly end.
-func copyFrames(entry io.Writer, upstream io.Reader) bool {
+// copyFrames copies what an upstream sends to the other entry, in frames. It returns true after an orderly end, of which
+// wasReset is asked first.
+func copyFrames(entry io.Writer, upstream io.Reader, wasReset func() bool) bool {
 	buf := make([]byte, copyBufferBytes)
 	for {
 		n, err := upstream.Read(buf[frameHeaderBytes:])
@@ -77,7 +78,7 @@
 				return false
 			}
 		}
-		if errors.Is(err, io.EOF) {
+		if errors.Is(err, io.EOF) && !wasReset() {
 			_, err = entry.Write(make([]byte, frameHeaderBytes))
 			return err == nil
 		}
--- a/pkg/tunnel/server.go
+++ b/pkg/tunnel/server.go
@@ -209,19 +209,47 @@
 // join copies what an upstream sends to an entry and the other way round until either has ended. An orderly end of the
 // upstream is passed on as such, everything else as a reset: the end of some answers is that of their connection.
 func join(entry, upstream net.Conn) {
+	requests := &requestWriter{upstream: upstream}
 	go func() {
-		// The structs hide the connections' own ways of copying, which keep bytes in the kernel.
-		_, _ = io.CopyBuffer(struct{ io.Writer }{upstream}, struct{ io.Reader }{entry}, make([]byte, copyBufferBytes))
+		// The struct hides the connection's own way of copying, which keeps bytes in the kernel.
+		_, _ = io.CopyBuffer(requests, struct{ io.Reader }{entry}, make([]byte, copyBufferBytes))
 		// The entry closed the connection or was lost: its work is to be cancelled.
 		_ = upstream.Close()
 	}()
-	if !copyFrames(entry, upstream) {
+	if !copyFrames(entry, upstream, requests.wasReset) {
 		reset(entry)
 	}
 	_ = entry.Close()
 	_ = upstream.Close()
 }
 
+// requestWriter writes to an upstream and notices its reset. The operating system reports a reset only once: if a write gets it,
+// a read returns an orderly end.
+type requestWriter struct {
+	upstream net.Conn
+	// mu is held while a write is in progress.
+	mu    sync.Mutex
+	reset bool
+}
+
+// Write implements io.Writer.
+func (w *requestWriter) Write(p []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n, err := w.upstream.Write(p)
+	// A reset after the orderly end of the answer is reported as a broken pipe.
+	w.reset = w.reset || errors.Is(err, syscall.ECONNRESET)
+	return n, err
+}
+
+// wasReset reports whether a write got the upstream's reset. It ends the write in progress, which may be about to get it.
+func (w *requestWriter) wasReset() bool {
+	_ = w.upstream.SetWriteDeadline(time.Now())
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.reset
+}
+
 // reset closes a connection so that the other side sees a reset.
 func reset(conn net.Conn) {
 	if tcp, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
--- a/pkg/tunnel/tunnel_test.go
+++ b/pkg/tunnel/tunnel_test.go
@@ -244,3 +244,45 @@
 	assert.Empty(t, d.failedAt)
 	assert.NoError(t, conn.Close())
 }
+
+// Guards against an answer without a length that is reset while its request is still written and looks complete: the operating
+// system reports a reset only once, to the writer or to the reader.
+func TestResetWhileRequestIsWrittenIsNotOrderlyEnd(t *testing.T) {
+	const begun = "begun"
+	for name, c := range map[string]struct {
+		end     func(conn *net.TCPConn)
+		orderly bool
+	}{
+		"reset":                          {func(conn *net.TCPConn) { _ = conn.SetLinger(0); _ = conn.Close() }, false},
+		"closed with the request unread": {func(conn *net.TCPConn) { _ = conn.Close() }, false},
+		"ended, the request read on": {func(conn *net.TCPConn) {
+			_ = conn.CloseWrite()
+			_, _ = io.Copy(io.Discard, conn)
+			_ = conn.Close()
+		}, true},
+		"ended, the request not read": {func(conn *net.TCPConn) { _ = conn.CloseWrite(); time.Sleep(time.Second); _ = conn.Close() }, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for range 40 {
+				address := listen(t, func(conn *net.TCPConn) {
+					_, _ = io.ReadFull(conn, make([]byte, 1))
+					_, _ = io.WriteString(conn, begun)
+					_, _ = io.ReadFull(conn, make([]byte, 1<<20))
+					c.end(conn)
+				})
+				_, peer := serveTunnels(t, newTestDialer(nil), address)
+				conn, err := newTestDialer(refuseDial, peer).Dial(dialContext(t), address)
+				require.NoError(t, err)
+				go func() { _, _ = conn.Write(make([]byte, 16<<20)) }()
+				answer, err := io.ReadAll(conn)
+				_ = conn.Close()
+				if c.orderly {
+					require.NoError(t, err)
+					require.Equal(t, begun, string(answer))
+				} else {
+					require.ErrorIs(t, err, syscall.ECONNRESET)
+				}
+			}
+		})
+	}
+}
