attach: a keeper that refused a link before it served is no worse than others

Cause: a keeper to which a link failed ranks behind the others for 2 s, and an entry opens links to the best three. While the keepers start, links to all of them fail; the entry then attached to the other three as well, gave up the first three when the failures of the others had been forgotten, and came back. An entry's lines of a restart: eight links begun in place of three. Class: late work that makes more work.

Evidence: TestRestartOfAllKeepersDoesNotDoubleLinks, with the first condition switched off: three further links while the first three have just begun.

Why it works: a first update clears the failure, and beyond three links an entry waits for those that have just begun. A keeper that does not serve within a second is replaced as before.

--- a/pkg/attach/attach.go
+++ b/pkg/attach/attach.go
@@ -188,13 +188,17 @@
 }
 
 // missingLinks returns the keepers to open a link to: those of the best maxLinks that have none and, while no link
-// confirms the configuration, the best other one without a link.
+// confirms the configuration, the best other one without a link. Beyond maxLinks it waits for links that have just begun:
+// their keepers rank behind others only since an earlier link failed.
 func (a *Attachment) missingLinks(now time.Time) []string {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	preferred := a.rankedKeepers(now)
 	withoutLink := func(address string, _ int) bool { return a.links[address] == nil }
 	missing := lo.Filter(preferred[:min(maxLinks, len(preferred))], withoutLink)
+	if len(a.links) >= maxLinks && lo.SomeBy(lo.Values(a.links), func(l *link) bool { return l.begins(now) }) {
+		return nil
+	}
 	if len(missing) > 0 || len(a.links) >= maxUnconfirmedLinks || !a.unconfirmed(now) {
 		return missing
 	}
@@ -248,6 +252,14 @@
 	a.failedAt[address] = now
 }
 
+// recordAttached forgets an earlier failure of a keeper that serves again, so that its link isn't given up for others and
+// opened again later.
+func (a *Attachment) recordAttached(address string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.failedAt, address)
+}
+
 // isPrimary reports whether the link to a keeper is the one that carries loads, demand and
 // documents.
 func (a *Attachment) isPrimary(address string) bool {
--- a/pkg/attach/link.go
+++ b/pkg/attach/link.go
@@ -27,6 +27,8 @@
 	// leaderTimeout is the same for a link to a keeper that knows a leader: it is likely to confirm, and a further link costs
 	// the keepers more than its answer. One that is cut off loses its leader within a second.
 	leaderTimeout = 2 * unconfirmedTimeout
+	// beginTimeout is the time in which a keeper that serves sends its first update.
+	beginTimeout = time.Second
 	// reconnectDelay is the delay after a link failed before a new one is opened.
 	reconnectDelay = 250 * time.Millisecond
 	// queueRetryDelay is the time between two attempts to queue the loss of a link while the
@@ -55,6 +57,11 @@
 // confirms reports whether the link has confirmed the configuration within unconfirmedTimeout.
 func (l *link) confirms(now time.Time) bool { return l.freshness.age(now) < unconfirmedTimeout }
 
+// begins reports whether the link was opened within beginTimeout and the keeper has not sent an update yet.
+func (l *link) begins(now time.Time) bool {
+	return !l.attached.Load() && now.Sub(l.attachedAt) < beginTimeout
+}
+
 // mayConfirm reports whether the keeper knows a leader and has had less than leaderTimeout for a confirmation.
 func (l *link) mayConfirm(now time.Time) bool {
 	return l.leaderKnown.Load() && (l.freshness.age(now) < leaderTimeout || now.Sub(l.attachedAt) < leaderTimeout)
@@ -118,6 +125,7 @@
 		l.leaderKnown.Store(f.GetLeaderKnown())
 		l.freshness.confirm(f.GetConfirmedToken())
 		if first {
+			l.attachment.recordAttached(l.address)
 			l.attachment.opts.Log.Info().Str("keeper", l.address).Uint64("document", f.GetDocumentVersion()).Msg("keeper_attached")
 		}
 		if !l.attachment.updates.Push(update{keeper: l.address, fleet: f, at: boottime.Now()}) {
--- a/pkg/attach/unconfirmed_test.go
+++ b/pkg/attach/unconfirmed_test.go
@@ -138,3 +138,28 @@
 		})
 	}
 }
+
+// Guards against entries that attach to all keepers after a restart of all VMs: each keeper refused a link before it served, and
+// so ranked behind the others for a time.
+func TestRestartOfAllKeepersDoesNotDoubleLinks(t *testing.T) {
+	now := start.Add(time.Hour)
+	a := attachedTo(6, now, 0, 0, 0)
+	preferred := a.rankedKeepers(now)[:maxLinks]
+	for _, address := range preferred {
+		a.recordFailure(address, now.Add(-100*time.Millisecond))
+		a.links[address].attached.Store(false)
+		a.links[address].attachedAt = now.Add(-50 * time.Millisecond)
+	}
+	assert.Empty(t, a.missingLinks(now), "the links to the preferred keepers have just begun")
+	for _, address := range preferred {
+		a.links[address].attached.Store(true)
+		a.recordAttached(address)
+	}
+	assert.Equal(t, preferred, a.rankedKeepers(now)[:maxLinks], "a keeper that serves again is no failed one")
+	for _, address := range preferred {
+		a.links[address].attached.Store(false)
+		a.links[address].attachedAt = now.Add(-2 * beginTimeout)
+		a.recordFailure(address, now)
+	}
+	assert.Len(t, a.missingLinks(now), maxLinks, "the preferred keepers do not serve")
+}
