--- a/cmd/mastic-soak/crashingrequests.go
+++ b/cmd/mastic-soak/crashingrequests.go
@@ -28,13 +28,16 @@
 	crashesToLearn = 3
 	maxLateSends   = 3
 	// crashingInterval is the time between two requests that crash upstreams, soundInterval between two others.
-	crashingInterval = 150 * time.Millisecond
-	soundInterval    = 50 * time.Millisecond
+	// In one of rareSeedStep seeds they come rarely: an upstream is back before the next one, and evidence has time to age.
+	crashingInterval     = 150 * time.Millisecond
+	rareCrashingInterval = 700 * time.Millisecond
+	rareSeedStep         = 3
+	soundInterval        = 50 * time.Millisecond
 	// soundRetries is how often a caller retries a sound request at once.
 	soundRetries = 2
 	// lateTime is how long requests are sent once their retries count, learnLimit bounds the time of all.
 	lateTime   = 4 * time.Second
-	learnLimit = 12 * time.Second
+	learnLimit = 20 * time.Second
 	// kioskServedLimit bounds the wait for the service of each sound request after the crashes.
 	kioskServedLimit = 10 * time.Second
 )
@@ -211,7 +214,17 @@
 type kioskCallers struct {
 	callers
 	service *plainService
-	found   []string
+	// interval is the time between two requests that crash upstreams.
+	interval time.Duration
+	found    []string
+}
+
+// crashingIntervalOf returns the interval in a seed.
+func crashingIntervalOf(seed uint64) time.Duration {
+	if seed%rareSeedStep == 0 {
+		return rareCrashingInterval
+	}
+	return crashingInterval
 }
 
 // run sends requests to the entries in rotation until done reports true.
@@ -227,7 +240,7 @@
 	}
 	crashing, sound := crashingRequests(), soundRequests()
 	calls.Go(func() {
-		repeat(crashingInterval, func(i int) { c.sendNext(crashing[i%len(crashing)]) })
+		repeat(c.interval, func(i int) { c.sendNext(crashing[i%len(crashing)]) })
 	})
 	calls.Go(func() { repeat(soundInterval, func(i int) { c.sendSound(sound[i%len(sound)]) }) })
 	calls.Wait()
--- a/cmd/mastic-soak/main.go
+++ b/cmd/mastic-soak/main.go
@@ -120,7 +120,7 @@
 	if args.Grouped > 0 && seed%crashSeedStep == 0 {
 		all.Go(func() { streams.runCrashing(until) })
 	}
-	kioskCalls := &kioskCallers{callers: callers{region: r}, service: kiosk}
+	kioskCalls := &kioskCallers{callers: callers{region: r}, service: kiosk, interval: crashingIntervalOf(seed)}
 	all.Go(func() { kioskCalls.runBesideFaults(seed, until) })
 	leaving := &departures{region: r, service: service}
 	odd := &oddWriter{region: r, service: service}
--- a/pkg/keeper/loopmeter.go
+++ b/pkg/keeper/loopmeter.go
@@ -36,10 +36,12 @@
 
 // tick records a tick at now and reports whether a line is due.
 func (m *loopMeter) tick(now time.Time) bool {
+	if m.tickedAt.IsZero() {
+		m.tickedAt, m.reportedAt, m.processor = now, now, processorTime()
+	}
 	late := now.Sub(m.tickedAt) - tickInterval
-	first := m.tickedAt.IsZero()
 	m.tickedAt = now
-	if !first && late >= lateTick {
+	if late >= lateTick {
 		m.period.lateTicks++
 		m.period.worst = max(m.period.worst, late)
 	}
