--- a/pkg/regionlog/slowpeer_test.go
+++ b/pkg/regionlog/slowpeer_test.go
@@ -110,7 +110,7 @@
 	m := l.queue[0].message
 	l.queue, l.credit = l.queue[1:], l.credit-entryBytes(m)
 	n.inFlight = append(n.inFlight, m)
-	n.network.deliver(len(n.inFlight)-1, false)
+	n.deliver(len(n.inFlight)-1, false)
 	n.collect()
 	return true
 }
