--- a/pkg/regionlog/replication.go
+++ b/pkg/regionlog/replication.go
@@ -106,6 +106,7 @@
 	term, ok := m.log.term(previous)
 	if !ok {
 		p.installing = true
+		p.forgetInFlight()
 		m.send(&peerpb.LogMessage{
 			Kind: peerpb.MessageKind_MESSAGE_KIND_SNAPSHOT, To: id,
 			Snapshot: &peerpb.LogSnapshot{Index: m.log.base.Index, Term: m.log.base.Term},
--- a/pkg/regionlog/slowpeer_test.go
+++ b/pkg/regionlog/slowpeer_test.go
@@ -217,3 +217,19 @@
 	}
 	require.Equal(t, leader.machine.log.last(), leader.machine.progress[learner.identity].match)
 }
+
+// Guards against a snapshot that is sent again while it is on its way, as entries sent before it were lost. It takes another
+// connection than heartbeats, so that a response to them says nothing of it.
+func TestSnapshotOnItsWayIsNotSentAgain(t *testing.T) {
+	n, leader, learner, _ := electedRateNetwork(t, 4)
+	n.compact(leader, 0)
+	p := leader.machine.progress[learner.identity]
+	p.replicating, p.next = true, leader.machine.log.base.Index
+	p.inFlight = []sentEntries{{last: p.next}}
+	leader.machine.sendAppend(learner.identity, p)
+	require.True(t, p.installing)
+	require.NoError(t, leader.machine.Step(&peerpb.LogMessage{
+		Kind: peerpb.MessageKind_MESSAGE_KIND_HEARTBEAT_RESPONSE, From: learner.identity, To: leader.identity, Term: leader.machine.term, Read: leader.machine.reads.sent,
+	}))
+	require.True(t, p.installing)
+}
